--- /dev/null
+++ b/cmd/benchlink/main.go
@@ -0,0 +1,182 @@
+// Command benchlink lets the decision module run in the simulator: it reads
+// batches of events on standard input, feeds each instance's Balancer, and
+// answers each batch with the actions they took. It decides nothing itself.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"mallowfield/decide"
+	"mallowfield/internal/wire"
+)
+
+func main() {
+	flag.Usage = func() {
+		fmt.Fprint(flag.CommandLine.Output(), "usage: benchlink\n\nSpeaks the simulator's wire on standard input and output until input ends.\n")
+	}
+	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "benchlink: unexpected argument %q\n", flag.Arg(0))
+		os.Exit(2)
+	}
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "benchlink:", err)
+		os.Exit(1)
+	}
+}
+
+// node is one instance; it turns the module's effects into actions.
+type node struct {
+	who uint16
+	enc *wire.Encoder
+	b   *decide.Balancer
+}
+
+func (n *node) Send(id decide.RequestID, s decide.ServerID, timeout time.Duration) {
+	n.enc.Assign(n.who, uint32(id), uint32(s), timeout)
+}
+func (n *node) Cancel(id decide.RequestID, attempt int) {
+	n.enc.StopAttempt(n.who, uint32(id), uint16(attempt))
+}
+func (n *node) Refuse(id decide.RequestID)          { n.enc.Decline(n.who, uint32(id), 0) }
+func (n *node) Fail(id decide.RequestID)            { n.enc.GiveUp(n.who, uint32(id)) }
+func (n *node) Wake(token uint64, at time.Duration) { n.enc.Sleep(n.who, token, at) }
+func (n *node) Watch(on bool)                       { n.enc.StreamChanges(n.who, on) }
+func (n *node) Log(text string)                     { n.enc.Remark(n.who, text) }
+
+// link holds the instances of this process by number. A nil Balancer marks one
+// that broke: its events are dropped.
+type link struct {
+	nodes map[uint16]*node
+	enc   wire.Encoder
+	dec   wire.Decoder
+	list  []decide.Server
+}
+
+func run(in io.Reader, out io.Writer) error {
+	r := bufio.NewReaderSize(in, 1<<16)
+	l := link{nodes: make(map[uint16]*node)}
+	var buf []byte
+	for n := 1; ; n++ {
+		var err error
+		if buf, err = wire.ReadFrame(r, buf); err != nil {
+			if err == io.EOF {
+				return nil
+			}
+			return fmt.Errorf("batch %d: %w", n, err)
+		}
+		if err = l.batch(buf); err != nil {
+			return fmt.Errorf("batch %d: %w", n, err)
+		}
+		if _, err = out.Write(l.enc.Bytes()); err != nil {
+			return fmt.Errorf("batch %d: writing the reply: %w", n, err)
+		}
+	}
+}
+
+func (l *link) batch(frame []byte) error {
+	l.enc.Reset()
+	if err := l.dec.Reset(frame); err != nil {
+		return err
+	}
+	var ev wire.Event
+	for {
+		if err := l.dec.Next(&ev); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		if err := l.event(&ev); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *link) event(ev *wire.Event) error {
+	n := l.nodes[ev.Who]
+	switch ev.Code {
+	case wire.EvLaunch:
+		set, err := wire.ParseSetup(ev.Setup)
+		if err != nil {
+			return fmt.Errorf("instance %d: field setup: %w", ev.Who, err)
+		}
+		n = &node{who: ev.Who, enc: &l.enc}
+		l.nodes[ev.Who] = n
+		n.guard(func() { n.b = decide.New(set, ev.Seed, l.dec.Now(), n) })
+		return nil
+	case wire.EvRetire:
+		delete(l.nodes, ev.Who)
+		return nil
+	}
+	if n == nil {
+		return fmt.Errorf("event %d: field who: instance %d was never launched", ev.Code, ev.Who)
+	}
+	if n.b != nil {
+		n.guard(func() { l.feed(n.b, ev) })
+	}
+	return nil
+}
+
+// guard turns a panic of the module into Broken for its instance; what the
+// instance had decided in this event is dropped.
+func (n *node) guard(f func()) {
+	mark := n.enc.Mark()
+	defer func() {
+		if p := recover(); p != nil {
+			n.enc.Truncate(mark)
+			n.enc.Broken(n.who, fmt.Sprintf("instance %d: %v", n.who, p))
+			n.b = nil
+		}
+	}()
+	f()
+}
+
+func (l *link) feed(b *decide.Balancer, ev *wire.Event) {
+	now := l.dec.Now()
+	switch ev.Code {
+	case wire.EvFleet:
+		kind := [...]decide.ListKind{decide.ListDelta, decide.ListFull, decide.ListCached, decide.ListFailed}[ev.Scope]
+		l.list = l.list[:0]
+		for _, e := range ev.Entries {
+			l.list = append(l.list, decide.Server{
+				ID: decide.ServerID(e.Server), Zone: int(e.Zone), Cell: int(e.Cell),
+				Condition: [...]decide.Condition{decide.Gone, decide.Ready, decide.Draining}[e.Condition],
+				Scale:     float64(e.Scale), Since: e.Since,
+			})
+		}
+		b.Listed(now, kind, l.list)
+	case wire.EvNewRequest:
+		q := decide.Request{
+			ID: decide.RequestID(ev.Req), Class: int(ev.Class), Key: ev.Key,
+			Repeat: ev.Flags&2 != 0, Due: ev.Due,
+		}
+		if ev.Flags&1 != 0 {
+			q.Hint = ev.Hint
+		}
+		b.Arrive(now, q)
+	case wire.EvAckFirst:
+		b.FirstByte(now, decide.RequestID(ev.Req), int(ev.Attempt))
+	case wire.EvEnded:
+		b.Finished(now, decide.Outcome{
+			ID: decide.RequestID(ev.Req), Attempt: int(ev.Attempt), Result: results[ev.Reason],
+			Settled: ev.Settled,
+		})
+	case wire.EvLeft:
+		b.ClientGone(now, decide.RequestID(ev.Req))
+	case wire.EvElapsed:
+		b.Timer(now, ev.Token)
+	}
+}
+
+// results turns the wire's outcome codes into the module's.
+var results = [...]decide.Result{
+	decide.OK, decide.Failed, decide.Full, decide.TimedOut,
+	decide.NoConnection, decide.Reset, decide.Cancelled, decide.Moot,
+}
--- /dev/null
+++ b/cmd/benchlink/main_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math"
+	"strings"
+	"testing"
+
+	"mallowfield/internal/wire"
+)
+
+// batch builds a frame at a clock of one second from whole records.
+func batch(records ...[]byte) []byte {
+	body := bytes.Join(records, nil)
+	f := binary.LittleEndian.AppendUint32(nil, uint32(16+len(body)))
+	f = binary.LittleEndian.AppendUint64(f, math.Float64bits(1000))
+	f = binary.LittleEndian.AppendUint32(f, uint32(len(records)))
+	return append(f, body...)
+}
+
+func record(code byte, fields ...any) []byte {
+	var b bytes.Buffer
+	for _, f := range fields {
+		if err := binary.Write(&b, binary.LittleEndian, f); err != nil {
+			panic(err)
+		}
+	}
+	r := binary.LittleEndian.AppendUint32([]byte{code}, uint32(b.Len()))
+	return append(r, b.Bytes()...)
+}
+
+func launch(who uint16) []byte {
+	setup := "classes.count=1\nclasses.0.effect=free\nclasses.0.objectiveMs=500\nceilings.maxAttempts=3\n"
+	return record(wire.EvLaunch, who, uint64(7), uint32(len(setup)), []byte(setup))
+}
+
+func fleet(who uint16) []byte {
+	return record(wire.EvFleet, who, uint64(1), uint8(2), uint32(1),
+		uint16(0), uint32(42), uint8(0), uint8(1), float32(1), float64(0), uint16(0))
+}
+
+func request(who uint16, id uint32) []byte {
+	return record(wire.EvNewRequest, who, id, uint64(0), float64(0), uint32(0), uint8(0), uint8(0), float64(2000))
+}
+
+func TestServesAndEndsWithInput(t *testing.T) {
+	in := append(batch(), batch(launch(3), fleet(3), request(3, 9), record(200, uint16(1)))...)
+	in = append(in, batch(record(wire.EvRetire, uint16(3)), launch(3), fleet(3))...)
+	var out bytes.Buffer
+	if err := run(bytes.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.HasPrefix(out.Bytes(), []byte{4, 0, 0, 0}) {
+		t.Errorf("the empty batch is answered with %x", out.Bytes())
+	}
+	assign := []byte{wire.ActAssign, 18, 0, 0, 0, 3, 0, 9, 0, 0, 0, 42, 0, 0, 0}
+	if !bytes.Contains(out.Bytes(), assign) {
+		t.Errorf("no attempt for the request in %x", out.Bytes())
+	}
+}
+
+func TestComplaints(t *testing.T) {
+	bad := record(wire.EvLaunch, uint16(1), uint64(7), uint32(4), []byte("what"))
+	for name, c := range map[string]struct {
+		in   []byte
+		says string
+	}{
+		"cut short":      {batch(launch(1))[:40], "cut short"},
+		"half a length":  {[]byte{1, 2}, "length"},
+		"never launched": {batch(request(5, 1)), "instance 5 was never launched"},
+		"settings":       {batch(bad), "bad settings"},
+		"huge length":    {[]byte{0xff, 0xff, 0xff, 0xff, 0}, "length"},
+	} {
+		var out bytes.Buffer
+		err := run(bytes.NewReader(c.in), &out)
+		if err == nil || !strings.Contains(err.Error(), c.says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error is %v, want one line with %q", name, err, c.says)
+		}
+	}
+}
+
+// A panic of the module costs its instance, not the process.
+func TestPanicBecomesBroken(t *testing.T) {
+	var l link
+	l.enc.Reset()
+	n := &node{who: 4, enc: &l.enc}
+	n.guard(func() {
+		n.Fail(1)
+		panic("boom")
+	})
+	got := l.enc.Bytes()
+	if got[4] != wire.ActBroken || !bytes.Contains(got, []byte("boom")) || n.b != nil {
+		t.Errorf("reply is %x", got)
+	}
+}
--- /dev/null
+++ b/cmd/mallowfield/main.go
@@ -0,0 +1,46 @@
+// Command mallowfield is one node of the load balancer. It reads its
+// configuration where GW_CONFIG points, serves until SIGTERM or SIGINT, answers
+// what it has taken, and ends.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"mallowfield/internal/node"
+)
+
+func main() {
+	flag.Usage = func() {
+		fmt.Fprint(flag.CommandLine.Output(), "usage: mallowfield\n\nOne node; GW_CONFIG names its configuration file. See README.md.\n")
+	}
+	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "mallowfield: unexpected argument %q\n", flag.Arg(0))
+		os.Exit(2)
+	}
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "mallowfield:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	cfg, err := node.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
+	debug.SetMemoryLimit(cfg.MemoryLimit())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return node.Run(ctx, cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+}
--- /dev/null
+++ b/decide/admit.go
@@ -0,0 +1,188 @@
+package decide
+
+import (
+	"math"
+	"time"
+)
+
+// Tuning of load shedding.
+const (
+	// fillAim is how much of the room between the latency of an unloaded fleet
+	// and the aim answers may use up on average, squared. From fillMost on what
+	// is out is itself too much, and the window may go below it, by fillOver.
+	fillAim  = 0.13
+	fillMost = 0.4
+	fillOver = 4
+	// lateWork is what a time-out counts where worth goes by work: it is the
+	// large requests that miss their aims.
+	lateWork = 2
+	// wholeWait is the part of the aim that an attempt must have had for its
+	// time-out to count: shedding fed without end on late tries cut short.
+	wholeWait = 0.75
+	// windowGain is how fast the window of own calls follows the signal, per
+	// tick; closeMost bounds the signal: it closes by a fifth at most.
+	windowGain = 0.5
+	closeMost  = 3 * fillAim
+	// shedSpan: by how much of itself the window may be exceeded until all is
+	// refused.
+	shedSpan = 0.4
+	// steadyGain smooths the pressure that the worthiest rank feels, levelGain
+	// the count of own calls, per tick: longer where they are few, by levelFew
+	// for each, as two calls more are chance there and no overload.
+	steadyGain = 0.1
+	levelGain  = 0.3
+	levelFew   = 0.08
+	shedMost   = 0.95
+	// feelGain smooths the latency signal over some tens of answers.
+	feelGain = 1.0 / 16
+	// mixFade is how fast the observed mix of traffic is renewed.
+	mixFade = 1.0 / 512
+)
+
+// Ranks of requests, the first to be shed first.
+const (
+	rankRepeat = iota // a client's further try
+	rankLow           // of the classes worth less for their work than the whole
+	rankRest
+)
+
+// admission decides what is refused on arrival under overload.
+type admission struct {
+	fill   float64        // room used between unloaded latencies and aims, smoothed
+	window float64        // own calls outstanding that the node allows itself, 0 for no limit
+	level  float64        // own calls outstanding, smoothed
+	steady float64        // pressure, smoothed
+	mix    []float64      // offered work: client's further tries, then by class
+	rank   []int          // of each of the mix
+	keys   map[uint64]int // fading counts of keys seen
+	keySum int
+}
+
+// shed says whether a request is refused on arrival. The share to refuse is
+// taken from the lowest rank up, by chance within the rank it ends in.
+func (b *Balancer) shed(r *request) bool {
+	b.countKey(r.Key)
+	slot, w := r.Class+1, float64(r.Hint)
+	if r.Repeat {
+		slot = 0
+	}
+	if w <= 0 {
+		w = b.classes[r.Class].latency
+	}
+	rank, total, below, same := b.rank[slot], 0.0, 0.0, 0.0
+	b.mix[slot] += w
+	for i := range b.mix {
+		b.mix[i] *= 1 - mixFade
+		total += b.mix[i]
+		if k := b.rank[i]; k < rank {
+			below += b.mix[i]
+		} else if k == rank {
+			same += b.mix[i]
+		}
+	}
+	if b.window <= 0 {
+		return false
+	}
+	// The last rank is touched only where pressure lasts, and not by chance.
+	share := b.steady
+	if rank < rankRest {
+		share = b.pressure()
+	}
+	p := (share*total - below) / same
+	return p > 0 && b.rng.Float64() < p
+}
+
+// pressure is the share of offered work to refuse for the calls now out. Few
+// calls come and go by chance, so small windows go by their smoothed level.
+func (b *Balancer) pressure() float64 {
+	if b.window <= 0 {
+		return 0
+	}
+	seen := b.level + (float64(b.outNow)-b.level)*b.window/(b.window+20)
+	return min(max((seen-b.window)/(shedSpan*b.window), 0), shedMost)
+}
+
+// feel takes an outcome's latency into the overload signal. Servers that do
+// not answer at all say nothing about load.
+func (b *Balancer) feel(r *request, res Result, took time.Duration, counts bool) {
+	aim, base := float64(b.set.Classes[r.Class].Aim), b.classes[r.Class].base
+	x := 1.0
+	if res == OK && aim > base {
+		x = min(max((float64(took)-base)/(aim-base), -1), 1)
+		x *= math.Abs(x) // a wait well within the aim costs nothing
+	} else if res != Full && (res != TimedOut || !counts || float64(took) <= wholeWait*aim) {
+		return
+	} else if b.set.WorthByWork {
+		x = lateWork
+	}
+	b.fill += (x - b.fill) * feelGain
+}
+
+// adjust moves the window of own calls. These rise as soon as servers slow
+// down, so it sheds in time; late answers only say how wide it may be.
+func (b *Balancer) adjust() {
+	b.chooseLow()
+	b.level += (float64(b.outNow) - b.level) * min(levelGain, levelFew*max(b.level, 1))
+	b.steady += (b.pressure() - b.steady) * steadyGain
+	e := fillAim - b.fill
+	switch {
+	case b.window > 0:
+		// Late answers tell of sends long past: the window goes by them slowly and
+		// not below what is out, or nearly all is refused with the servers empty;
+		// but further where most are late, or a fleet at half speed stays late.
+		floor := b.level / (1 + shedSpan + fillOver*max(0, b.fill-fillMost))
+		b.window = max(1, floor, b.window*(1+windowGain*max(e, -closeMost)))
+		if e > 0 && b.window > 2*b.level {
+			b.window = 0
+			b.out.Log("load shedding ends")
+		}
+	case e < 0:
+		b.window = 1.2 * max(1, b.level)
+		b.out.Log("load shedding begins")
+	}
+}
+
+// chooseLow finds the classes to shed first: those worth less for their work
+// than the traffic as a whole.
+func (b *Balancer) chooseLow() {
+	worth := func(i int) float64 {
+		if b.set.WorthByWork {
+			return b.set.Classes[i].Worth
+		}
+		return b.set.Classes[i].Worth / max(b.classes[i].latency, 1)
+	}
+	var all, work float64
+	for i, w := range b.mix[1:] {
+		all, work = all+worth(i)*w, work+w
+	}
+	for i := range b.set.Classes {
+		b.rank[i+1] = rankRest
+		if worth(i)*work < all {
+			b.rank[i+1] = rankLow
+		}
+	}
+}
+
+// countKey keeps a fading count of the keys seen.
+func (b *Balancer) countKey(key uint64) {
+	if key == 0 || !b.set.WarmKeys {
+		return
+	}
+	b.keys[key]++
+	b.keySum++
+	if b.keySum <= keyWindow {
+		return
+	}
+	b.keySum = 0
+	for k, n := range b.keys {
+		if b.keys[k] = n / 2; n < 2 {
+			delete(b.keys, k)
+		}
+		b.keySum += n / 2
+	}
+}
+
+// keyShare is the part of this node's traffic that a key makes up.
+func (b *Balancer) keyShare(key uint64) float64 {
+	return float64(b.keys[key]) / float64(max(b.keySum, 200))
+}
--- /dev/null
+++ b/decide/attempt.go
@@ -0,0 +1,152 @@
+package decide
+
+import (
+	"slices"
+	"time"
+)
+
+// Tuning of attempts.
+const (
+	// retryShare of the first tries may be repeated, retryBurst at once: in a
+	// storm retries stay a small part of the load.
+	retryShare = 0.15
+	retryBurst = 20.0
+	// windowMargin keeps repeats of guarded requests clear of the window's end.
+	windowMargin = 0.9
+)
+
+// first returns the first attempt that may have run, or nil.
+func (r *request) first() *attempt {
+	if i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.mayRun }); i >= 0 {
+		return &r.attempts[i]
+	}
+	return nil
+}
+
+// maySend is the effect rule: whether the attempts so far allow another one at
+// this server.
+func (b *Balancer) maySend(r *request, s *server) bool {
+	if len(r.attempts) >= b.set.MaxAttempts || r.pending() && !b.set.SecondCopies {
+		return false
+	}
+	c := &b.set.Classes[r.Class]
+	f := r.first()
+	if c.Effect == Free || f == nil {
+		return true
+	}
+	if c.Effect != Guarded || !b.remembered(c, f) {
+		return false
+	}
+	switch c.Scope {
+	case ScopeAll:
+		return true
+	case ScopeZone:
+		return s.Zone == f.srv.Zone
+	case ScopeCell:
+		return s.Cell == f.srv.Cell && s.Zone == f.srv.Zone
+	}
+	return false
+}
+
+// remembered says whether servers still drop repeats of a guarded attempt.
+func (b *Balancer) remembered(c *Class, f *attempt) bool {
+	return b.now-f.sentAt <= time.Duration(windowMargin*float64(c.Window))
+}
+
+// mayRefuse says whether a refusal is truthful: trying again does no harm.
+func (b *Balancer) mayRefuse(r *request) bool {
+	c, f := &b.set.Classes[r.Class], r.first()
+	if c.Effect == Free || f == nil {
+		return true
+	}
+	return c.Effect == Guarded && c.Scope == ScopeAll && b.remembered(c, f)
+}
+
+// step moves a request with nothing outstanding on: another attempt, or its
+// end. Once its aim has passed its client would only bring it back, worth
+// nothing, and the answer is held: the timer at its deadline gives it.
+func (b *Balancer) step(r *request) {
+	if r.first() == nil || b.now < r.aimAt && b.budget >= 1 {
+		if s := b.pick(r); s != nil && b.send(r, s) {
+			return
+		}
+	}
+	if len(r.attempts) > 0 && r.first() == nil {
+		b.feel(r, Full, 0, true) // turned away wherever it went
+	}
+	if b.now < r.aimAt || b.now >= r.Due || !b.mayRefuse(r) {
+		b.finish(r)
+	}
+}
+
+// send is the only place that sends; the rules are checked here once more.
+func (b *Balancer) send(r *request, s *server) bool {
+	if r.ended || r.started || s.Condition != Ready || b.now >= r.aimAt || !b.maySend(r, s) {
+		return false
+	}
+	if r.first() != nil { // where nothing ran, trying again costs no work
+		b.budget--
+	}
+	expect := time.Duration(b.expected(r))
+	s.tokens -= float64(expect) / max(b.classes[r.Class].latency, 1) // counts while it is cold
+	b.sent.add(b.now, 1)
+	s.links = max(0, b.idleLinks(s)-1)
+	s.out++
+	b.outNow++
+	r.attempts = append(r.attempts, attempt{srv: s, sentAt: b.now, expect: expect, out: true, mayRun: true})
+	b.out.Send(r.ID, s.ID, r.aimAt-b.now)
+	return true
+}
+
+// finish is the only place that gives a final answer.
+func (b *Balancer) finish(r *request) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	if b.mayRefuse(r) {
+		b.out.Refuse(r.ID)
+	} else {
+		b.out.Fail(r.ID)
+	}
+	b.cancelOthers(r, -1)
+	b.release(r)
+}
+
+// cancelOthers calls off what is still out, but for one attempt.
+func (b *Balancer) cancelOthers(r *request, but int) {
+	if !b.set.Cancel {
+		return
+	}
+	for i := range r.attempts {
+		if i != but && r.attempts[i].out {
+			b.out.Cancel(r.ID, i)
+		}
+	}
+}
+
+// observe books an outcome with outlier detection, the picker and shedding.
+func (b *Balancer) observe(r *request, a *attempt, o Outcome) {
+	s := a.srv
+	took := b.now - a.sentAt
+	if o.Result == OK || o.Result == Failed || o.Result == Full {
+		s.lastAnswer = b.now
+		s.links, s.linkedAt = b.idleLinks(s)+1, b.now
+	}
+	alive := s.lastAnswer > a.sentAt
+	if o.Result == OK || o.Result == TimedOut {
+		b.learn(r, a, float64(took), o.Result == TimedOut)
+		// A first time-out counts as load even with no other answer from the
+		// server: a node among many seldom gets one, and would be blind.
+		b.feel(r, o.Result, took, alive || s.run == 0)
+	} else if o.Result == Full {
+		// A full server would look idle: it rests for as long as a call takes.
+		// Only a request that finds no room elsewhere (step) tells of overload.
+		s.restUntil = b.now + time.Duration(b.classes[r.Class].latency)
+	}
+	// A time-out at a server that answers others is load, not a fault of the
+	// server: it shows in the stretch and counts as no failure.
+	if bad, counts := isFailure(o.Result); counts && (o.Result != TimedOut || !alive) {
+		b.record(s, bad, b.now, b.ready, b.out)
+	}
+}
--- /dev/null
+++ b/decide/balancer.go
@@ -0,0 +1,278 @@
+package decide
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Tuning of the event flow.
+const (
+	// tickEvery is the pace of housekeeping (weights, shedding): short against
+	// every aim, long against the cost of walking the server list.
+	tickEvery = 100 * time.Millisecond
+	// classGain smooths what is learned about a class over ~64 answers.
+	classGain = 1.0 / 64
+	// baseGain lets the least latency recover from a chance low, over minutes.
+	baseGain = 1.0 / 4000
+	// ageSlack is what clients' clocks and the network may shift. A wait passes
+	// for the usual one from ageVotes on; each sight of it adds ageFirst, any other
+	// takes one away, as there may be three further tries for each first one.
+	ageSlack = 25 * time.Millisecond
+	ageVotes = 16
+	ageFirst = 4
+)
+
+// attempt is one send of a request.
+type attempt struct {
+	srv    *server
+	sentAt time.Duration
+	expect time.Duration // the latency expected when it was sent
+	out    bool          // no outcome yet
+	mayRun bool          // out, or ended without proof that it never ran
+}
+
+// request is what the node holds for one client request.
+type request struct {
+	Request
+	aimAt    time.Duration // an answer after this is worth nothing, or little
+	attempts []attempt
+	ended    bool // the final answer is out
+	started  bool // a stream has begun: its attempt is the client's
+}
+
+// pending says whether an attempt is out.
+func (r *request) pending() bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.out })
+}
+
+// classStat is what the node has learned about a class.
+type classStat struct {
+	latency float64 // mean, ns
+	base    float64 // the least mean seen: what an unloaded fleet takes
+	hint    float64 // mean, ns
+	answers int
+	span    time.Duration // how long clients mostly wait for a try
+	votes   int           // how often that was seen, less how often not
+}
+
+// Balancer decides for one node.
+type Balancer struct {
+	set  Settings
+	out  Effects
+	rng  *rand.Rand
+	now  time.Duration
+	reqs map[RequestID]*request
+
+	byID    map[ServerID]*server
+	members // the list and what follows from it
+	detector
+	classes []classStat
+	admission
+	budget float64 // retry budget, in attempts
+	sent   meter   // attempts per second
+	outNow int     // own attempts outstanding
+}
+
+// New starts a node that knows no server yet.
+func New(set Settings, seed uint64, now time.Duration, out Effects) *Balancer {
+	b := &Balancer{
+		set: set, out: out, rng: rand.New(rand.NewPCG(seed, 0)), now: now,
+		reqs: make(map[RequestID]*request), byID: make(map[ServerID]*server),
+		classes: make([]classStat, len(set.Classes)), budget: retryBurst,
+		admission: admission{mix: make([]float64, len(set.Classes)+1), rank: make([]int, len(set.Classes)+1), keys: make(map[uint64]int)},
+	}
+	for i := range b.classes {
+		b.classes[i] = classStat{latency: float64(set.Classes[i].Aim) / 4, base: float64(set.Classes[i].Aim) / 2, hint: float64(set.Classes[i].Aim) / 8}
+	}
+	b.out.Wake(tokenTick, now+tickEvery)
+	b.out.Wake(tokenSweep, now+sweepEvery)
+	b.startDiscovery()
+	return b
+}
+
+// Timer tokens: the low four bits say what for, the rest for which request.
+const (
+	tokenTick uint64 = iota
+	tokenSweep
+	tokenDue
+	tokenAsk
+)
+
+// Arrive takes a client's request, which is owed one final answer.
+func (b *Balancer) Arrive(now time.Duration, q Request) {
+	b.now = max(b.now, now)
+	if b.reqs[q.ID] != nil {
+		return // ids are never repeated; a second one must not be answered twice
+	}
+	if q.Class < 0 || q.Class >= len(b.set.Classes) {
+		b.out.Refuse(q.ID) // nothing ran, and nothing is known of such work
+		return
+	}
+	r := &request{Request: q}
+	cls := &b.set.Classes[q.Class]
+	r.aimAt = q.Due
+	if cls.LateWorth == 0 && cls.Aim > 0 {
+		r.aimAt = min(q.Due, b.now-b.age(r)+cls.Aim+time.Duration(cls.AimFactor*float64(q.Hint)))
+		if r.aimAt < q.Due && float64(r.aimAt-b.now) < b.classes[q.Class].latency {
+			r.aimAt = b.now // too old a try to be answered in time
+		}
+	}
+	b.reqs[q.ID] = r
+	b.budget = min(retryBurst, b.budget+retryShare)
+	if c := &b.classes[q.Class]; q.Hint > 0 {
+		c.hint += (float64(q.Hint) - c.hint) * classGain
+	}
+	if b.now < r.aimAt && b.shed(r) {
+		b.finish(r)
+		return
+	}
+	b.out.Wake(uint64(q.ID)<<4|tokenDue, q.Due)
+	b.step(r)
+}
+
+// FirstByte says that a stream has begun: its attempt is the client's now.
+func (b *Balancer) FirstByte(now time.Duration, id RequestID, n int) {
+	b.now = max(b.now, now)
+	r := b.reqs[id]
+	if r == nil || n < 0 || n >= len(r.attempts) {
+		return
+	}
+	r.started = true
+	r.attempts[n].srv.lastAnswer = b.now
+	b.cancelOthers(r, n)
+}
+
+// Finished takes the outcome of an attempt.
+func (b *Balancer) Finished(now time.Duration, o Outcome) {
+	b.now = max(b.now, now)
+	r := b.reqs[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || !r.attempts[o.Attempt].out {
+		return
+	}
+	a := &r.attempts[o.Attempt]
+	a.out, a.mayRun = false, !o.Result.neverRan()
+	a.srv.out--
+	b.outNow--
+	b.observe(r, a, o)
+	if o.Settled {
+		r.ended = true
+		b.cancelOthers(r, o.Attempt)
+	}
+	if !r.ended && !r.started && !r.pending() {
+		b.step(r)
+	}
+	b.release(r)
+}
+
+// ClientGone says that the client left: nothing more is owed.
+func (b *Balancer) ClientGone(now time.Duration, id RequestID) {
+	b.now = max(b.now, now)
+	if r := b.reqs[id]; r != nil {
+		r.ended = true
+		b.cancelOthers(r, -1)
+		b.release(r)
+	}
+}
+
+// Timer says that a timer set through Effects.Wake has come due.
+func (b *Balancer) Timer(now time.Duration, tok uint64) {
+	b.now = max(b.now, now)
+	switch tok & 15 {
+	case tokenTick:
+		b.reweigh()
+		b.adjust()
+		b.out.Wake(tokenTick, b.now+tickEvery)
+	case tokenSweep:
+		b.sweep(b.now, b.ready, b.rng, b.out)
+		b.out.Wake(tokenSweep, b.now+sweepEvery)
+	case tokenAsk:
+		b.askDue()
+	case tokenDue:
+		if r := b.reqs[RequestID(tok>>4)]; r != nil && !r.ended && !r.started {
+			b.finish(r)
+		}
+	}
+}
+
+// release forgets a request once it is answered and nothing is out for it.
+func (b *Balancer) release(r *request) {
+	if r.ended && !r.pending() && b.reqs[r.ID] == r {
+		delete(b.reqs, r.ID)
+	}
+}
+
+// expected is the latency to expect of a request at a server of normal speed.
+func (b *Balancer) expected(r *request) float64 {
+	c := &b.classes[r.Class]
+	if r.Hint > 0 && c.hint > 0 {
+		// Half of the latency follows the request's size: hints are rough.
+		return c.latency * (0.5 + 0.5*float64(r.Hint)/c.hint)
+	}
+	return c.latency
+}
+
+// learn takes a latency (or, where late, the time waited in vain) into what is
+// known of the class and the server.
+func (b *Balancer) learn(r *request, a *attempt, took float64, late bool) {
+	c := &b.classes[r.Class]
+	ratio := min(took/float64(max(a.expect, time.Millisecond)), maxStretch)
+	if late {
+		ratio = max(ratio, 1)
+	} else {
+		gain := max(classGain, 1/float64(c.answers+4))
+		c.answers++
+		// Without the bound a node started under overload came to expect 15 s.
+		longest := float64(cmp.Or(b.set.Classes[r.Class].Aim, time.Hour))
+		c.latency = min(c.latency*(1+gain*(min(ratio, 4)-1)), longest)
+		if c.answers > 20 {
+			c.base = min(c.base+max(c.latency-c.base, 0)*baseGain, c.latency)
+		}
+	}
+	a.srv.saw(ratio, b.now)
+}
+
+// meter measures a rate per second with an exponential window.
+type meter struct {
+	rate float64
+	last time.Duration
+}
+
+const meterSpan = 3 * time.Second
+
+func (m *meter) add(now time.Duration, n float64) {
+	m.rate, m.last = m.at(now)+n/meterSpan.Seconds(), now
+}
+
+func (m *meter) at(now time.Duration) float64 {
+	return m.rate * math.Exp(-float64(now-m.last)/float64(meterSpan))
+}
+
+// mix scatters the bits of a number (splitmix64's finish).
+func mix(z uint64) uint64 {
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
+
+// age is how long ago the client first tried, as far as its patience tells: one
+// that has tried before stops waiting at its deadline over all tries, not after
+// the time that clients mostly give a try. Nodes that shed spare such tries.
+func (b *Balancer) age(r *request) time.Duration {
+	c := &b.classes[r.Class]
+	left := r.Due - b.now
+	if d := left - c.span; max(d, -d) <= ageSlack {
+		c.votes = min(c.votes+ageFirst, ageVotes*4)
+		return 0
+	}
+	if c.votes--; c.votes < 0 {
+		c.span, c.votes = left, 1
+		return 0
+	}
+	if c.votes < ageVotes || b.window <= 0 {
+		return 0
+	}
+	return max(0, b.set.Classes[r.Class].Deadline-left)
+}
--- /dev/null
+++ b/decide/cases_test.go
@@ -0,0 +1,754 @@
+package decide
+
+import (
+	"testing"
+	"time"
+)
+
+// book gives a server a closed-to-be window of calls.
+func book(s *server, ok, bad float64) { s.active = bucket{ok, bad} }
+
+func TestSweepEjectsBySuccessRate(t *testing.T) {
+	b, tape := start(testSettings(), 10)
+	for _, s := range b.ready {
+		book(s, 20, 0)
+	}
+	book(b.ready[3], 11, 9)
+	b.sweep(b.now, b.ready, b.rng, tape)
+	for i, s := range b.ready {
+		if s.ejected != (i == 3) {
+			t.Errorf("server %d: ejected is %v", i, s.ejected)
+		}
+	}
+	if b.ready[3].multiplier != 1 {
+		t.Errorf("multiplier is %d", b.ready[3].multiplier)
+	}
+}
+
+func TestSweepNeedsHostsAndVolume(t *testing.T) {
+	b, tape := start(testSettings(), 10)
+	for _, s := range b.ready[:minimumHosts-1] {
+		book(s, 0, 20)
+	}
+	b.sweep(b.now, b.ready, b.rng, tape)
+	for _, s := range b.ready[minimumHosts:] {
+		book(s, 0, 1)
+	}
+	b.sweep(b.now, b.ready, b.rng, tape)
+	if b.ejectedCount != 0 {
+		t.Errorf("%d servers ejected without hosts or volume", b.ejectedCount)
+	}
+}
+
+func TestEjectionCapAndOneMayGo(t *testing.T) {
+	for n, most := range map[int]int{2: 1, 10: 3, 40: 12} {
+		b, tape := start(testSettings(), n)
+		for _, s := range b.ready {
+			b.okMeter.add(b.now, 100) // the node as a whole is well
+			for range 10 {
+				b.record(s, true, b.now, b.ready, tape)
+			}
+		}
+		if b.ejectedCount != most {
+			t.Errorf("%d servers: %d ejected, want %d", n, b.ejectedCount, most)
+		}
+	}
+}
+
+func TestEjectionEndsAndMultiplierFalls(t *testing.T) {
+	b, tape := start(testSettings(), 10)
+	s := b.ready[0]
+	b.eject(s, b.now, "test", tape)
+	b.eject(s, b.now, "test", tape)
+	b.ejectedCount = 1
+	from := b.now
+	for b.now < from+2*baseEjection {
+		b.sweep(b.now, b.ready, b.rng, tape)
+		if !s.ejected {
+			t.Fatalf("returned after %v, want %v", b.now-from, 2*baseEjection)
+		}
+		b.now += sweepEvery
+	}
+	b.sweep(b.now+1, b.ready, b.rng, tape)
+	if s.ejected || !s.probation || b.ejectedCount != 0 {
+		t.Fatalf("not returned on probation: %+v", s.health)
+	}
+	b.sweep(b.now+2, b.ready, b.rng, tape)
+	if s.multiplier != 1 {
+		t.Errorf("multiplier is %d after a sweep in service", s.multiplier)
+	}
+}
+
+// A node among many sends a server a call every few seconds: without carrying
+// counts over, its floors would never be met.
+func TestThinEvidenceCarriesOver(t *testing.T) {
+	b, tape := start(testSettings(), 10)
+	for range 3 {
+		for i, s := range b.ready {
+			if i == 2 {
+				s.active.bad += 3
+			} else {
+				s.active.ok += 3
+			}
+		}
+		b.now += sweepEvery
+		b.sweep(b.now, b.ready, b.rng, tape)
+	}
+	if !b.ready[2].ejected || b.ejectedCount != 1 {
+		t.Errorf("ejected: %v, in all %d", b.ready[2].ejected, b.ejectedCount)
+	}
+}
+
+// When everything fails alike, ejecting servers would only load the rest.
+func TestCommonModeEjectsNobody(t *testing.T) {
+	b, tape := start(testSettings(), 20)
+	for range 200 {
+		for _, s := range b.ready {
+			b.record(s, b.rng.Float64() < 0.7, b.now, b.ready, tape)
+		}
+		b.now += 50 * time.Millisecond
+	}
+	for range 3 {
+		b.sweep(b.now, b.ready, b.rng, tape)
+	}
+	if b.ejectedCount > 1 {
+		t.Errorf("%d of 20 servers ejected while 70%% fail everywhere", b.ejectedCount)
+	}
+}
+
+func TestRunOfFailuresIsJudgedBetweenSweeps(t *testing.T) {
+	b, tape := start(testSettings(), 20)
+	for range 200 {
+		for _, s := range b.ready {
+			b.record(s, false, b.now, b.ready, tape)
+		}
+	}
+	bad := b.ready[5]
+	for range 4 {
+		b.record(bad, true, b.now, b.ready, tape)
+	}
+	if !bad.ejected {
+		t.Error("four failures in a row on a healthy node, and still in service")
+	}
+}
+
+func TestRestartedServerStartsClean(t *testing.T) {
+	b, tape := start(testSettings(), 10)
+	s := b.ready[0]
+	b.eject(s, b.now, "test", tape)
+	e := s.Server
+	e.Since = b.now
+	b.Listed(b.now, ListDelta, []Server{e})
+	if s.ejected || b.ejectedCount != 0 || !s.cold {
+		t.Errorf("after a restart: ejected %v, count %d, cold %v", s.ejected, b.ejectedCount, s.cold)
+	}
+	e.Condition = Gone
+	b.Listed(b.now, ListDelta, []Server{e})
+	if b.byID[e.ID] != nil || len(b.ready) != 9 {
+		t.Error("a gone server is still known")
+	}
+	e.Condition = Ready
+	b.Listed(b.now, ListDelta, []Server{e})
+	if len(b.ready) != 10 {
+		t.Error("a server that came back is not used")
+	}
+}
+
+// A server just started looks idle; all nodes pouring in would push it over.
+func TestColdServerGetsItsShareOnly(t *testing.T) {
+	set := testSettings()
+	b, tape := start(set, 9)
+	id := RequestID(0)
+	serve := func() {
+		id++
+		b.Arrive(b.now, Request{ID: id, Due: b.now + second})
+		b.Finished(b.now, Outcome{ID: id, Result: OK, Settled: true})
+	}
+	for range 1000 {
+		b.now += 5 * time.Millisecond
+		serve()
+	}
+	b.Listed(b.now, ListDelta, []Server{{ID: 99, Condition: Ready, Scale: 1, Since: b.now}})
+	tape.sends = nil
+	for range 400 { // two seconds, 200 requests each
+		b.now += 5 * time.Millisecond
+		serve()
+	}
+	got := 0
+	for _, s := range tape.sends {
+		if s.srv == 99 {
+			got++
+		}
+	}
+	// Its peers carry 20 a second; it starts at a fifth of that and has 0.36 of
+	// it after two seconds. Three times that may be sent, of which
+	// coldMargin is used.
+	if float64(got) > 2*20*3*coldMargin*0.28+1 {
+		t.Errorf("%d of 400 calls went to a server at a fifth of its capacity", got)
+	}
+}
+
+// During a release half of the fleet may be cold and carries less: a share of
+// the calls answered that counted them as whole kept them from taking any.
+func TestColdBudgetCountsWarmServers(t *testing.T) {
+	b, _ := start(testSettings(), 10)
+	for ms := range 5000 {
+		if b.now += time.Millisecond; ms%10 == 0 {
+			b.okMeter.add(b.now, 1) // 100 a second
+		}
+	}
+	var list []Server
+	for id := range ServerID(10) {
+		list = append(list, Server{ID: id + 50, Condition: Ready, Scale: 1, Since: b.now})
+	}
+	b.Listed(b.now, ListDelta, list)
+	cold := b.byID[50]
+	cold.tokens = 0
+	b.now += 200 * time.Millisecond
+	b.coldMay(cold)
+	// The warm ones answer more than 8 calls a second each, of which a fifth of
+	// three times coldMargin is free to send, for a fifth of a second.
+	if want := 0.2 * 8 * 0.2 * 3 * coldMargin * 0.8; cold.tokens < want {
+		t.Errorf("a cold server has a budget of %.2f calls, want %.2f", cold.tokens, want)
+	}
+}
+
+// Where full servers turn calls away, more is sent than anyone carries: a cold
+// server's budget that went by calls sent was exceeded eight times.
+func TestColdBudgetGoesByCallsAnswered(t *testing.T) {
+	b, tape := start(testSettings(), 9)
+	b.Listed(b.now, ListDelta, []Server{{ID: 99, Condition: Ready, Scale: 1, Since: b.now}})
+	cold := b.byID[99]
+	got := 0
+	for ms := range 4000 {
+		b.now += time.Millisecond
+		b.sent.add(b.now, 1) // 1000 a second are sent, 200 answered
+		if ms%5 == 0 {
+			b.record(b.ready[0], false, b.now, b.ready, tape)
+		}
+		if ms >= 2000 && b.coldMay(cold) {
+			cold.tokens--
+			got++
+		}
+	}
+	// From two seconds on it has 0.36 to 0.52 of the 20 a second of its peers.
+	if most := 2*20*3*coldMargin*0.52 + 1; float64(got) > most || got < 10 {
+		t.Errorf("%d calls to a cold server in two seconds, want 10 to %.0f", got, most)
+	}
+}
+
+func TestNoServerRefusesAtOnce(t *testing.T) {
+	b, tape := start(testSettings(), 0)
+	b.Arrive(b.now, Request{ID: 1, Due: b.now + second})
+	if tape.refused[1] != 1 || len(tape.sends) != 0 {
+		t.Errorf("refused %d times, %d sends", tape.refused[1], len(tape.sends))
+	}
+}
+
+func TestAbsurdInputIsAnswered(t *testing.T) {
+	tape := newTape()
+	b := New(Settings{}, 0, 0, tape)
+	b.Listed(0, ListFull, []Server{{ID: 1, Condition: Ready, Scale: -1, Since: 1 << 60}, {ID: 2, Condition: Ready}})
+	b.Arrive(0, Request{ID: 1, Class: 9})
+	b.Finished(0, Outcome{ID: 5, Attempt: -1})
+	b.FirstByte(0, 5, 70000)
+	b.Timer(0, 1<<63)
+	if tape.refused[1] != 1 {
+		t.Error("a request of no known class is not refused")
+	}
+	b, tape = start(testSettings(), 3)
+	b.Arrive(b.now-time.Hour, Request{ID: 1, Due: b.now - second})
+	if tape.refused[1] != 1 {
+		t.Error("a request past its deadline is not refused")
+	}
+}
+
+// An overloaded fleet sheds what is worth least, and not for a passing peak
+// what is worth most.
+func TestOverloadShedsLowWorthFirst(t *testing.T) {
+	set := testSettings()
+	set.MaxAttempts = 1
+	b, tape := start(set, 6)
+	id, low, high := RequestID(0), 0, 0
+	type call struct {
+		id RequestID
+		at time.Duration
+	}
+	var out []call
+	for step := range 3000 {
+		b.now += 5 * time.Millisecond
+		for b.tickDue(tape) {
+		}
+		id++
+		class := step % 2
+		b.Arrive(b.now, Request{ID: id, Class: class, Due: b.now + second})
+		if tape.refused[id] > 0 {
+			if class == 0 {
+				low++
+			} else {
+				high++
+			}
+		} else {
+			// The more is out, the longer each takes: past its aim from 120 on.
+			out = append(out, call{id, b.now + 60*time.Millisecond + time.Duration(len(out))*4*time.Millisecond})
+		}
+		keep := out[:0]
+		for _, c := range out {
+			if b.now >= c.at {
+				b.Finished(b.now, Outcome{ID: c.id, Result: OK, Settled: true})
+			} else {
+				keep = append(keep, c)
+			}
+		}
+		out = keep
+	}
+	if low == 0 || high > low/4 {
+		t.Errorf("refused %d of low worth and %d of high worth", low, high)
+	}
+}
+
+// tickDue fires one due timer of the tape, if any.
+func (b *Balancer) tickDue(t *tape) bool {
+	for i, w := range t.wakes {
+		if w.at <= b.now {
+			t.wakes = append(t.wakes[:i], t.wakes[i+1:]...)
+			b.Timer(b.now, w.token)
+			return true
+		}
+	}
+	return false
+}
+
+// All nodes start in one step, and discovery serves few lines a second.
+func TestFirstCallsToDiscoveryAreSpread(t *testing.T) {
+	set := testSettings()
+	set.Ask = true
+	seen := map[time.Duration]int{}
+	for i := range 30 {
+		set.Self = i
+		tape := newTape()
+		b := New(set, uint64(i), 0, tape)
+		for _, w := range tape.wakes {
+			if w.token != tokenAsk {
+				continue
+			}
+			seen[w.at/second]++
+			if w.at > set.AskWithin {
+				t.Errorf("node %d asks after %v", i, w.at)
+			}
+			b.Timer(w.at, w.token)
+			b.Timer(w.at, w.token)
+			if tape.watches != 1 {
+				t.Errorf("node %d: %d calls", i, tape.watches)
+			}
+			b.Listed(w.at, ListFailed, nil)
+			again := tape.wakes[len(tape.wakes)-1]
+			if again.token != tokenAsk || again.at <= w.at {
+				t.Errorf("node %d does not ask again", i)
+			}
+		}
+	}
+	for s, n := range seen {
+		if n > 12 {
+			t.Errorf("%d of 30 first calls in second %d", n, s)
+		}
+	}
+}
+
+// The same key goes to the same servers from every node, a hot one to more.
+func TestKeysKeepToTheirServers(t *testing.T) {
+	set := testSettings()
+	set.WarmKeys = true
+	used := map[ServerID]bool{}
+	for seed := range uint64(5) {
+		tape := newTape()
+		b := New(set, seed, 0, tape)
+		b.Listed(0, ListCached, servers(60))
+		for i := range 20 {
+			id := RequestID(i)
+			b.now += 200 * time.Millisecond
+			b.Arrive(b.now, Request{ID: id, Key: 77, Due: b.now + second})
+			b.Finished(b.now+50*time.Millisecond, Outcome{ID: id, Result: OK, Settled: true})
+		}
+		for _, s := range tape.sends {
+			used[s.srv] = true
+		}
+	}
+	if len(used) > 25 {
+		t.Errorf("100 calls for one key from 5 nodes met %d servers of 60", len(used))
+	}
+}
+
+// One node among many sends a server so little that it rarely has another
+// answer during a time-out: overload must show in the first one all the same,
+// while a server that goes on failing must not pass for overload.
+func TestThinNodeFeelsOverload(t *testing.T) {
+	b, _ := start(testSettings(), 10)
+	s := b.ready[0]
+	timeOut := func(id RequestID) float64 {
+		before := b.fill
+		r := &request{Request: Request{ID: id}, attempts: []attempt{{srv: s, sentAt: b.now, expect: second, out: true}}}
+		b.now += second
+		b.observe(r, &r.attempts[0], Outcome{ID: id, Result: TimedOut})
+		return b.fill - before
+	}
+	if timeOut(1) <= 0 {
+		t.Error("a first time-out left the overload signal where it was")
+	}
+	if timeOut(2) > 0 {
+		t.Error("a second time-out in a row at one server counted as overload")
+	}
+}
+
+// A full server turns calls away within a millisecond; with its own calls gone
+// it looks idle, and under overload it drew most of the traffic.
+func TestFullServerRests(t *testing.T) {
+	b, tape := start(testSettings(), 6)
+	full := b.ready[0].ID
+	sent := 0
+	for id := RequestID(1); id <= 60; id++ {
+		b.now += time.Millisecond
+		tape.sends = nil
+		b.classes[0].latency = float64(100 * time.Millisecond)
+		b.Arrive(b.now, Request{ID: id, Due: b.now + second})
+		for n := 0; n < len(tape.sends); n++ {
+			o := Outcome{ID: id, Attempt: n, Result: OK, Settled: true}
+			if tape.sends[n].srv == full {
+				sent++
+				o = Outcome{ID: id, Attempt: n, Result: Full}
+			}
+			b.Finished(b.now, o)
+		}
+	}
+	if sent != 1 {
+		t.Errorf("a full server was sent %d calls within 60 ms, want 1", sent)
+	}
+}
+
+// A node started under overload multiplied its first latencies into an
+// expectation of many seconds, and never came back to its servers.
+func TestExpectedLatencyStaysWithinTheAim(t *testing.T) {
+	b, _ := start(testSettings(), 6)
+	s := b.ready[0]
+	for range 50 {
+		a := attempt{srv: s, sentAt: b.now, expect: time.Millisecond, out: true}
+		b.learn(&request{}, &a, float64(100*time.Millisecond), false)
+	}
+	if got := time.Duration(b.classes[0].latency); got > b.set.Classes[0].Aim {
+		t.Errorf("a class with an aim of %v is expected to take %v", b.set.Classes[0].Aim, got)
+	}
+}
+
+// Clients refused under overload come back with little of their patience left,
+// too late for the aim; a fifth of the fleet's work went into such tries.
+func TestTryTooLateForItsAimIsNotSent(t *testing.T) {
+	const usual = time.Second
+	for name, c := range map[string]struct {
+		window  float64
+		left    time.Duration
+		sent    int
+		timeout time.Duration
+	}{
+		"first try":               {1e6, usual, 1, 400 * time.Millisecond},
+		"come back too late":      {1e6, 450 * time.Millisecond, 0, 0},
+		"come back in time":       {1e6, 1400 * time.Millisecond, 1, 300 * time.Millisecond},
+		"less left than it takes": {1e6, 1250 * time.Millisecond, 0, 0},
+		"late, but no overload":   {0, 450 * time.Millisecond, 1, 400 * time.Millisecond},
+	} {
+		set := testSettings()
+		set.Classes[0].Aim, set.Classes[0].Deadline = 400*time.Millisecond, 1500*time.Millisecond
+		b, tape := start(set, 6)
+		for id := RequestID(1); id <= 20; id++ {
+			b.Arrive(b.now, Request{ID: id, Due: b.now + usual})
+			b.Finished(b.now, Outcome{ID: id, Result: OK, Settled: true})
+		}
+		b.window, tape.sends = c.window, nil
+		b.classes[0].latency = float64(200 * time.Millisecond)
+		b.Arrive(b.now, Request{ID: 99, Due: b.now + c.left})
+		if len(tape.sends) != c.sent || c.sent == 1 && tape.sends[0].timeout != c.timeout {
+			t.Errorf("%s: sent %+v, want %d with a time-out of %v", name, tape.sends, c.sent, c.timeout)
+		}
+		if tape.refused[99] != 0 {
+			t.Errorf("%s: answered before its time", name)
+		}
+		b.Timer(b.now+c.left, 99<<4|tokenDue)
+		if tape.refused[99] != 1 {
+			t.Errorf("%s: %d answers at its deadline", name, tape.refused[99])
+		}
+	}
+}
+
+// A node among many that spread over the whole fleet heard from a server once
+// in seconds, could judge none, and opened a connection for every other call.
+func TestNodeKeepsToServersItKnows(t *testing.T) {
+	set := testSettings()
+	set.KeepAlive = 10 * second
+	b, tape := start(set, 100)
+	used := map[ServerID]bool{}
+	for id := RequestID(1); id <= 400; id++ {
+		b.reweigh()
+		b.Arrive(b.now, Request{ID: id, Due: b.now + second})
+		b.now += time.Duration(b.classes[0].latency) // no server is faster
+		b.Finished(b.now, Outcome{ID: id, Result: OK, Settled: true})
+		used[tape.sends[len(tape.sends)-1].srv] = true
+	}
+	if len(used) > 40 {
+		t.Errorf("one call at a time went to %d of 100 servers", len(used))
+	}
+	// With every known server ejected the others must serve.
+	tape.sends = nil
+	for id := range used {
+		b.byID[id].ejected = true
+	}
+	b.reweigh()
+	b.Arrive(b.now, Request{ID: 999, Due: b.now + second})
+	if len(tape.sends) != 1 || used[tape.sends[0].srv] {
+		t.Errorf("with all known servers ejected: %+v", tape.sends)
+	}
+}
+
+// In a release every new server is without connections: drawn as seldom as any
+// unconnected one, they stayed idle while the last old ones were overrun.
+func TestNewServersAreDrawnWithoutConnection(t *testing.T) {
+	set := testSettings()
+	set.KeepAlive, set.FallMultiple = 10*second, 1e6 // no budget stands in the way here
+	b, tape := start(set, 100)
+	list := make([]Server, 50)
+	for i := range list {
+		list[i] = Server{ID: ServerID(1000 + i), Zone: i % 2, Condition: Ready, Scale: 1, Since: b.now - 2*second}
+	}
+	b.Listed(b.now, ListDelta, list)
+	for i := range 400 {
+		id := RequestID(i + 1)
+		b.reweigh()
+		b.Arrive(b.now, Request{ID: id, Due: b.now + second})
+		b.now += 10 * time.Millisecond
+		b.Finished(b.now, Outcome{ID: id, Result: OK, Settled: true})
+	}
+	fresh := 0
+	for _, s := range tape.sends {
+		if s.srv >= 1000 {
+			fresh++
+		}
+	}
+	// They have about a tenth of the capacity; without the exemption none went there.
+	if fresh < 20 {
+		t.Errorf("%d of 400 calls went to the 50 new servers", fresh)
+	}
+}
+
+// Where servers have room for two or three calls, some are full at any time;
+// that was taken for overload, and a third of the requests was refused.
+func TestFullServersAreTriedElsewhere(t *testing.T) {
+	b, tape := start(testSettings(), 6)
+	b.budget = 0
+	for id := RequestID(1); id <= 40; id++ {
+		b.now += 200 * time.Millisecond
+		tape.sends = nil
+		b.Arrive(b.now, Request{ID: id, Class: 2, Due: b.now + second})
+		b.Finished(b.now, Outcome{ID: id, Result: Full})
+		if len(tape.sends) != 2 {
+			t.Fatalf("request %d, turned away as full, was sent %d times", id, len(tape.sends))
+		}
+		b.Finished(b.now, Outcome{ID: id, Attempt: 1, Result: OK, Settled: true})
+	}
+	if b.fill > 0 {
+		t.Errorf("full servers beside free ones gave an overload signal of %.2f", b.fill)
+	}
+	for id := RequestID(50); id <= 90; id++ { // now all are full
+		b.now += 200 * time.Millisecond
+		b.Arrive(b.now, Request{ID: id, Due: b.now + second})
+		for n := range 3 {
+			b.Finished(b.now, Outcome{ID: id, Attempt: n, Result: Full})
+		}
+		if tape.refused[id] != 1 {
+			t.Fatalf("request %d has %d answers", id, tape.refused[id])
+		}
+	}
+	if b.fill < fillAim {
+		t.Errorf("a full fleet gave an overload signal of %.2f only", b.fill)
+	}
+}
+
+// A fleet that lost half its speed answered late for as long as that lasted:
+// the window stood at what was out, which was itself too much.
+func TestWindowGoesBelowWhatIsOutWhereMostIsLate(t *testing.T) {
+	for fill, most := range map[float64]float64{0.3: 100, 0.8: 45} {
+		b, _ := start(testSettings(), 6)
+		b.window, b.level, b.outNow = 200, 100, 100
+		for range 100 {
+			b.fill = fill
+			b.adjust()
+		}
+		if b.window > most || b.window < most/2 {
+			t.Errorf("signal %.1f with 100 calls out: window of %.0f, want %.0f at most", fill, b.window, most)
+		}
+	}
+}
+
+// A stream that has begun is the client's: nothing else may be sent or answered
+// for it, whatever its deadline, until its attempt ends.
+func TestStreamOnceBegunIsLeftAlone(t *testing.T) {
+	set := testSettings()
+	set.SecondCopies = true
+	for name, end := range map[string]Outcome{
+		"served": {ID: 1, Result: OK, Settled: true},
+		"broken": {ID: 1, Result: Reset, Settled: true},
+	} {
+		b, tape := start(set, 6)
+		b.Arrive(b.now, Request{ID: 1, Due: b.now + second})
+		b.FirstByte(b.now, 1, 0)
+		b.FirstByte(b.now, 1, 7) // no such attempt
+		b.FirstByte(b.now, 9, 0) // no such request
+		b.Timer(b.now+second, 1<<4|tokenDue)
+		if len(tape.sends) != 1 || len(tape.cancels) != 0 || tape.refused[1]+tape.failed[1] != 0 {
+			t.Fatalf("%s: after its deadline: %+v", name, tape)
+		}
+		b.Finished(b.now+second, end)
+		if len(tape.sends) != 1 || tape.refused[1]+tape.failed[1] != 0 || len(b.reqs) != 0 {
+			t.Errorf("%s: after its end: %+v, %d requests held", name, tape, len(b.reqs))
+		}
+	}
+}
+
+// Absurd input must not bring a node down, and every request gets its answer.
+func TestAbsurdInput(t *testing.T) {
+	for name, set := range map[string]Settings{
+		"zero settings": {Classes: []Class{{}}},
+		"negative":      {Self: -1, Nodes: -3, Classes: []Class{{Aim: -second, Window: -second}}, MaxAttempts: -1, FallMultiple: -2, StartShare: -1, WarmWithin: -second, KeepAlive: -second},
+		"usual":         testSettings(),
+	} {
+		tape := newTape()
+		b := New(set, 3, 50*second, tape)
+		b.Listed(b.now, ListFull, []Server{
+			{ID: 1, Condition: Ready, Scale: -1, Since: b.now + 1000*second},
+			{ID: 2, Condition: Condition(9)},
+			{ID: 2, Condition: Ready, Zone: -4, Cell: 1 << 20},
+			{ID: 3, Condition: Gone},
+		})
+		for id := RequestID(1); id <= 50; id++ { // time stands still, or goes back
+			b.Arrive(b.now-second, Request{ID: id, Class: int(id)%3 - 1, Hint: -second, Due: b.now - second})
+			b.Arrive(b.now, Request{ID: id + 100, Key: uint64(id), Due: b.now + second})
+			b.Finished(0, Outcome{ID: id + 100, Attempt: int(id) - 2, Result: Result(id % 8), Settled: id%8 == 0})
+			b.Timer(0, uint64(id))
+		}
+		for id := range RequestID(151) {
+			b.Timer(b.now+second, uint64(id)<<4|tokenDue)
+		}
+		for id := RequestID(1); id <= 50; id++ {
+			if got := tape.refused[id] + tape.failed[id]; got != 1 {
+				t.Errorf("%s: request %d has %d answers", name, id, got)
+			}
+		}
+	}
+}
+
+// A thin node hears from a server less than once in the time of a call. Where
+// a first time-out weighed less for want of another answer, such nodes shed a
+// sixth where twice as much was due, and a fifth of all attempts timed out.
+// Further ones at a server that has answered nobody since are its own fault.
+func TestFirstTimeOutCountsInFull(t *testing.T) {
+	for _, c := range []struct {
+		run   int
+		alive bool
+		want  float64
+	}{{0, false, lateWork}, {0, true, lateWork}, {1, false, 0}, {1, true, lateWork}} {
+		b, _ := start(testSettings(), 6)
+		b.Arrive(b.now, Request{ID: 1, Due: b.now + second})
+		s := b.reqs[1].attempts[0].srv
+		s.run = c.run
+		b.now += second / 2
+		if c.alive {
+			s.lastAnswer = b.now
+		}
+		b.Finished(b.now, Outcome{ID: 1, Result: TimedOut})
+		if want := c.want * feelGain; b.fill < want-1e-9 || b.fill > want+1e-9 {
+			t.Errorf("run of %d, sign of life %v: signal %.3f, want %.3f", c.run, c.alive, b.fill, want)
+		}
+	}
+}
+
+// Where much of the traffic comes in at a zone with few servers, its nodes kept
+// to those by the price of crossing and by their keys, and shed a third of the
+// requests while the other zone stood idle.
+func TestCrowdedZoneSpillsOverWhileShedding(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		window   float64
+		stretch  float64 // of the own zone's servers
+		crossing bool    // what must be chosen
+	}{
+		{"not shedding", 0, 2, false},
+		{"shedding, zones alike", 5, 1, false},
+		{"shedding, own zone slow", 5, 2, true},
+	} {
+		set := testSettings()
+		set.WarmKeys, set.CrossCost = true, 0.06
+		b, _ := start(set, 20)
+		for _, s := range b.local.list {
+			s.stretch, s.seenAt = c.stretch, b.now
+		}
+		b.reweigh()
+		b.window = c.window
+		r := &request{Request: Request{ID: 1, Due: b.now + second}, aimAt: b.now + second}
+		expect := b.expected(r)
+		own := b.cost(r, b.local.list[0], expect, true)
+		other := b.cost(r, b.remote.list[0], expect, false)
+		if c.crossing != (other < own) {
+			t.Errorf("%s: own zone with the key costs %.4f, crossing %.4f", c.name, own, other)
+		}
+	}
+}
+
+// Nodes with two calls out on average refused a fifth by chance alone: a count
+// that has doubled for a moment says nothing there, but much where calls are many.
+func TestFewCallsAreSmoothedLonger(t *testing.T) {
+	for _, c := range []struct{ calls, least, most float64 }{{2, 0.05, 0.2}, {40, 0.25, 0.35}} {
+		b, _ := start(testSettings(), 5)
+		b.level, b.outNow = c.calls, int(2*c.calls)
+		b.adjust()
+		if rise := (b.level - c.calls) / c.calls; rise < c.least || rise > c.most {
+			t.Errorf("%v calls: level rose by %.2f of the rise in calls", c.calls, rise)
+		}
+	}
+}
+
+// Refused clients came back three times within their aim. The waits of further
+// tries, three times as many, passed for the usual one, and late tries for new.
+func TestFirstTriesSetTheUsualWaitInAStorm(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Deadline = 1200 * time.Millisecond
+	b, _ := start(set, 6)
+	id := RequestID(0)
+	for ; id < 20; id++ { // before the storm
+		b.Arrive(b.now, Request{ID: id, Due: b.now + 1200*time.Millisecond})
+	}
+	for range 60 {
+		for _, left := range []time.Duration{1200, 1040, 880, 720} {
+			id++
+			b.Arrive(b.now, Request{ID: id, Due: b.now + left*time.Millisecond})
+		}
+	}
+	b.window = 1e6
+	c := &b.classes[0]
+	if c.span != 1200*time.Millisecond || c.votes < ageVotes {
+		t.Fatalf("usual wait is %v with %d votes", c.span, c.votes)
+	}
+	r := &request{Request: Request{Due: b.now + 880*time.Millisecond}}
+	if age := b.age(r); age != 320*time.Millisecond {
+		t.Errorf("a third try is %v old, want 320 ms", age)
+	}
+}
+
+// Late tries are cut at what is left of their aim, and many time out for it: a
+// node that took that for overload shed on with the fleet at rest.
+func TestTimeOutCutShortIsNoOverload(t *testing.T) {
+	for waited, counts := range map[time.Duration]bool{100 * time.Millisecond: false, 500 * time.Millisecond: true} {
+		b, _ := start(testSettings(), 6)
+		b.Arrive(b.now, Request{ID: 1, Due: b.now + second})
+		b.Finished(b.now+waited, Outcome{ID: 1, Result: TimedOut})
+		if counts != (b.fill > 0) {
+			t.Errorf("after %v: signal is %.3f", waited, b.fill)
+		}
+	}
+}
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,407 @@
+package decide
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const second = time.Second
+
+// tape records effects.
+type tape struct {
+	sends   []sendCall
+	cancels []string
+	refused map[RequestID]int
+	failed  map[RequestID]int
+	wakes   []wake
+	watches int
+	logs    []string
+}
+
+type sendCall struct {
+	id      RequestID
+	srv     ServerID
+	timeout time.Duration
+}
+
+type wake struct {
+	at    time.Duration
+	token uint64
+}
+
+func newTape() *tape {
+	return &tape{refused: map[RequestID]int{}, failed: map[RequestID]int{}}
+}
+
+func (t *tape) Send(id RequestID, s ServerID, d time.Duration) {
+	t.sends = append(t.sends, sendCall{id, s, d})
+}
+func (t *tape) Cancel(id RequestID, n int)          { t.cancels = append(t.cancels, fmt.Sprint(id, n)) }
+func (t *tape) Refuse(id RequestID)                 { t.refused[id]++ }
+func (t *tape) Fail(id RequestID)                   { t.failed[id]++ }
+func (t *tape) Wake(token uint64, at time.Duration) { t.wakes = append(t.wakes, wake{at, token}) }
+func (t *tape) Watch(bool)                          { t.watches++ }
+func (t *tape) Log(s string)                        { t.logs = append(t.logs, s) }
+
+func testSettings() Settings {
+	return Settings{
+		MaxAttempts: 3, SecondCopies: false, Cancel: true, WorthByWork: true,
+		Classes: []Class{
+			{Effect: Free, Aim: 500 * time.Millisecond, Worth: 1},
+			{Effect: Guarded, Scope: ScopeCell, Window: 2 * second, Aim: 500 * time.Millisecond, Worth: 5},
+			{Effect: SingleShot, Aim: 500 * time.Millisecond, Worth: 3},
+		},
+		FallMultiple: 3, StartShare: 0.2, WarmWithin: 10 * second, AskWithin: 10 * second,
+	}
+}
+
+func servers(n int) (list []Server) {
+	for i := range n {
+		list = append(list, Server{ID: ServerID(i + 1), Zone: i % 2, Cell: i % 4, Condition: Ready, Scale: 1})
+	}
+	return list
+}
+
+func start(set Settings, n int) (*Balancer, *tape) {
+	t := newTape()
+	b := New(set, 7, 100*second, t)
+	b.Listed(100*second, ListCached, servers(n))
+	return b, t
+}
+
+// TestPolicyFiles keeps the deploy file and the module's size in step.
+func TestPolicyFiles(t *testing.T) {
+	const limit = 1200
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines, seen := 0, 0
+	for _, f := range files {
+		if strings.HasSuffix(f, "_test.go") {
+			continue
+		}
+		seen++
+		if !bytes.Contains(deploy, []byte(`"decide/`+f+`"`)) {
+			t.Errorf("%s is not listed under policy", f)
+		}
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for sc := bufio.NewScanner(bytes.NewReader(text)); sc.Scan(); {
+			if strings.TrimSpace(sc.Text()) != "" {
+				lines++
+			}
+		}
+	}
+	if listed := bytes.Count(deploy, []byte(`"decide/`)); listed != seen {
+		t.Errorf("policy lists %d files, the folder has %d", listed, seen)
+	}
+	if lines > limit {
+		t.Errorf("the module has %d lines, the limit is %d", lines, limit)
+	}
+}
+
+// TestEffectRules walks through every effect, scope, first outcome, place of
+// the next server and age, against the rules written out a second time.
+func TestEffectRules(t *testing.T) {
+	results := []Result{Failed, Full, TimedOut, NoConnection, Reset, Cancelled, Moot}
+	for _, effect := range []Effect{Free, Guarded, SingleShot} {
+		for _, scope := range []Scope{ScopeAll, ScopeZone, ScopeCell} {
+			for _, copies := range []bool{false, true} {
+				for outcome := -1; outcome < len(results); outcome++ { // -1: still out
+					for place := range 3 { // same cell, same zone, elsewhere
+						for _, late := range []bool{false, true} {
+							set := testSettings()
+							set.SecondCopies = copies
+							set.Classes[0] = Class{Effect: effect, Scope: scope, Window: second}
+							b := New(set, 1, 100*second, newTape())
+							a := attempt{srv: &server{Server: Server{Zone: 1, Cell: 1}}, sentAt: b.now}
+							ran := true
+							if outcome < 0 {
+								a.out, a.mayRun = true, true
+							} else {
+								a.mayRun = !results[outcome].neverRan()
+								ran = a.mayRun
+							}
+							r := &request{attempts: []attempt{a}}
+							s := &server{Server: []Server{{Zone: 1, Cell: 1}, {Zone: 1, Cell: 2}, {Zone: 2, Cell: 3}}[place]}
+							if late {
+								b.now += 2 * second
+							}
+							send, refuse := true, true
+							if ran {
+								switch effect {
+								case Guarded:
+									inside := scope == ScopeAll || place == 0 || scope == ScopeZone && place == 1
+									send = inside && !late
+									refuse = scope == ScopeAll && !late
+								case SingleShot:
+									send, refuse = false, false
+								}
+							}
+							if outcome < 0 && !copies {
+								send = false
+							}
+							name := fmt.Sprintf("effect %d scope %d copies %v outcome %d place %d late %v", effect, scope, copies, outcome, place, late)
+							if got := b.maySend(r, s); got != send {
+								t.Errorf("%s: maySend is %v", name, got)
+							}
+							if got := b.mayRefuse(r); got != refuse {
+								t.Errorf("%s: mayRefuse is %v", name, got)
+							}
+						}
+					}
+				}
+			}
+		}
+	}
+	set := testSettings()
+	b := New(set, 1, 0, newTape())
+	full := &request{attempts: make([]attempt, set.MaxAttempts)}
+	if b.maySend(full, &server{}) {
+		t.Error("an attempt beyond MaxAttempts is allowed")
+	}
+}
+
+// world drives a Balancer through random legal events and checks the rules on
+// its own: it keeps its own account of requests, attempts and the list.
+type world struct {
+	t    *testing.T
+	g    *rand.Rand
+	set  Settings
+	now  time.Duration
+	b    *Balancer
+	tape *tape
+	reqs map[RequestID]*held
+	told map[ServerID]told
+	done int
+}
+
+type told struct {
+	srv Server
+	at  time.Duration
+}
+
+type held struct {
+	q        Request
+	attempts []try
+	answered bool
+}
+
+type try struct {
+	srv   ServerID
+	zone  int
+	cell  int
+	sent  time.Duration
+	ends  time.Duration
+	out   bool
+	maybe bool
+}
+
+// drain takes the effects since the last event and holds them to the rules.
+func (w *world) drain() {
+	for _, s := range w.tape.sends {
+		h := w.reqs[s.id]
+		if h == nil || h.answered {
+			w.t.Fatalf("send for request %d, which is not open", s.id)
+		}
+		srv, ok := w.told[s.srv]
+		if !ok || srv.srv.Condition != Ready && w.now > srv.at {
+			w.t.Fatalf("send to server %d, which is listed as %+v", s.srv, srv)
+		}
+		cls := w.set.Classes[h.q.Class]
+		if len(h.attempts) >= w.set.MaxAttempts {
+			w.t.Fatalf("request %d: attempt %d", s.id, len(h.attempts)+1)
+		}
+		for _, a := range h.attempts {
+			if a.out && !w.set.SecondCopies {
+				w.t.Fatalf("request %d: two attempts at once", s.id)
+			}
+			if !a.maybe {
+				continue
+			}
+			switch {
+			case cls.Effect == SingleShot:
+				w.t.Fatalf("request %d: single shot sent again", s.id)
+			case cls.Effect == Guarded && w.now-a.sent > cls.Window && a.sent == h.firstMaybe():
+				w.t.Fatalf("request %d: guarded sent again after its window", s.id)
+			case cls.Effect == Guarded && cls.Scope == ScopeCell && a.cell != srv.srv.Cell:
+				w.t.Fatalf("request %d: guarded sent to another cell", s.id)
+			}
+		}
+		end := h.q.Due
+		if s.timeout > 0 {
+			end = min(end, w.now+s.timeout)
+		}
+		h.attempts = append(h.attempts, try{srv: s.srv, zone: srv.srv.Zone, cell: srv.srv.Cell, sent: w.now, ends: end, out: true, maybe: true})
+	}
+	for id := range w.tape.refused {
+		h := w.reqs[id]
+		if h == nil || h.answered {
+			w.t.Fatalf("request %d refused after its end", id)
+		}
+		cls := w.set.Classes[h.q.Class]
+		for _, a := range h.attempts {
+			if a.maybe && cls.Effect != Free && !(cls.Effect == Guarded && cls.Scope == ScopeAll) {
+				w.t.Fatalf("request %d of class %d refused though it may have run", id, h.q.Class)
+			}
+		}
+		h.answered = true
+	}
+	for id := range w.tape.failed {
+		h := w.reqs[id]
+		if h == nil || h.answered {
+			w.t.Fatalf("request %d failed after its end", id)
+		}
+		h.answered = true
+	}
+	w.tape.sends, w.tape.cancels = nil, nil
+	w.tape.refused, w.tape.failed = map[RequestID]int{}, map[RequestID]int{}
+}
+
+func (h *held) firstMaybe() time.Duration {
+	for _, a := range h.attempts {
+		if a.maybe {
+			return a.sent
+		}
+	}
+	return 0
+}
+
+func (w *world) end(id RequestID, h *held, i int, res Result) {
+	a := &h.attempts[i]
+	a.out, a.maybe = false, !res.neverRan()
+	settled := h.answered || res == OK
+	if res == OK {
+		h.answered = true
+	}
+	w.b.Finished(w.now, Outcome{ID: id, Attempt: i, Result: res, Settled: settled})
+	w.drain()
+}
+
+func (w *world) launch() {
+	w.tape = newTape()
+	w.b = New(w.set, w.g.Uint64(), w.now, w.tape)
+	w.reqs = map[RequestID]*held{}
+	var list []Server
+	for id := ServerID(1); id <= 20; id++ {
+		if s, ok := w.told[id]; ok && s.srv.Condition != Gone {
+			list = append(list, s.srv)
+		}
+	}
+	w.b.Listed(w.now, ListCached, list)
+	w.drain()
+}
+
+func (w *world) list() {
+	id := ServerID(1 + w.g.Intn(20))
+	s := Server{ID: id, Zone: int(id) % 2, Cell: int(id) % 4, Condition: Condition(w.g.Intn(3)), Scale: 1}
+	if w.g.Intn(3) > 0 {
+		s.Condition = Ready
+	}
+	if w.g.Intn(3) == 0 {
+		s.Since = w.now
+	}
+	w.told[id] = told{s, w.now}
+	w.b.Listed(w.now, ListDelta, []Server{s})
+	w.drain()
+}
+
+func (w *world) run(steps int) {
+	var next RequestID
+	for range steps {
+		w.now += time.Duration(w.g.Intn(8)) * time.Millisecond
+		switch k := w.g.Intn(400); {
+		case k == 0:
+			w.launch()
+		case k < 8:
+			w.list()
+		case k == 8:
+			w.b.Listed(w.now, ListFailed, nil)
+		case k < 100:
+			next++
+			q := Request{ID: next, Class: w.g.Intn(len(w.set.Classes)), Key: uint64(w.g.Intn(30)), Due: w.now + time.Duration(50+w.g.Intn(1500))*time.Millisecond}
+			w.reqs[next] = &held{q: q}
+			w.b.Arrive(w.now, q)
+			w.drain()
+		}
+		wakes := w.tape.wakes
+		w.tape.wakes = nil
+		for _, k := range wakes {
+			if k.at > w.now {
+				w.tape.wakes = append(w.tape.wakes, k)
+				continue
+			}
+			w.b.Timer(w.now, k.token)
+			w.drain()
+		}
+		for id := RequestID(1); id <= next; id++ {
+			h := w.reqs[id]
+			if h == nil {
+				continue
+			}
+			open := false
+			for i := range h.attempts {
+				a := &h.attempts[i]
+				if !a.out {
+					continue
+				}
+				res := Result(w.g.Intn(int(Moot) + 1))
+				switch {
+				case w.now >= a.ends:
+					w.end(id, h, i, TimedOut)
+				case res != TimedOut && w.g.Intn(60) == 0:
+					w.end(id, h, i, res)
+				default:
+					open = true
+				}
+			}
+			if !h.answered && w.g.Intn(2000) == 0 {
+				h.answered = true
+				w.b.ClientGone(w.now, id)
+				w.drain()
+			}
+			if !h.answered && w.now > h.q.Due+20*time.Millisecond {
+				w.t.Fatalf("request %d has no answer %v after its deadline", id, w.now-h.q.Due)
+			}
+			if h.answered && !open {
+				w.done++
+				delete(w.reqs, id)
+			}
+		}
+	}
+}
+
+func TestRulesUnderRandomEvents(t *testing.T) {
+	for seed := range int64(12) {
+		set := testSettings()
+		set.SecondCopies = seed%2 == 1
+		set.Ask = seed%3 == 0
+		set.WarmKeys = seed%4 < 2
+		if seed%5 == 0 {
+			set.Classes[1].Scope = ScopeAll
+		}
+		w := &world{t: t, g: rand.New(rand.NewSource(seed)), set: set, now: 100 * second, told: map[ServerID]told{}}
+		for id := ServerID(1); id <= 12; id++ {
+			w.told[id] = told{Server{ID: id, Zone: int(id) % 2, Cell: int(id) % 4, Condition: Ready, Scale: 1}, w.now}
+		}
+		w.launch()
+		w.run(6000)
+		if w.done < 500 {
+			t.Errorf("seed %d: only %d requests ended", seed, w.done)
+		}
+	}
+}
--- /dev/null
+++ b/decide/members.go
@@ -0,0 +1,185 @@
+package decide
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Tuning of the server list, slow start and discovery.
+const (
+	// coldMargin is the part of a cold server's budget that the nodes use
+	// together: the rest is for chance and for servers slower than the mean.
+	coldMargin = 0.5
+	// askStep spreads first calls to discovery, within askShare of AskWithin.
+	askStep  = 250 * time.Millisecond
+	askShare = 0.6
+	// askRetry is the base of the jittered wait after a failed call.
+	askRetry = 1500 * time.Millisecond
+)
+
+// server is what the node knows of one server.
+type server struct {
+	Server
+	health
+	out        int           // own attempts outstanding
+	lastAnswer time.Duration // the last sign of life
+	stretch    float64       // its latency over the expected one, smoothed
+	seenAt     time.Duration
+	restUntil  time.Duration // it said that it is full
+	tokens     float64       // slow-start budget, in average requests
+	tokensAt   time.Duration
+	cold       bool
+	hash       uint64
+	links      int // own connections idle, as of linkedAt
+	linkedAt   time.Duration
+}
+
+// members is the list and what is drawn from it.
+type members struct {
+	ready                 []*server // may be sent to, by id
+	local, remote         pool
+	meanScale, totalScale float64
+	linkCost, warmScale   float64 // the latter of servers not ejected, as far as warm
+	subscribed, asking    bool
+	failures              int
+}
+
+// Listed takes discovery's news about the servers.
+func (b *Balancer) Listed(now time.Duration, kind ListKind, list []Server) {
+	b.now = max(b.now, now)
+	if kind == ListFailed {
+		b.asking, b.subscribed = false, false
+		b.failures++
+		b.askAgain()
+		return
+	}
+	if b.asking && kind != ListCached {
+		b.asking, b.subscribed, b.failures = false, true, 0
+	}
+	if kind != ListDelta {
+		for id, s := range b.byID { // in any order: dropping one affects no other
+			if !slices.ContainsFunc(list, func(e Server) bool { return e.ID == id }) {
+				b.drop(s)
+			}
+		}
+	}
+	for _, e := range list {
+		b.apply(e)
+	}
+	b.rebuild()
+}
+
+func (b *Balancer) drop(s *server) {
+	b.forget(s)
+	s.Condition = Gone // attempts still out hold the pointer
+	delete(b.byID, s.ID)
+}
+
+func (b *Balancer) apply(e Server) {
+	s := b.byID[e.ID]
+	if e.Condition == Gone {
+		if s != nil {
+			b.drop(s)
+		}
+		return
+	}
+	if s == nil {
+		s = &server{stretch: 1, hash: mix(uint64(e.ID) + 1)}
+		b.byID[e.ID] = s
+	} else if e.Since != s.Since {
+		// A restart: a new process owes nothing to the old one's record.
+		b.forget(s)
+		*s = server{stretch: 1, hash: s.hash, out: s.out}
+	}
+	if !(e.Scale > 0) {
+		e.Scale = 1
+	}
+	s.Server = e
+	if s.Condition != Ready {
+		b.forget(s)
+	}
+	if b.warmth(s) < 1 && !s.cold {
+		s.cold = true
+		// A random first share keeps nodes told at once from sending at once.
+		s.tokens, s.tokensAt = -b.rng.Float64(), b.now
+	}
+}
+
+// rebuild sorts out what the picker draws from.
+func (b *Balancer) rebuild() {
+	b.ready, b.local.list, b.remote.list = b.ready[:0], b.local.list[:0], b.remote.list[:0]
+	for _, s := range b.byID {
+		if s.Condition == Ready {
+			b.ready = append(b.ready, s)
+		}
+	}
+	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
+	b.totalScale = 0
+	for _, s := range b.ready {
+		b.totalScale += s.Scale
+		if s.Zone == b.set.Zone {
+			b.local.list = append(b.local.list, s)
+		} else {
+			b.remote.list = append(b.remote.list, s)
+		}
+	}
+	b.meanScale = b.totalScale / float64(max(1, len(b.ready)))
+	b.reweigh()
+}
+
+// warmth is the part of its capacity that a server has at the least.
+func (b *Balancer) warmth(s *server) float64 {
+	age := b.now - s.Since
+	if s.Since <= 0 || b.set.WarmWithin <= 0 || age >= b.set.WarmWithin {
+		return 1
+	}
+	share := float64(max(age, 0)) / float64(b.set.WarmWithin)
+	start := min(max(b.set.StartShare, 0), 1)
+	return start + (1-start)*share
+}
+
+// coldMay says whether this node's share of a cold server's budget has room.
+// The budget is what servers of its size answer (more is sent and turned away),
+// times the multiple allowed, times the capacity it has now at the least.
+func (b *Balancer) coldMay(s *server) bool {
+	if !s.cold {
+		return true
+	}
+	w := b.warmth(s)
+	if w >= 1 {
+		s.cold = false
+		return true
+	}
+	rate := b.okMeter.at(b.now) * s.Scale / max(b.warmScale, 1e-9)
+	rate *= min(1, b.set.FallMultiple*coldMargin*w)
+	s.tokens, s.tokensAt = min(1, s.tokens+rate*(b.now-s.tokensAt).Seconds()), b.now
+	return s.tokens >= 0
+}
+
+// startDiscovery makes the first call of a node that must ask: spread over nodes
+// by number, since all may start at once and the register serves few a second.
+func (b *Balancer) startDiscovery() {
+	if !b.set.Ask {
+		return
+	}
+	slot := time.Duration(b.set.Self)*askStep + time.Duration(b.rng.Float64()*float64(askStep))
+	b.out.Wake(tokenAsk, b.now+min(slot, time.Duration(askShare*float64(b.set.AskWithin))))
+}
+
+func (b *Balancer) askDue() {
+	if b.set.Ask && !b.subscribed && !b.asking {
+		b.asking = true
+		b.out.Watch(true)
+	}
+}
+
+// askAgain backs off with jitter after a failed call or a broken subscription.
+func (b *Balancer) askAgain() {
+	if !b.set.Ask {
+		return
+	}
+	wait := float64(askRetry) * float64(min(b.failures, 3)) * (0.5 + b.rng.Float64())
+	wait = min(wait, askShare*float64(b.set.AskWithin))
+	b.out.Wake(tokenAsk, b.now+time.Duration(wait))
+}
--- /dev/null
+++ b/decide/pick.go
@@ -0,0 +1,190 @@
+package decide
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Tuning of the picker.
+const (
+	// draws is how many servers of the own zone, and of the others, are looked at:
+	// enough to avoid the worst; looking at all would send nodes the same way.
+	draws = 4
+	// stretchGain and stretchFade: a server's own latency is noisy, so it is
+	// smoothed over some answers and forgotten within seconds.
+	stretchGain = 0.3
+	stretchFade = 8 * time.Second
+	maxStretch  = 20.0
+	// unlinked is how much less often a server without an idle connection is drawn:
+	// spread thinly over a fleet a node hears from each too seldom to judge it. Cold
+	// ones are exempt, or a release leaves the work to the servers still to go.
+	unlinked = 40.0
+	// idleMargin is by how many calls a server may exceed the mean and count as
+	// idle: without it the key, the zone and the latency have no say.
+	idleMargin = 0.5
+	// ownLoad is what each own call outstanding adds, in expected latencies.
+	ownLoad = 0.3
+	// crowdedBy: a node that sheds spares no crossing where its zone is so much
+	// slower than the rest, or a third was shed beside a zone standing idle.
+	crowdedBy = 1.2
+	// warmGain is the head start of a server that met the key lately: over what
+	// it saves, since each call elsewhere cools the key. keyServers is the least.
+	warmGain   = 0.85
+	keyServers = 2 // and keyMost the most
+	keyMost    = 16
+	keySalt    = 57   // the bits of the hash that tell a key's servers apart
+	keyWindow  = 1000 // requests over which a key's share is taken
+)
+
+// pool is a list of servers with weights to draw by.
+type pool struct {
+	list []*server
+	cum  []float64
+	slow float64 // mean stretch
+}
+
+func (p *pool) draw(g *rand.Rand) *server {
+	n := len(p.cum)
+	if n == 0 || !(p.cum[n-1] > 0) {
+		return nil
+	}
+	x := g.Float64() * p.cum[n-1]
+	return p.list[min(sort.SearchFloat64s(p.cum, x), n-1)]
+}
+
+// idleLinks is how many connections to a server are idle and so open still.
+func (b *Balancer) idleLinks(s *server) int {
+	if b.now-s.linkedAt >= b.set.KeepAlive {
+		return 0
+	}
+	return s.links
+}
+
+// reweigh sets the servers' weights, size over stretch and little while cold,
+// and what a new connection costs, in requests: handshake and time held open.
+func (b *Balancer) reweigh() {
+	perServer := b.sent.at(b.now) * float64(b.set.Nodes) / float64(max(1, len(b.ready)))
+	b.linkCost = b.set.HandshakeCost + b.set.OpenCost/100*perServer*b.set.KeepAlive.Seconds()
+	b.warmScale = 0
+	for _, p := range [...]*pool{&b.local, &b.remote} {
+		p.cum, p.slow = p.cum[:0], 0
+		sum := 0.0
+		for _, s := range p.list {
+			stretch := s.stretchAt(b.now)
+			p.slow += stretch / float64(len(p.list))
+			if !s.ejected {
+				w := s.Scale * b.warmth(s)
+				b.warmScale += w
+				w /= stretch
+				if s.out == 0 && !s.cold && b.idleLinks(s) == 0 {
+					w /= unlinked
+				}
+				sum += w
+			}
+			p.cum = append(p.cum, sum)
+		}
+	}
+}
+
+// saw takes a new latency ratio into a server's stretch.
+func (s *server) saw(ratio float64, now time.Duration) {
+	old := s.stretchAt(now)
+	s.stretch, s.seenAt = old+(ratio-old)*stretchGain, now
+}
+
+// stretchAt is the stretch now: old news drifts back to the normal 1.
+func (s *server) stretchAt(now time.Duration) float64 {
+	return max(0.1, 1+(s.stretch-1)*math.Exp(-float64(now-s.seenAt)/float64(stretchFade)))
+}
+
+// usable says whether a request may go to a server at all.
+func (b *Balancer) usable(r *request, s *server) bool {
+	return s.Condition == Ready && !s.ejected && b.now >= s.restUntil && b.maySend(r, s) && b.coldMay(s) &&
+		!slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.srv == s })
+}
+
+// idle is the design's test: few of this node's own calls, against the mean.
+func (b *Balancer) idle(s *server) bool {
+	return float64(s.out) <= idleMargin+float64(b.outNow)/max(b.totalScale, 1e-9)*s.Scale
+}
+
+// cost estimates what sending a request to a server loses: the chance that the
+// answer comes too late, and the prices of crossing zones and of connecting.
+func (b *Balancer) cost(r *request, s *server, expect float64, warm bool) float64 {
+	m := s.stretchAt(b.now) + ownLoad*float64(s.out)*b.meanScale/s.Scale
+	crowded := b.window > 0 && b.remote.slow > 0 && b.local.slow > crowdedBy*b.remote.slow
+	if warm && crowded { // the wait for others is not saved
+		m -= warmGain * min(m, 1)
+	} else if warm {
+		m *= 1 - warmGain
+	}
+	left := max(float64(r.aimAt-b.now), 1)
+	late := math.Exp(-left / (m * expect))
+	c := late + 0.01*m
+	if s.Zone != b.set.Zone && !crowded {
+		c += b.set.CrossCost
+	}
+	if b.idleLinks(s) == 0 {
+		c += b.linkCost
+	}
+	return c
+}
+
+// pick chooses the server for the next attempt: of a few drawn by weight, the best
+// that is idle; where none is, the one that holds fewest of this node's calls.
+func (b *Balancer) pick(r *request) *server {
+	expect := b.expected(r)
+	var best *server
+	bestCost := math.Inf(1)
+	try := func(s *server, warm bool) {
+		if s == nil || s == best || !b.idle(s) || !b.usable(r, s) {
+			return
+		}
+		if s.probation && (s.out > 0 || b.set.Classes[r.Class].Effect == SingleShot) {
+			return // a returned server first proves itself on work that can be repeated
+		}
+		if c := b.cost(r, s, expect, warm); c < bestCost {
+			best, bestCost = s, c
+		}
+	}
+	if b.set.WarmKeys && r.Key != 0 {
+		b.keyed(r, try)
+	}
+	for range draws {
+		try(b.local.draw(b.rng), false)
+		try(b.remote.draw(b.rng), false)
+	}
+	if best != nil {
+		return best
+	}
+	// From a random start: nodes must not all fall upon the same server.
+	from := b.rng.IntN(max(1, len(b.ready)))
+	for i := range b.ready {
+		s := b.ready[(from+i)%len(b.ready)]
+		if (best == nil || s.out < best.out) && b.usable(r, s) {
+			best = s
+		}
+	}
+	return best
+}
+
+// keyed offers the servers that a key is kept on: those of the node's zone that
+// win it by hash, which every node computes alike; more for a hot key.
+func (b *Balancer) keyed(r *request, try func(*server, bool)) {
+	n := keyServers + int(2*b.keyShare(r.Key)*float64(len(b.local.list)))
+	for i := range uint64(min(n, len(b.local.list), keyMost)) {
+		home, most := b.local.list[0], 0.0
+		for _, s := range b.local.list {
+			u := float64(mix(s.hash^r.Key^i<<keySalt)>>11)/(1<<53) + 1e-18
+			if v := s.Scale / -math.Log(u); v > most {
+				home, most = s, v
+			}
+		}
+		if !home.cold {
+			try(home, true)
+		}
+	}
+}
--- /dev/null
+++ b/decide/settings.go
@@ -0,0 +1,108 @@
+// Package decide holds every decision mallowfield makes: which server gets an
+// attempt, when another one is due, what is refused, and which servers are
+// ejected. It is a pure state machine: the caller feeds it events with the
+// time they happened, and its decisions leave through Effects. It starts no
+// goroutine, reads no clock and does no input or output.
+package decide
+
+import "time"
+
+type (
+	// ServerID names a server, RequestID a request; they say nothing else.
+	ServerID  uint32
+	RequestID uint32
+	// Effect says what repeating a request does, Scope which servers drop
+	// repeats, Condition what the list says of a server, ListKind how a list
+	// event relates to the list held, Result how an attempt ended.
+	Effect    uint8
+	Scope     uint8
+	Condition uint8
+	ListKind  uint8
+	Result    uint8
+)
+
+// Free classes may be repeated at will, repeats of Guarded ones are dropped by
+// a group of servers for a while, SingleShot ones must never run twice.
+const (
+	Free, Guarded, SingleShot      Effect    = 0, 1, 2
+	ScopeAll, ScopeZone, ScopeCell Scope     = 0, 1, 2
+	Gone, Ready, Draining          Condition = 0, 1, 2
+
+	ListDelta, ListFull, ListCached, ListFailed ListKind = 0, 1, 2, 3
+
+	OK, Failed, Full, TimedOut           Result = 0, 1, 2, 3
+	NoConnection, Reset, Cancelled, Moot Result = 4, 5, 6, 7
+)
+
+// neverRan reports whether a result proves that the attempt did not run.
+func (r Result) neverRan() bool { return r == Full || r == NoConnection || r == Moot }
+
+// Class describes one class of requests. An answer within Aim has its full
+// worth; Aim grows by AimFactor times the request's own work.
+type Class struct {
+	Effect           Effect
+	Scope            Scope
+	Window           time.Duration // how long a guarded class's repeats are dropped
+	Aim, Deadline    time.Duration // Deadline is a client's wait over all its tries
+	AimFactor        float64
+	Worth, LateWorth float64
+}
+
+// Settings is what a node is told when it starts.
+type Settings struct {
+	Self, Nodes, Zone int
+	Classes           []Class
+
+	Ask                   bool // discovery answers only when asked, within AskWithin
+	AskWithin             time.Duration
+	MaxAttempts           int
+	SecondCopies, Cancel  bool
+	WorthByWork, WarmKeys bool
+
+	FallMultiple float64       // of its capacity, what pushes a cold server over
+	StartShare   float64       // of its capacity, the least a server starts with
+	WarmWithin   time.Duration // the longest it takes to its full capacity
+
+	CrossCost, HandshakeCost float64       // prices of crossing zones and of connecting, a request
+	OpenCost                 float64       // of a mean of 100 connections open to each server
+	KeepAlive                time.Duration // after which an idle connection closes
+}
+
+// Server is one entry of the server list. Since is its last start; 0 is the
+// distant past.
+type Server struct {
+	ID         ServerID
+	Zone, Cell int
+	Condition  Condition
+	Scale      float64
+	Since      time.Duration
+}
+
+// Request is a client's request. Hint is its estimated work, 0 if none; Repeat
+// says that the client tried before; Due is when the client gives up.
+type Request struct {
+	ID        RequestID
+	Class     int
+	Key       uint64
+	Hint, Due time.Duration
+	Repeat    bool
+}
+
+// Outcome is the end of an attempt.
+type Outcome struct {
+	ID      RequestID
+	Attempt int
+	Result  Result
+	Settled bool
+}
+
+// Effects carries decisions out. Methods must not call back.
+type Effects interface {
+	Send(id RequestID, server ServerID, timeout time.Duration)
+	Cancel(id RequestID, attempt int)
+	Refuse(id RequestID)
+	Fail(id RequestID)
+	Wake(token uint64, at time.Duration)
+	Watch(on bool)
+	Log(text string)
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,220 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"mallowfield/decide"
+	"mallowfield/internal/wire"
+)
+
+// ErrConfig marks every complaint about the configuration.
+var ErrConfig = errors.New("bad configuration")
+
+// Shares of the limits. Client and upstream connections get the same number:
+// each request held has at most one attempt out, so that none waits for a
+// descriptor while idle upstream connections can be closed for it.
+const (
+	// spareSockets stay free of both: standard streams, poller, listener,
+	// discovery, and connections that are being closed.
+	spareSockets = 64
+	// heapShare of the memory limit is where the collector works hardest; the
+	// rest is for stacks, the runtime and kernel buffers charged to the process.
+	heapShare = 0.7
+	// bodyShare of the memory limit may hold long request bodies.
+	bodyShare = 0.25
+)
+
+// Config is all that a node is told at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Settings                decide.Settings
+	DialTimeout             time.Duration
+	Known                   hostList
+
+	classes map[string]int
+	zones   map[string]int
+}
+
+// Conns is how many connections clients, and likewise attempts, may hold.
+func (c *Config) Conns() int { return (c.Sockets - spareSockets) / 2 }
+
+// MemoryLimit is the soft limit of the Go runtime, in bytes.
+func (c *Config) MemoryLimit() int64 { return int64(heapShare * float64(c.MemoryMB) * (1 << 20)) }
+
+// BodyBytes is the budget of long request bodies.
+func (c *Config) BodyBytes() int64 { return int64(bodyShare * float64(c.MemoryMB) * (1 << 20)) }
+
+// LoadConfig reads the configuration that the environment names.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("%w: GW_CONFIG: not set", ErrConfig)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: GW_CONFIG: %w", ErrConfig, err)
+	}
+	return parseConfig(text, getenv)
+}
+
+func bad(field, format string, args ...any) error {
+	return fmt.Errorf("%w: %s: %s", ErrConfig, field, fmt.Sprintf(format, args...))
+}
+
+// parseConfig reads the JSON text. The environment's name and addresses, where
+// set, go before those of the text.
+func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
+	var raw struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores    float64
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    json.RawMessage
+		Settings map[string]any
+	}
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.UseNumber()
+	if err := dec.Decode(&raw); err != nil {
+		if t := (*json.UnmarshalTypeError)(nil); errors.As(err, &t) {
+			return nil, bad(t.Field, "a JSON %s does not belong here", t.Value)
+		}
+		return nil, bad("GW_CONFIG", "not a JSON object: %v", err)
+	}
+	c := &Config{
+		Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery,
+		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets,
+		classes: make(map[string]int), zones: make(map[string]int),
+	}
+	for _, e := range []struct {
+		name string
+		dest *string
+	}{{"GW_NAME", &c.Name}, {"GW_LISTEN", &c.Listen}, {"GW_DISCOVERY", &c.Discovery}} {
+		if v := getenv(e.name); v != "" {
+			*e.dest = v
+		}
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+		return nil, bad("seed", "%q is not a hexadecimal number of 64 bits", raw.Seed)
+	}
+	for field, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return nil, bad(field, "%q is not an address and port", addr)
+		}
+	}
+	switch {
+	case c.Name == "":
+		return nil, bad("name", "missing")
+	case !(c.Cores > 0) || c.Cores > 4096:
+		return nil, bad("limits.cores", "%v is not a number of cores", c.Cores)
+	case c.MemoryMB < 32 || c.MemoryMB > 1<<24:
+		return nil, bad("limits.memory_mb", "%d is not at least 32", c.MemoryMB)
+	case c.Sockets < 2*spareSockets || c.Sockets > 1<<24:
+		return nil, bad("limits.sockets", "%d is not at least %d", c.Sockets, 2*spareSockets)
+	case raw.Settings == nil:
+		return nil, bad("settings", "missing")
+	}
+	if err := c.settings(raw.Settings); err != nil {
+		return nil, err
+	}
+	if len(raw.Known) > 0 && string(raw.Known) != "null" {
+		if c.Known, err = decodeList(bytes.NewReader(raw.Known), nil); err != nil {
+			return nil, bad("known", "%v", err)
+		}
+	}
+	return c, nil
+}
+
+// settings goes through the simulator's form, so that one parser serves both.
+func (c *Config) settings(tree map[string]any) error {
+	flat := make(map[string]string)
+	flatten("", tree, flat)
+	var text bytes.Buffer
+	for _, k := range slices.Sorted(maps.Keys(flat)) {
+		fmt.Fprintf(&text, "%s=%s\n", k, flat[k])
+	}
+	var err error
+	if c.Settings, err = wire.ParseSetup(text.Bytes()); err != nil {
+		return fmt.Errorf("%w: settings: %w", ErrConfig, err)
+	}
+	ms := 250.0
+	if v, ok := flat["ceilings.dialTimeoutMs"]; ok {
+		if ms, err = strconv.ParseFloat(v, 64); err != nil || !(ms > 0) || ms > 60_000 {
+			return bad("settings: ceilings.dialTimeoutMs", "%q is not a usable time", v)
+		}
+	}
+	c.DialTimeout = time.Duration(ms * float64(time.Millisecond))
+	for i := range c.Settings.Classes {
+		field := fmt.Sprintf("classes.%d.name", i)
+		name := flat[field]
+		if _, twice := c.classes[name]; name == "" || twice || strings.ContainsAny(name, "/?#") {
+			return bad("settings: "+field, "%q is missing, used twice or not fit for a path", name)
+		}
+		c.classes[name] = i
+	}
+	for i, z := range strings.Split(flat["zones"], ",") {
+		c.zones[z] = i
+	}
+	return nil
+}
+
+// unfit are the characters that the simulator's form cannot hold in a value.
+var unfit = strings.NewReplacer(" ", "_", ",", "_", "\n", "_", "\r", "_", "\t", "_")
+
+// flatten turns a tree of settings into path=value pairs.
+func flatten(path string, v any, out map[string]string) {
+	join := func(k string) string {
+		k = strings.ReplaceAll(unfit.Replace(k), "=", "_")
+		if path == "" {
+			return k
+		}
+		return path + "." + k
+	}
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			flatten(join(k), x, out)
+		}
+	case []any:
+		if slices.ContainsFunc(v, func(x any) bool { _, ok := x.(map[string]any); return ok }) {
+			out[join("count")] = strconv.Itoa(len(v))
+			for i, x := range v {
+				flatten(join(strconv.Itoa(i)), x, out)
+			}
+			return
+		}
+		words := make([]string, len(v))
+		for i, x := range v {
+			words[i] = unfit.Replace(fmt.Sprint(x))
+		}
+		out[path] = strings.Join(words, ",")
+	case nil:
+	default:
+		out[path] = unfit.Replace(fmt.Sprint(v))
+	}
+}
+
+// zone gives a zone's position, or one past all for a zone never heard of: its
+// servers are served like any in another zone.
+func (c *Config) zone(name string) int {
+	if i, ok := c.zones[name]; ok {
+		return i
+	}
+	return math.MaxUint8 + 1
+}
--- /dev/null
+++ b/internal/wire/setup.go
@@ -0,0 +1,138 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"mallowfield/decide"
+)
+
+// ErrSetup marks every complaint about the settings of a launch.
+var ErrSetup = errors.New("bad settings")
+
+type setup struct {
+	values map[string]string
+	err    error
+}
+
+func (s *setup) fail(key, why string) {
+	if s.err == nil {
+		s.err = fmt.Errorf("%w: %s: %s", ErrSetup, key, why)
+	}
+}
+
+func (s *setup) num(key string, def float64) float64 {
+	v, ok := s.values[key]
+	if !ok {
+		return def
+	}
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || math.Abs(f) > maxMillis {
+		s.fail(key, fmt.Sprintf("%q is not a usable number", v))
+		return def
+	}
+	return f
+}
+
+func (s *setup) count(key string, def, most int) int {
+	f := s.num(key, float64(def))
+	if f < 0 || f > float64(most) || f != math.Trunc(f) {
+		s.fail(key, fmt.Sprintf("%v is not a whole number from 0 to %d", f, most))
+		return def
+	}
+	return int(f)
+}
+
+func (s *setup) ms(key string, def float64) time.Duration {
+	return time.Duration(math.Round(s.num(key, def) * 1e6))
+}
+
+func (s *setup) flag(key string) bool {
+	switch v := s.values[key]; v {
+	case "true":
+		return true
+	case "", "false":
+		return false
+	default:
+		s.fail(key, fmt.Sprintf("%q is neither true nor false", v))
+		return false
+	}
+}
+
+func (s *setup) choice(key string, def int, words ...string) int {
+	v, ok := s.values[key]
+	if !ok {
+		return def
+	}
+	for i, w := range words {
+		if v == w {
+			return i
+		}
+	}
+	s.fail(key, fmt.Sprintf("%q is not one of %s", v, strings.Join(words, ", ")))
+	return def
+}
+
+// ParseSetup reads the settings of a launch: one path=value pair a line.
+// Unknown keys are ignored; a known key with a value that makes no sense, a
+// line without '=' and a set without classes are errors.
+func ParseSetup(text []byte) (decide.Settings, error) {
+	s := setup{values: make(map[string]string)}
+	for n, line := range bytes.Split(text, []byte{'\n'}) {
+		line = bytes.TrimSpace(line)
+		if len(line) == 0 {
+			continue
+		}
+		key, value, ok := bytes.Cut(line, []byte{'='})
+		if !ok || len(key) == 0 {
+			s.fail(fmt.Sprintf("line %d", n+1), "not of the form path=value")
+			break
+		}
+		s.values[string(key)] = string(value)
+	}
+	nClasses := s.count("classes.count", 0, 256)
+	if s.err == nil && nClasses == 0 {
+		s.fail("classes.count", "missing or 0: a node needs a class to serve")
+	}
+	set := decide.Settings{
+		Self:  s.count("myNumber", 0, math.MaxUint16),
+		Nodes: max(1, s.count("nInstances", 1, math.MaxUint16)),
+		Zone:  s.count("az", 0, math.MaxUint8),
+
+		Ask:          s.choice("discovery", 0, "push", "ask") == 1,
+		AskWithin:    s.ms("rules.askWithinMs", 10000),
+		MaxAttempts:  s.count("ceilings.maxAttempts", 1, math.MaxUint16),
+		SecondCopies: s.flag("ceilings.secondCopies"),
+		Cancel:       s.flag("ceilings.cancel"),
+		WorthByWork:  s.choice("valueBy", 0, "request", "work") == 1,
+		WarmKeys:     s.flag("familyInfo.warmKeys"),
+
+		FallMultiple: s.num("rules.fallMultiple", 1),
+		StartShare:   s.num("rules.startCapacity", 1),
+		WarmWithin:   s.ms("rules.warmWithinMs", 0),
+
+		CrossCost:     s.num("costs.crossZone", 0),
+		HandshakeCost: s.num("costs.handshake", 0),
+		OpenCost:      s.num("costs.connection", 0),
+		KeepAlive:     s.ms("ceilings.keepaliveMs", 0),
+	}
+	for i := range nClasses {
+		p := fmt.Sprintf("classes.%d.", i)
+		set.Classes = append(set.Classes, decide.Class{
+			Effect:    decide.Effect(s.choice(p+"effect", int(decide.SingleShot), "free", "guarded", "single_shot")),
+			Scope:     decide.Scope(s.choice(p+"dedupScope", int(decide.ScopeCell), "all", "zone", "cell")),
+			Window:    s.ms(p+"windowMs", 0),
+			Aim:       s.ms(p+"objectiveMs", 0),
+			Deadline:  s.ms(p+"deadlineMs", 0),
+			AimFactor: s.num(p+"aimStretch", 0),
+			Worth:     s.num(p+"gain", 1),
+			LateWorth: s.num(p+"lateWorth", 0),
+		})
+	}
+	return set, s.err
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,193 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+func unhex(t *testing.T, s string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(strings.ReplaceAll(s, " ", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+const clock = "00000000 206ec040"
+
+func TestEmptyBatch(t *testing.T) {
+	var d Decoder
+	if err := d.Reset(unhex(t, "10000000"+clock+"00000000")); err != nil {
+		t.Fatal(err)
+	}
+	var ev Event
+	if err := d.Next(&ev); err != io.EOF {
+		t.Fatalf("got %v, want io.EOF", err)
+	}
+	var e Encoder
+	e.Reset()
+	if got := hex.EncodeToString(e.Bytes()); got != "04000000" {
+		t.Fatalf("empty reply is %s", got)
+	}
+}
+
+func TestBatchAndReply(t *testing.T) {
+	var d Decoder
+	frame := unhex(t, "53000000"+clock+"03000000"+
+		"02 24000000 0300 c4913a5d 640ad2557c3bf091 0000000000002840 00000000 00 01 0000000020e6c040"+
+		"06 0a000000 0300 4d00000000000000"+
+		"05 06000000 0500 192b6f0e")
+	if err := d.Reset(frame); err != nil {
+		t.Fatal(err)
+	}
+	if d.Now() != 8412250*time.Microsecond {
+		t.Errorf("clock is %v", d.Now())
+	}
+	want := []Event{
+		{Code: EvNewRequest, Who: 3, Req: 0x5d3a91c4, Key: 0x91f03b7c55d20a64, Hint: 12 * time.Millisecond, Flags: 1, Due: 8652250 * time.Microsecond},
+		{Code: EvElapsed, Who: 3, Token: 77},
+		{Code: EvLeft, Who: 5, Req: 0x0e6f2b19},
+	}
+	for i, w := range want {
+		var ev Event
+		if err := d.Next(&ev); err != nil {
+			t.Fatal(err)
+		}
+		if ev.Code != w.Code || ev.Who != w.Who || ev.Req != w.Req || ev.Key != w.Key || ev.Hint != w.Hint ||
+			ev.Flags != w.Flags || ev.Due != w.Due || ev.Token != w.Token {
+			t.Errorf("record %d: got %+v, want %+v", i, ev, w)
+		}
+	}
+	var e Encoder
+	e.Reset()
+	e.Assign(3, 0x5d3a91c4, 0x03124a07, 80*time.Millisecond)
+	e.Sleep(3, 77, 8912250*time.Microsecond)
+	e.Remark(5, "two servers known")
+	reply := "4c000000 09 12000000 0300 c4913a5d 074a1203 0000000000005440" +
+		"01 12000000 0300 4d00000000000000 000000002068c140" +
+		"0b 15000000 0500 1100 74776f2073657276657273206b6e6f776e"
+	if !bytes.Equal(e.Bytes(), unhex(t, reply)) {
+		t.Errorf("reply is %x", e.Bytes())
+	}
+}
+
+func TestDamage(t *testing.T) {
+	for name, c := range map[string]struct{ frame, says string }{
+		"length disagrees":   {"11000000" + clock + "00000000", "length"},
+		"nan clock":          {"10000000 000000000000f87f 00000000", "clock"},
+		"too many records":   {"10000000" + clock + "ffffffff", "count"},
+		"record past end":    {"15000000" + clock + "01000000 06 ffffffff", "size"},
+		"field missing":      {"17000000" + clock + "01000000 05 02000000 0500", "req"},
+		"list count past it": {"28000000" + clock + "01000000 01 13000000 0300 2900000000000000 02 ffffffff 00000000", "nodesList"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var d Decoder
+			var ev Event
+			err := d.Reset(unhex(t, c.frame))
+			if err == nil {
+				err = d.Next(&ev)
+			}
+			if !errors.Is(err, ErrFormat) || !strings.Contains(err.Error(), c.says) || !strings.Contains(err.Error(), "offset") {
+				t.Fatalf("error is %v, want one that names %s and an offset", err, c.says)
+			}
+		})
+	}
+}
+
+func TestFleetAndEnded(t *testing.T) {
+	var d Decoder
+	var ev Event
+	frame := unhex(t, "6d000000"+clock+"02000000"+
+		"01 3b000000 0300 2900000000000000 02 02000000"+
+		"0000 074a1203 00 01 0000803f 0000000000000000 0000"+
+		"0000 f211902c 01 01 0000c03f 0000000000d4b740 0000"+
+		"04 18000000 0300 c4913a5d 0000 074a1203 0000 0000000000803240 01 00")
+	if err := d.Reset(frame); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Next(&ev); err != nil {
+		t.Fatal(err)
+	}
+	want := []Entry{
+		{Server: 0x03124a07, Condition: 1, Scale: 1},
+		{Server: 0x2c9011f2, Zone: 1, Condition: 1, Scale: 1.5, Since: 6100 * time.Millisecond},
+	}
+	if ev.Code != EvFleet || ev.Epoch != 41 || ev.Scope != 2 || len(ev.Entries) != 2 || ev.Entries[0] != want[0] || ev.Entries[1] != want[1] {
+		t.Errorf("list is %+v", ev)
+	}
+	if err := d.Next(&ev); err != nil {
+		t.Fatal(err)
+	}
+	if ev.Code != EvEnded || ev.Req != 0x5d3a91c4 || ev.Server != 0x03124a07 || ev.Latency != 18500*time.Microsecond || !ev.Settled || len(ev.Load) != 0 {
+		t.Errorf("outcome is %+v", ev)
+	}
+}
+
+// Each action as it stands on the wire, the ones not used yet among them.
+func TestActions(t *testing.T) {
+	for name, c := range map[string]struct {
+		write func(*Encoder)
+		want  string
+	}{
+		"watch":      {func(e *Encoder) { e.StreamChanges(3, true) }, "00 03000000 0300 01"},
+		"unwatch":    {func(e *Encoder) { e.StreamChanges(3, false) }, "00 03000000 0300 00"},
+		"stop":       {func(e *Encoder) { e.StopAttempt(3, 1, 2) }, "02 08000000 0300 01000000 0200"},
+		"broken":     {func(e *Encoder) { e.Broken(3, "no") }, "03 06000000 0300 0200 6e6f"},
+		"disconnect": {func(e *Encoder) { e.Disconnect(3, 7) }, "04 06000000 0300 07000000"},
+		"decline":    {func(e *Encoder) { e.Decline(3, 1, 0) }, "05 0e000000 0300 01000000 0000000000000000"},
+		"resolve":    {func(e *Encoder) { e.Resolve(3) }, "06 02000000 0300"},
+		"broadcast":  {func(e *Encoder) { e.BroadcastTo(3, 0xffff, []byte("hi 7")) }, "07 0a000000 0300 ffff 0400 68692037"},
+		"sample":     {func(e *Encoder) { e.Sample(3, 7) }, "08 06000000 0300 07000000"},
+		"give up":    {func(e *Encoder) { e.GiveUp(3, 1) }, "0a 06000000 0300 01000000"},
+	} {
+		var e Encoder
+		e.Reset()
+		c.write(&e)
+		if got := e.Bytes()[4:]; !bytes.Equal(got, unhex(t, c.want)) {
+			t.Errorf("%s is %x, want %s", name, got, c.want)
+		}
+	}
+}
+
+func TestStreamProbeAndPeerRecords(t *testing.T) {
+	frame := "50000000" + clock + "03000000" +
+		"03 14000000 0300 c4913a5d 0100 074a1203 0000000000005440" +
+		"07 15000000 0300 0000000000005440 0400 074a1203 01 0000c03f" +
+		"08 08000000 0300 0700 0200 6869"
+	var d Decoder
+	if err := d.Reset(unhex(t, frame)); err != nil {
+		t.Fatal(err)
+	}
+	var ev Event
+	next := func() {
+		t.Helper()
+		if err := d.Next(&ev); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if next(); ev.Code != EvAckFirst || ev.Who != 3 || ev.Req != 0x5d3a91c4 || ev.Attempt != 1 || ev.Server != 0x03124a07 || ev.Latency != 80*time.Millisecond {
+		t.Errorf("first byte decoded as %+v", ev)
+	}
+	if next(); ev.Code != EvProbed || ev.Latency != 80*time.Millisecond || ev.Reason != 4 || ev.Server != 0x03124a07 || len(ev.Load) != 1 || ev.Load[0] != 1.5 {
+		t.Errorf("probe result decoded as %+v", ev)
+	}
+	if next(); ev.Code != EvPeer || ev.From != 7 || string(ev.Data) != "hi" {
+		t.Errorf("peer message decoded as %+v", ev)
+	}
+	// A peer message that claims more bytes than its record has.
+	long := strings.Replace(frame, "0700 0200 6869", "0700 0300 6869", 1)
+	if err := d.Reset(unhex(t, long)); err != nil {
+		t.Fatal(err)
+	}
+	next()
+	next()
+	if err := d.Next(&ev); !errors.Is(err, ErrFormat) || !strings.Contains(err.Error(), "octets") {
+		t.Errorf("a peer message past its record gives %v", err)
+	}
+}
