Reload on SIGHUP; turn away ambiguous framing and close after complaints

Cause: nothing caught SIGHUP (cmd/mallowfield/main.go) and the watch kept one address for good (watcher.addr). net/http reads a request with both framings as chunked and hides its length; the connection stayed open after http.Error in front.go, so the rest of a body was read as requests.

The new tests fail on the code before.

--- a/cmd/mallowfield/main.go
+++ b/cmd/mallowfield/main.go
@@ -1,6 +1,6 @@
 // Command mallowfield is one node of the load balancer. It reads its
 // configuration where GW_CONFIG points, serves until SIGTERM or SIGINT, answers
-// what it has taken, and ends.
+// what it has taken, and ends. SIGHUP has it read the configuration anew.
 package main
 
 import (
@@ -34,6 +34,10 @@
 }
 
 func run() error {
+	// Caught from the first moment, as it would end the process. One that is
+	// pending covers any that follow: they all ask for the newest configuration.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -42,5 +46,6 @@
 	debug.SetMemoryLimit(cfg.MemoryLimit())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return node.Run(ctx, cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	load := func() (*node.Config, error) { return node.ReloadConfig(os.Getenv) }
+	return node.Run(ctx, cfg, reload, load, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"math"
 	"net/netip"
 	"os"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -71,6 +73,38 @@
 	return parseConfig(text, getenv)
 }
 
+// ReloadConfig reads the configuration anew. Its addresses are the text's own:
+// what the environment says is as old as the process.
+func ReloadConfig(getenv func(string) string) (*Config, error) {
+	return LoadConfig(func(name string) string {
+		if name != "GW_CONFIG" {
+			return ""
+		}
+		return getenv(name)
+	})
+}
+
+// restartOnly names what differs between two configurations and only a restart
+// can change: listeners, budgets and the module's settings are laid out once.
+func (c *Config) restartOnly(next *Config) []string {
+	var names []string
+	for _, f := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == next.Name},
+		{"listen", c.Listen == next.Listen},
+		{"limits", c.Cores == next.Cores && c.MemoryMB == next.MemoryMB && c.Sockets == next.Sockets},
+		{"settings", c.DialTimeout == next.DialTimeout && reflect.DeepEqual(c.Settings, next.Settings) &&
+			maps.Equal(c.classes, next.classes) && maps.Equal(c.zones, next.zones)},
+	} {
+		if !f.same {
+			names = append(names, f.name)
+		}
+	}
+	return names
+}
+
 func bad(field, format string, args ...any) error {
 	return fmt.Errorf("%w: %s: %s", ErrConfig, field, fmt.Sprintf(format, args...))
 }
@@ -96,6 +130,10 @@
 		}
 		return nil, bad("GW_CONFIG", "not a JSON object: %v", err)
 	}
+	// A shorter text written over a longer one leaves the old one's end behind.
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, bad("GW_CONFIG", "more than one JSON object")
+	}
 	c := &Config{
 		Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery,
 		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets,
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"mallowfield/decide"
@@ -146,15 +147,21 @@
 	return nil
 }
 
+// errMoved ends a call to a discovery that is no longer the node's.
+var errMoved = errors.New("discovery has moved")
+
 // watcher keeps the watch on discovery.
 type watcher struct {
-	addr   string
 	ask    bool // discovery is asked: the module orders the calls after a failure
-	seq    uint64
 	client *http.Transport
 	tell   func(kind decide.ListKind, hosts []entry)
-	start  <-chan struct{} // the module's orders
+	start  chan struct{} // the module's orders
 	log    *slog.Logger
+
+	mu    sync.Mutex
+	addr  string
+	seq   uint64
+	leave context.CancelCauseFunc // ends the call that is out
 }
 
 func newWatcher(cfg *Config, l *loop, log *slog.Logger) *watcher {
@@ -167,6 +174,46 @@
 	}
 }
 
+// move goes over to another discovery. The one left may fall silent at any
+// moment, so that its call is not waited for and the new one is called at once,
+// order or not. Versions are each discovery's own: the first call asks for all.
+func (w *watcher) move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr == w.addr {
+		return
+	}
+	w.addr, w.seq = addr, 0
+	if w.leave != nil {
+		w.leave(errMoved)
+	}
+	select {
+	case w.start <- struct{}{}:
+	default: // an order already waits
+	}
+}
+
+// dial notes which discovery a call goes to, and the version it asks from.
+func (w *watcher) dial(leave context.CancelCauseFunc) (addr string, seq uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leave = leave
+	select {
+	case <-w.start: // this call carries it out
+	default:
+	}
+	return w.addr, w.seq
+}
+
+// told notes the version that discovery has told, if it still is the node's.
+func (w *watcher) told(addr string, seq uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr == w.addr {
+		w.seq = seq
+	}
+}
+
 // run watches until the context ends. A failure ends the watch; the next one is
 // the module's to order, or follows by itself where an agent pushes lists.
 func (w *watcher) run(ctx context.Context) {
@@ -185,6 +232,10 @@
 			if ctx.Err() != nil {
 				return
 			}
+			if errors.Is(err, errMoved) {
+				w.client.CloseIdleConnections()
+				continue
+			}
 			if err != nil {
 				w.log.Warn("discovery call failed", "err", err)
 				break
@@ -214,13 +265,19 @@
 }
 
 // call makes one call of the watch and passes on what it tells.
-func (w *watcher) call(ctx context.Context) error {
+func (w *watcher) call(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	addr, seq := w.dial(cancel)
+	defer func() {
+		if cause := context.Cause(ctx); err != nil && cause != nil {
+			err = cause
+		}
+	}()
 	// A watch that falls silent, before its answer or within it, stays open.
 	stall := time.AfterFunc(watchWait+watchMargin, func() { cancel(errStalled) })
 	defer stall.Stop()
-	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", w.addr, w.seq, watchWait.Milliseconds())
+	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", addr, seq, watchWait.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return fmt.Errorf("watch: %w", err)
@@ -257,7 +314,7 @@
 	default:
 		w.tell(decide.ListDelta, fresh)
 	}
-	w.seq = l.seq
+	w.told(addr, l.seq)
 	return nil
 }
 
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -41,6 +41,15 @@
 	text   string
 }
 
+// complain turns bad input away and closes the connection. Whoever sends one
+// thing that cannot be used is not to be believed about where the next request
+// begins: the rest of a body would be read as requests of its own. It does harm
+// where a good client errs once: its next request needs a new connection.
+func complain(w http.ResponseWriter, c *complaint) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, c.text, c.status)
+}
+
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	cc := connOf(hr.Context())
 	if f.draining.Load() {
@@ -57,7 +66,7 @@
 		fault = &complaint{http.StatusRequestEntityTooLarge, "body too long"}
 	}
 	if fault != nil {
-		http.Error(w, fault.text, fault.status)
+		complain(w, fault)
 		return
 	}
 	rc := http.NewResponseController(w)
@@ -72,13 +81,13 @@
 	_ = rc.SetReadDeadline(time.Time{})
 	switch {
 	case errors.Is(err, errTooLong):
-		http.Error(w, "body too long", http.StatusRequestEntityTooLarge)
+		complain(w, &complaint{http.StatusRequestEntityTooLarge, "body too long"})
 		return
 	case errors.Is(err, errNoRoom):
 		w.WriteHeader(http.StatusServiceUnavailable) // nothing was sent on: trying again is harmless
 		return
 	case err != nil:
-		http.Error(w, "body cut short or malformed", http.StatusBadRequest)
+		complain(w, &complaint{http.StatusBadRequest, "body cut short or malformed"})
 		return
 	}
 	came := cc.came()
@@ -128,6 +137,12 @@
 		wantKey = true
 	}
 	switch ms, err := strconv.ParseInt(hr.Header.Get("Req-Deadline-Ms"), 10, 64); {
+	case len(hr.TransferEncoding) > 0:
+		// net/http takes a request with both framings for a chunked one and hides
+		// the length, so that what another reader would see as a second request
+		// passes as a body. Bodies are short and their senders know their length:
+		// none comes in chunks. It does harm to a client that streams its body.
+		return q, 0, &complaint{http.StatusLengthRequired, "a body wants a Content-Length and no other framing"}
 	case hr.Method != method:
 		return q, 0, &complaint{http.StatusMethodNotAllowed, "the class takes " + method}
 	case keyed != wantKey:
--- /dev/null
+++ b/internal/node/front_test.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestBadRequestsEndTheirConnection sends what cannot be used, with a good
+// request hidden behind it: each is owed a 4xx and a close, and nothing of it
+// may reach a server.
+func TestBadRequestsEndTheirConnection(t *testing.T) {
+	s := newFakeServer(t, echo)
+	n := startNode(t, nil, s.addr)
+	const head = "POST /order/k HTTP/1.1\r\nHost: h\r\nReq-Id: x\r\nReq-Deadline-Ms: 20000\r\nIdempotency-Key: k\r\n"
+	hidden := look("hidden")
+	for name, text := range map[string]string{
+		"both framings":         head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"both, other order":     head + "Transfer-Encoding: chunked\r\nContent-Length: 500\r\n\r\n0\r\n\r\n" + hidden,
+		"chunked":               head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"unknown class":         strings.Replace(look("x"), "/look/", "/lock/", 1) + hidden,
+		"deadline not a number": strings.Replace(look("x"), "20000", "soon", 1) + hidden,
+		"no id":                 strings.Replace(look("x"), "Req-Id: x\r\n", "", 1) + hidden,
+		"negative length":       head + "Content-Length: -5\r\n\r\n" + hidden,
+		"two lengths":           head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello" + hidden,
+		"huge length":           head + "Content-Length: 99999999999\r\n\r\n" + hidden,
+		"noise":                 "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\r\n\r\n" + hidden,
+	} {
+		got := n.exchange(text)
+		if !strings.HasPrefix(got, "HTTP/1.1 4") || strings.Count(got, "HTTP/1.1 ") != 1 {
+			t.Errorf("%s: answered %q", name, got)
+		}
+	}
+	if got := s.got.Load(); got != 0 {
+		t.Errorf("%d requests reached the server", got)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -20,8 +21,9 @@
 )
 
 // Run serves until ctx ends, then drains, and returns nil once all that was
-// taken is answered.
-func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+// taken is answered. What comes on reload has it call load for a new
+// configuration; one that cannot be read leaves the old one in force.
+func Run(ctx context.Context, cfg *Config, reload <-chan os.Signal, load func() (*Config, error), log *slog.Logger) error {
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
@@ -36,9 +38,10 @@
 	}
 	bg, stop := context.WithCancel(context.Background())
 	watched := make(chan struct{})
+	w := newWatcher(cfg, l, log)
 	go func() {
 		defer close(watched)
-		newWatcher(cfg, l, log).run(bg)
+		w.run(bg)
 	}()
 	defer func() {
 		stop()
@@ -48,12 +51,29 @@
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(cs) }()
 	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String(), "servers", len(cfg.Known.hosts))
-	select {
-	case err := <-served:
-		return fmt.Errorf("serving clients: %w", err)
-	case <-ctx.Done():
+	for {
+		select {
+		case err := <-served:
+			return fmt.Errorf("serving clients: %w", err)
+		case <-reload:
+			if next, err := load(); err != nil {
+				log.Error("reload failed, the old configuration stays", "err", err)
+			} else {
+				cfg.reload(next, w, log)
+			}
+		case <-ctx.Done():
+			return drain(srv, cs, f, log)
+		}
+	}
+}
+
+// reload puts in force what can change while the node runs: discovery.
+func (c *Config) reload(next *Config, w *watcher, log *slog.Logger) {
+	w.move(next.Discovery)
+	log.Info("reloaded", "discovery", next.Discovery)
+	if names := c.restartOnly(next); len(names) > 0 {
+		log.Warn("changes that wait for a restart", "fields", names)
 	}
-	return drain(srv, cs, f, log)
 }
 
 // drain answers what has been taken and takes what still comes: newcomers may
