Own the exchange with servers, bound what strangers hold, refuse at once

Change: one goroutine owns a connection from its first byte to the verdict on it; a connection is laid to rest only when nothing is left on it, and looked at again before use; an answer has a fixed number of bytes; one eviction, of the one longest at rest; 2.5 s for a head, 2.8 s for a request; 409 for a name in use; the module answers at once, with Retry-After.

--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -37,15 +37,8 @@
 	if c.Effect != Guarded || !b.remembered(c, f) {
 		return false
 	}
-	switch c.Scope {
-	case ScopeAll:
-		return true
-	case ScopeZone:
-		return s.Zone == f.srv.Zone
-	case ScopeCell:
-		return s.Cell == f.srv.Cell && s.Zone == f.srv.Zone
-	}
-	return false
+	near := s.Zone == f.srv.Zone
+	return c.Scope == ScopeAll || c.Scope == ScopeZone && near || c.Scope == ScopeCell && near && s.Cell == f.srv.Cell
 }
 
 // remembered says whether servers still drop repeats of a guarded attempt.
@@ -62,9 +55,7 @@
 	return c.Effect == Guarded && c.Scope == ScopeAll && b.remembered(c, f)
 }
 
-// step moves a request with nothing outstanding on: another attempt, or its
-// end. Once its aim has passed its client would only bring it back, worth
-// nothing, and the answer is held: the timer at its deadline gives it.
+// step moves a request with nothing outstanding on: another attempt, or its end.
 func (b *Balancer) step(r *request) {
 	if r.first() == nil || b.now < r.aimAt && b.budget >= 1 {
 		if s := b.pick(r); s != nil && b.send(r, s) {
@@ -74,9 +65,16 @@
 	if len(r.attempts) > 0 && r.first() == nil {
 		b.feel(r, Full, 0, true) // turned away wherever it went
 	}
-	if b.now < r.aimAt || b.now >= r.Due || !b.mayRefuse(r) {
-		b.finish(r)
+	b.finish(r)
+}
+
+// pause is how long a refused client should stay away: until what is out now is
+// answered, or, its aim past, for as long as it will, as it brings nothing back.
+func (b *Balancer) pause(r *request) time.Duration {
+	if b.now >= r.aimAt {
+		return b.set.RetryAfterMost
 	}
+	return min(b.set.RetryAfterMost, time.Duration(b.classes[r.Class].latency))
 }
 
 // send is the only place that sends; the rules are checked here once more.
@@ -105,7 +103,7 @@
 	}
 	r.ended = true
 	if b.mayRefuse(r) {
-		b.out.Refuse(r.ID)
+		b.out.Refuse(r.ID, b.pause(r))
 	} else {
 		b.out.Fail(r.ID)
 	}
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -108,7 +108,7 @@
 		return // ids are never repeated; a second one must not be answered twice
 	}
 	if q.Class < 0 || q.Class >= len(b.set.Classes) {
-		b.out.Refuse(q.ID) // nothing ran, and nothing is known of such work
+		b.out.Refuse(q.ID, 0) // nothing ran, and nothing is known of such work
 		return
 	}
 	r := &request{Request: q}
--- a/decide/outlier.go
+++ b/decide/outlier.go
@@ -7,8 +7,7 @@
 	"time"
 )
 
-// A50 outlier detection. The names follow gRFC A50 and Envoy; what differs
-// from the paper is marked "Departure" and listed in docs/design.md.
+// A50 outlier detection. Names follow the paper; what differs is a "Departure".
 const (
 	// sweepEvery is A50's interval: seconds, since faults last tens of them.
 	sweepEvery = 2 * time.Second
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -66,6 +66,7 @@
 	CrossCost, HandshakeCost float64       // prices of crossing zones and of connecting, a request
 	OpenCost                 float64       // of a mean of 100 connections open to each server
 	KeepAlive                time.Duration // after which an idle connection closes
+	RetryAfterMost           time.Duration // the longest wait told to refused clients
 }
 
 // Server is one entry of the server list. Since is its last start; 0 is the
@@ -100,7 +101,7 @@
 type Effects interface {
 	Send(id RequestID, server ServerID, timeout time.Duration)
 	Cancel(id RequestID, attempt int)
-	Refuse(id RequestID)
+	Refuse(id RequestID, retryAfter time.Duration) // 0 tells no time
 	Fail(id RequestID)
 	Wake(token uint64, at time.Duration)
 	Watch(on bool)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -33,8 +33,6 @@
 	// heapShare of the memory limit is where the collector works hardest; the
 	// rest is for stacks, the runtime and kernel buffers charged to the process.
 	heapShare = 0.7
-	// bodyShare of the memory limit may hold long request bodies.
-	bodyShare = 0.25
 )
 
 // Config is all that a node is told at its start.
@@ -57,9 +55,6 @@
 // MemoryLimit is the soft limit of the Go runtime, in bytes.
 func (c *Config) MemoryLimit() int64 { return int64(heapShare * float64(c.MemoryMB) * (1 << 20)) }
 
-// BodyBytes is the budget of long request bodies.
-func (c *Config) BodyBytes() int64 { return int64(bodyShare * float64(c.MemoryMB) * (1 << 20)) }
-
 // LoadConfig reads the configuration that the environment names.
 func LoadConfig(getenv func(string) string) (*Config, error) {
 	path := getenv("GW_CONFIG")
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"container/list"
 	"context"
 	"net"
@@ -18,8 +19,15 @@
 	waited = time.Millisecond
 )
 
+// muteShare of the cap is left to connections that have not brought a whole
+// request yet before they, and not resting ones, make room for newcomers.
+const muteShare = 0.25
+
 // conns keeps clients' connections within a cap. At the cap a newcomer takes the
-// place of the one that has gone longest without holding a whole request.
+// place of one without a whole request. Those that never brought one go first
+// where they are many, so that whoever connects and says nothing crowds out its
+// like and not clients who are known; it could do harm to new clients who connect
+// all at once and are slow to write. Otherwise the one that has rested longest goes.
 type conns struct {
 	net.Listener
 	most int
@@ -27,13 +35,14 @@
 	mu       sync.Mutex
 	freed    *sync.Cond
 	all      int
-	spare    *list.List // of *clientConn: those without a whole request, oldest first
+	mute     list.List // of *clientConn: those that never brought a request, oldest first
+	resting  list.List // likewise: those between requests
 	accepted atomic.Int64
 	closed   bool
 }
 
 func newConns(ln net.Listener, most int) *conns {
-	c := &conns{Listener: ln, most: most, spare: list.New()}
+	c := &conns{Listener: ln, most: most}
 	c.freed = sync.NewCond(&c.mu)
 	return c
 }
@@ -43,15 +52,16 @@
 type clientConn struct {
 	net.Conn
 	owner *conns
-	place *list.Element // in owner.spare, nil while a request is held or after eviction
+	place *list.Element // in list, nil while a request is held or after eviction
+	list  *list.List    // the owner's mute until a request came, then resting
 	gone  bool
-	fresh bool // no byte since the last request
+	fresh bool      // no byte since the last request
+	began time.Time // the first byte of the request, of the first one the accept
 
 	mu      sync.Mutex
 	arrived time.Time // not after the moment at which the last bytes read came
 	floor   time.Time // what was not read until then came later
 	reads   int
-	pending bool // bytes of a further request came while one was held
 	taken   time.Time
 	seen    int
 }
@@ -67,8 +77,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.all >= c.most {
-		if e := c.spare.Front(); e != nil {
-			old := e.Value.(*clientConn)
+		if old := c.victim(); old != nil {
 			c.remove(old)
 			go old.Conn.Close() // its reader notices and closes it once more
 			continue
@@ -80,21 +89,30 @@
 	}
 	c.all++
 	now := time.Now()
-	cc := &clientConn{Conn: nc, owner: c, fresh: true, arrived: now, floor: now}
-	cc.place = c.spare.PushBack(cc)
+	cc := &clientConn{Conn: nc, owner: c, list: &c.mute, fresh: true, began: now, arrived: now, floor: now}
+	cc.place = cc.list.PushBack(cc)
 	return cc, nil
 }
 
+// victim chooses the connection that makes room, or nil where all hold requests.
+func (c *conns) victim() *clientConn {
+	e := c.resting.Front()
+	if e == nil || float64(c.mute.Len()) > muteShare*float64(c.most) {
+		e = cmp.Or(c.mute.Front(), e)
+	}
+	if e == nil {
+		return nil
+	}
+	return e.Value.(*clientConn)
+}
+
 func (c *conns) remove(cc *clientConn) {
 	if cc.gone {
 		return
 	}
 	cc.gone = true
 	c.all--
-	if cc.place != nil {
-		c.spare.Remove(cc.place)
-		cc.place = nil
-	}
+	cc.unlist()
 	c.freed.Signal()
 }
 
@@ -115,11 +133,16 @@
 	if cc.gone {
 		return false
 	}
+	cc.unlist()
+	return true
+}
+
+// unlist takes a connection out of those that may make room.
+func (cc *clientConn) unlist() {
 	if cc.place != nil {
-		c.spare.Remove(cc.place)
+		cc.list.Remove(cc.place)
 		cc.place = nil
 	}
-	return true
 }
 
 // free marks the end of the request held.
@@ -128,10 +151,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !cc.gone && cc.place == nil {
-		cc.place = c.spare.PushBack(cc)
+		cc.list = &c.resting
+		cc.place = cc.list.PushBack(cc)
 		c.freed.Signal()
 	}
-	cc.fresh = true
+	cc.fresh, cc.began = true, time.Now()
 }
 
 func (cc *clientConn) Close() error {
@@ -163,13 +187,23 @@
 	c := cc.owner
 	c.mu.Lock()
 	if cc.fresh && cc.place != nil {
-		c.spare.MoveToBack(cc.place)
+		cc.list.MoveToBack(cc.place)
+	}
+	if cc.fresh && cc.list == &c.resting {
+		cc.began = now
 	}
 	cc.fresh = false
 	c.mu.Unlock()
 	return n, err
 }
 
+// firstByte tells when the request began.
+func (cc *clientConn) firstByte() time.Time {
+	cc.owner.mu.Lock()
+	defer cc.owner.mu.Unlock()
+	return cc.began
+}
+
 // came tells when the request just read was there to its last byte. It must be
 // paired with served, at the end of that request.
 func (cc *clientConn) came() time.Time {
--- /dev/null
+++ b/internal/node/conns_test.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestMuteCrowdSparesKnownClients connects by hundreds and says nothing: a
+// client that has been served keeps its connection, and the cap holds.
+func TestMuteCrowdSparesKnownClients(t *testing.T) {
+	s := newFakeServer(t, echo)
+	n := startNode(t, nil, s.addr)
+	known := n.dial()
+	br := bufio.NewReader(known)
+	if status, _, _ := n.ask(known, br, look("k1")); status != 200 {
+		t.Fatalf("answered %d", status)
+	}
+	const crowd = 300
+	closed := make(chan struct{}, crowd)
+	for range crowd {
+		c := n.dial()
+		go func() {
+			_, _ = io.Copy(io.Discard, c)
+			closed <- struct{}{}
+		}()
+	}
+	for range crowd { // those within the cap are closed for their silence
+		<-closed
+	}
+	if status, _, _ := n.ask(known, br, look("k2")); status != 200 {
+		t.Errorf("after the crowd: %d", status)
+	}
+}
+
+// TestStalledRequestIsClosed stops within a head and within a body.
+func TestStalledRequestIsClosed(t *testing.T) {
+	s := newFakeServer(t, echo)
+	n := startNode(t, nil, s.addr)
+	whole := post("credit", "h1", "", strings.Repeat("x", 100))
+	for name, text := range map[string]string{
+		"nothing":            "",
+		"part of a head":     whole[:20],
+		"part of a body":     whole[:len(whole)-50],
+		"and of no class":    strings.Replace(whole[:len(whole)-50], "/credit/", "/debit/", 1),
+		"a length too large": strings.Replace(whole, ": 100\r", ": 60000\r", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			began := time.Now()
+			n.exchange(text)
+			if took := time.Since(began); took > wholeWait+4*time.Second {
+				t.Errorf("closed after %v", took)
+			}
+		})
+	}
+}
+
+// TestNameInUse sends the name of a request that is open: the thief is turned
+// away and the owner is served.
+func TestNameInUse(t *testing.T) {
+	release := make(chan struct{})
+	s := newFakeServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		<-release
+		return echo(c, r, body)
+	})
+	n := startNode(t, nil, s.addr)
+	owner := n.dial()
+	if _, err := io.WriteString(owner, look("dup")); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the request is out", func() bool { return s.got.Load() == 1 })
+	if status, _, _ := n.once(look("dup")); status != http.StatusConflict {
+		t.Errorf("the second was answered %d", status)
+	}
+	close(release)
+	resp, err := http.ReadResponse(bufio.NewReader(owner), nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("the first: %v %v", resp, err)
+	}
+	if status, _, _ := n.once(look("dup")); status != 200 || s.got.Load() != 2 {
+		t.Errorf("once it is answered: %d, %d sent on", status, s.got.Load())
+	}
+}
+
+// TestPipelined sends requests behind each other: each gets its own answer, in order.
+func TestPipelined(t *testing.T) {
+	s := newFakeServer(t, echo)
+	n := startNode(t, nil, s.addr)
+	c := n.dial()
+	br := bufio.NewReader(c)
+	var text strings.Builder
+	for i := range 20 {
+		text.WriteString(post("order", fmt.Sprint("p", i), "Idempotency-Key: k\r\n", fmt.Sprint(i)))
+	}
+	if _, err := io.WriteString(c, text.String()); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 20 {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if want := fmt.Sprintf("p%d %d", i, i); err != nil || resp.StatusCode != 200 || string(body) != want {
+			t.Errorf("answer %d: %d %q %v", i, resp.StatusCode, body, err)
+		}
+	}
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"errors"
+	"cmp"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -14,24 +14,19 @@
 )
 
 const (
-	// headWait is how long a request's head may take: clients take 2 s.
-	headWait = 5 * time.Second
-	// bodyWait and bodyPace bound how long a body may take: clients write at
-	// 64 kB a second.
-	bodyWait = 10 * time.Second
-	bodyPace = 32 << 10 // bytes a second
+	// headWait is how long a request's head may take, from connecting on for the
+	// first: clients take 2 s, and who sends none is owed a close after 3 s.
+	headWait = 2500 * time.Millisecond
+	// wholeWait is how long a request may take from its first byte to its last:
+	// clients write at 64 kB a second, and 3 s are the most that is owed.
+	wholeWait = 2800 * time.Millisecond
 	// idleWait closes a connection that no request has come on for long.
-	idleWait = 5 * time.Minute
-	// streamPiece is the buffer of a long answer.
-	streamPiece = 32 << 10
-	// streamStall is how long a server may pause within a long answer.
-	streamStall = 10 * time.Second
+	idleWait = time.Minute
 )
 
 // front takes clients' requests and gives their answers.
 type front struct {
 	loop     *loop
-	bodies   budget
 	draining atomic.Bool
 }
 
@@ -46,6 +41,8 @@
 // begins: the rest of a body would be read as requests of its own. It does harm
 // where a good client errs once: its next request needs a new connection.
 func complain(w http.ResponseWriter, c *complaint) {
+	// net/http would wait for the rest of the body, which may never come.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 	w.Header().Set("Connection", "close")
 	http.Error(w, c.text, c.status)
 }
@@ -62,54 +59,37 @@
 		return
 	}
 	q, wait, fault := f.parse(hr)
-	if fault == nil && hr.ContentLength > maxBody {
-		fault = &complaint{http.StatusRequestEntityTooLarge, "body too long"}
-	}
 	if fault != nil {
 		complain(w, fault)
 		return
 	}
 	rc := http.NewResponseController(w)
-	began, got := time.Now(), int64(0)
-	b, err := readBody(readerFunc(func(p []byte) (int, error) {
-		// A body may take as long as its length needs at a slow client's pace.
-		_ = rc.SetReadDeadline(began.Add(bodyWait + time.Duration(got)*time.Second/bodyPace))
-		n, err := hr.Body.Read(p)
-		got += int64(n)
-		return n, err
-	}), hr.ContentLength, &f.bodies)
-	_ = rc.SetReadDeadline(time.Time{})
-	switch {
-	case errors.Is(err, errTooLong):
-		complain(w, &complaint{http.StatusRequestEntityTooLarge, "body too long"})
-		return
-	case errors.Is(err, errNoRoom):
-		w.WriteHeader(http.StatusServiceUnavailable) // nothing was sent on: trying again is harmless
-		return
-	case err != nil:
+	_ = rc.SetReadDeadline(cc.firstByte().Add(wholeWait))
+	body, err := readBody(hr.Body, hr.ContentLength)
+	if err != nil {
 		complain(w, &complaint{http.StatusBadRequest, "body cut short or malformed"})
 		return
 	}
+	_ = rc.SetReadDeadline(time.Time{})
 	came := cc.came()
 	if !cc.take() {
-		b.free()
 		panic(http.ErrAbortHandler)
 	}
 	defer cc.free()
 	defer cc.served()
-	r := &request{method: hr.Method, target: target(hr), host: hr.Host, header: endToEnd(hr.Header), body: b}
-	f.loop.arrive(r, q, wait, came)
+	r := &request{
+		method: hr.Method, target: target(hr), host: hr.Host, header: endToEnd(hr.Header),
+		reqID: hr.Header.Get("Req-Id"), body: body,
+	}
+	if !f.loop.arrive(r, q, wait, came) {
+		complain(w, &complaint{http.StatusConflict, "Req-Id is in use"})
+		return
+	}
 	select {
 	case fin := <-r.final:
-		f.answer(w, r, fin)
+		f.answer(w, fin)
 	case <-hr.Context().Done():
 		f.loop.clientGone(r)
-		select {
-		case fin := <-r.final:
-			// It was answered at that very moment: what is left must be ended.
-			f.answer(w, r, fin)
-		default:
-		}
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -128,13 +108,13 @@
 		rest = rest[i+1:]
 	}
 	q.Key = keyOf(rest)
-	_, keyed := hr.Header["Idempotency-Key"]
-	method, wantKey := http.MethodPost, false
+	keys, wantKeys := len(hr.Header["Idempotency-Key"]), 0
+	method := http.MethodPost
 	switch f.loop.cfg.Settings.Classes[class].Effect {
 	case decide.Free:
-		method, keyed = http.MethodGet, false
+		method, keys = http.MethodGet, 0 // a key changes nothing
 	case decide.Guarded:
-		wantKey = true
+		wantKeys = 1
 	}
 	switch ms, err := strconv.ParseInt(hr.Header.Get("Req-Deadline-Ms"), 10, 64); {
 	case len(hr.TransferEncoding) > 0:
@@ -145,10 +125,14 @@
 		return q, 0, &complaint{http.StatusLengthRequired, "a body wants a Content-Length and no other framing"}
 	case hr.Method != method:
 		return q, 0, &complaint{http.StatusMethodNotAllowed, "the class takes " + method}
-	case keyed != wantKey:
+	case keys != wantKeys:
 		return q, 0, &complaint{http.StatusBadRequest, "Idempotency-Key contradicts the class"}
-	case hr.Header.Get("Req-Id") == "":
-		return q, 0, &complaint{http.StatusBadRequest, "no Req-Id"}
+	case hr.ContentLength > maxBody:
+		return q, 0, &complaint{http.StatusRequestEntityTooLarge, "body too long"}
+	case method == http.MethodGet && hr.ContentLength > 0:
+		return q, 0, &complaint{http.StatusBadRequest, "the class takes no body"}
+	case len(hr.Header["Req-Id"]) != 1 || hr.Header.Get("Req-Id") == "":
+		return q, 0, &complaint{http.StatusBadRequest, "not one Req-Id"}
 	case err != nil || ms <= 0:
 		return q, 0, &complaint{http.StatusBadRequest, "Req-Deadline-Ms is not a number above 0"}
 	default:
@@ -156,7 +140,9 @@
 		if us, err := strconv.ParseFloat(hr.Header.Get("Req-Cost"), 64); err == nil && us > 0 && us < 1e9 {
 			q.Hint = time.Duration(us * float64(time.Microsecond))
 		}
-		return q, min(time.Duration(min(ms, longestWait.Milliseconds()))*time.Millisecond, longestWait), nil
+		// No client waits longer than its class does over all its tries.
+		most := cmp.Or(f.loop.cfg.Settings.Classes[class].Deadline, longestWait)
+		return q, min(time.Duration(min(ms, most.Milliseconds()+1))*time.Millisecond, most), nil
 	}
 }
 
@@ -181,64 +167,27 @@
 }
 
 // answer gives the client its final answer.
-func (f *front) answer(w http.ResponseWriter, r *request, fin final) {
+func (f *front) answer(w http.ResponseWriter, fin final) {
 	h := w.Header()
 	if f.draining.Load() {
 		h.Set("Connection", "close")
 	}
-	ans := fin.answer
-	if ans == nil {
+	if fin.answer == nil {
+		if fin.retryAfter > 0 {
+			// The protocol takes decimals: whole seconds are longer than most aims.
+			h.Set("Retry-After", strconv.FormatFloat(fin.retryAfter.Seconds(), 'f', 3, 64))
+		}
 		h.Set("Content-Length", "0")
 		w.WriteHeader(fin.status)
 		return
 	}
-	for k, v := range ans.header {
+	for k, v := range fin.answer.header {
 		h[k] = v
 	}
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // the server gave none, and none is guessed
 	}
-	if ans.length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(ans.length, 10))
-	}
+	h.Set("Content-Length", strconv.Itoa(len(fin.answer.body)))
 	w.WriteHeader(fin.status)
-	_, err := w.Write(ans.first)
-	if ans.rest == nil {
-		return
-	}
-	f.stream(w, r, ans, err)
-}
-
-// stream passes on the rest of a long answer. Where its server breaks off, the
-// client's connection is aborted, so that the client sees that it is not whole.
-func (f *front) stream(w http.ResponseWriter, r *request, ans *answer, werr error) {
-	a := ans.from
-	rc := http.NewResponseController(w)
-	stall := time.AfterFunc(streamStall, func() { a.giveUp(errStalled) })
-	defer stall.Stop()
-	buf := make([]byte, streamPiece)
-	var rerr error
-	for werr == nil && rerr == nil {
-		if werr = rc.Flush(); werr != nil {
-			break
-		}
-		stall.Reset(streamStall)
-		var n int
-		n, rerr = ans.rest.Read(buf)
-		stall.Stop()
-		if n > 0 {
-			_, werr = w.Write(buf[:n])
-		}
-	}
-	_ = ans.rest.Close()
-	switch {
-	case werr == nil && errors.Is(rerr, io.EOF):
-		f.loop.end(a, decide.OK, nil)
-		return
-	case werr != nil:
-		a.giveUp(errCancelled)
-		f.loop.clientGone(r)
-	}
-	f.loop.end(a, a.result(false), nil)
-	panic(http.ErrAbortHandler)
+	_, _ = w.Write(fin.answer.body)
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"hash/fnv"
 	"log/slog"
 	"net/http"
@@ -20,13 +19,15 @@
 	errStalled   = errors.New("no progress")
 )
 
-// longestWait bounds the deadlines taken, and so how long a timer may be kept.
+// longestWait bounds the deadlines taken where the class tells none, and so how
+// long a timer may be kept.
 const longestWait = time.Minute
 
 // final is the answer to a client: a server's, or the node's own status.
 type final struct {
-	status int
-	answer *answer
+	status     int
+	retryAfter time.Duration // told with a refusal, if above 0
+	answer     *answer
 }
 
 // request is a client's request from its last byte to its end.
@@ -36,7 +37,8 @@
 	target   string // path and query as they came
 	host     string
 	header   http.Header
-	body     *body
+	reqID    string // the client's name for it
+	body     []byte
 	due      time.Duration
 	attempts []*attempt
 	out      int        // attempts without an outcome
@@ -63,13 +65,14 @@
 	cfg   *Config
 	log   *slog.Logger
 	start time.Time
-	pool  *sockets
+	pool  *pool
 	watch chan struct{} // the module's orders to watch discovery
 
 	mu      sync.Mutex
 	b       *decide.Balancer
 	todo    []func()
 	reqs    map[decide.RequestID]*request
+	open    map[string]bool // the clients' names of reqs
 	last    decide.RequestID
 	servers map[string]*server
 	byID    map[decide.ServerID]*server
@@ -78,10 +81,9 @@
 
 func newLoop(cfg *Config, log *slog.Logger) *loop {
 	l := &loop{
-		cfg: cfg, log: log, start: time.Now(), pool: newSockets(cfg.Conns()), watch: make(chan struct{}, 1),
-		reqs: make(map[decide.RequestID]*request), servers: make(map[string]*server), byID: make(map[decide.ServerID]*server),
+		cfg: cfg, log: log, start: time.Now(), pool: newPool(cfg), watch: make(chan struct{}, 1),
+		reqs: make(map[decide.RequestID]*request), open: make(map[string]bool), servers: make(map[string]*server), byID: make(map[decide.ServerID]*server),
 	}
-	l.pool.evict = l.closeIdle
 	l.do(func(now time.Duration) { l.b = decide.New(cfg.Settings, cfg.Seed, now, l) })
 	l.listed(decide.ListCached, cfg.Known.hosts)
 	return l
@@ -107,13 +109,22 @@
 
 func (l *loop) later(f func()) { l.todo = append(l.todo, f) }
 
-// arrive hands a whole request to the module. Its answer comes on r.final.
-func (l *loop) arrive(r *request, q decide.Request, wait time.Duration, at time.Time) {
+// arrive hands a whole request to the module. Its answer comes on r.final. It
+// says false where a request under the same name is open: names are new with
+// every request, servers and clients tell answers apart by them, and one that is
+// used twice is somebody else's.
+func (l *loop) arrive(r *request, q decide.Request, wait time.Duration, at time.Time) bool {
+	taken := false
 	r.final = make(chan final, 1)
 	l.do(func(time.Duration) {
+		if l.open[r.reqID] {
+			return
+		}
+		taken = true
+		l.open[r.reqID] = true
 		for l.last++; l.reqs[l.last] != nil; l.last++ {
 		}
-		r.id, r.due = l.last, l.since(at)+min(wait, longestWait)
+		r.id, r.due = l.last, l.since(at)+wait
 		if l.endBy > 0 {
 			r.due = min(r.due, l.endBy)
 		}
@@ -123,6 +134,7 @@
 		// has its true deadline all the same.
 		l.b.Arrive(l.since(time.Now()), q)
 	})
+	return taken
 }
 
 // clientGone ends a request that nobody waits for any more.
@@ -134,22 +146,6 @@
 	})
 }
 
-// begin makes a long answer the client's: its attempt can no longer time out. It
-// says false where the attempt or the request has ended meanwhile.
-func (l *loop) begin(a *attempt, ans *answer) bool {
-	ok := false
-	l.do(func(now time.Duration) {
-		if a.ended || a.req.settled || a.ctx.Err() != nil || !a.timer.Stop() {
-			return
-		}
-		ok = true
-		a.req.settled = true
-		l.b.FirstByte(now, a.req.id, a.n)
-		a.req.final <- final{status: http.StatusOK, answer: ans}
-	})
-	return ok
-}
-
 // end tells the module an attempt's outcome. The first that is served settles
 // its request and goes to the client.
 func (l *loop) end(a *attempt, result decide.Result, ans *answer) {
@@ -175,9 +171,7 @@
 func (l *loop) release(r *request) {
 	if r.settled && r.out == 0 && l.reqs[r.id] == r {
 		delete(l.reqs, r.id)
-		if r.body != nil {
-			r.body.free()
-		}
+		delete(l.open, r.reqID)
 	}
 }
 
@@ -199,13 +193,13 @@
 				continue
 			}
 			if s == nil {
-				s = newServer(e, l.newID(e.Host), l)
+				s = &server{id: l.newID(e.Host), addr: e.Dial, born: e.BornMS}
 				l.servers[e.Host], l.byID[s.id] = s, s
 			}
 			if e.condition() != decide.Ready || e.BornMS != s.born || e.Dial != s.addr {
 				// Idle connections to a process that is gone, leaving or elsewhere
 				// would only end the next attempt in a reset.
-				l.later(s.transport.CloseIdleConnections)
+				l.later(func() { l.pool.leave(s) })
 			}
 			s.born = e.BornMS
 			if e.Dial != "" {
@@ -234,7 +228,7 @@
 func (l *loop) drop(name string, s *server) {
 	delete(l.servers, name)
 	delete(l.byID, s.id)
-	l.later(s.transport.CloseIdleConnections)
+	l.later(func() { l.pool.leave(s) })
 }
 
 // newID names a server to the module: a hash, so that all nodes keep a key on
@@ -249,19 +243,6 @@
 	return id
 }
 
-// closeIdle makes room for a new connection to a server.
-func (l *loop) closeIdle() {
-	l.mu.Lock()
-	all := make([]*server, 0, len(l.servers))
-	for _, s := range l.servers {
-		all = append(all, s)
-	}
-	l.mu.Unlock()
-	for _, s := range all {
-		s.transport.CloseIdleConnections()
-	}
-}
-
 // Send, with the methods that follow, is decide.Effects; each is called under
 // the lock.
 func (l *loop) Send(id decide.RequestID, to decide.ServerID, timeout time.Duration) {
@@ -293,13 +274,16 @@
 	}
 }
 
-func (l *loop) Refuse(id decide.RequestID) { l.settle(id, http.StatusServiceUnavailable) }
-func (l *loop) Fail(id decide.RequestID)   { l.settle(id, http.StatusBadGateway) }
+func (l *loop) Refuse(id decide.RequestID, retryAfter time.Duration) {
+	l.settle(id, final{status: http.StatusServiceUnavailable, retryAfter: retryAfter})
+}
+
+func (l *loop) Fail(id decide.RequestID) { l.settle(id, final{status: http.StatusBadGateway}) }
 
-func (l *loop) settle(id decide.RequestID, status int) {
+func (l *loop) settle(id decide.RequestID, fin final) {
 	if r := l.reqs[id]; r != nil && !r.settled {
 		r.settled = true
-		r.final <- final{status: status}
+		r.final <- fin
 		l.release(r)
 	}
 }
@@ -320,6 +304,3 @@
 }
 
 func (l *loop) Log(text string) { l.later(func() { l.log.Info(text) }) }
-
-// String names an attempt in the log.
-func (a *attempt) String() string { return fmt.Sprintf("request %d attempt %d", a.req.id, a.n) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,7 +31,6 @@
 	cs := newConns(ln, cfg.Conns())
 	l := newLoop(cfg, log)
 	f := &front{loop: l}
-	f.bodies.left.Store(cfg.BodyBytes())
 	srv := &http.Server{
 		Handler: f, ReadHeaderTimeout: headWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHead,
 		ConnContext: withConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -46,7 +45,7 @@
 	defer func() {
 		stop()
 		<-watched
-		l.closeIdle()
+		l.pool.close()
 	}()
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(cs) }()
--- a/internal/wire/setup.go
+++ b/internal/wire/setup.go
@@ -121,6 +121,9 @@
 		OpenCost:      s.num("costs.connection", 0),
 		KeepAlive:     s.ms("ceilings.keepaliveMs", 0),
 	}
+	if s.flag("ceilings.retryAfter") {
+		set.RetryAfterMost = s.ms("ceilings.maxRetryAfterMs", 0)
+	}
 	for i := range nClasses {
 		p := fmt.Sprintf("classes.%d.", i)
 		set.Classes = append(set.Classes, decide.Class{
