Send a second copy of a lost answer

Cause: an attempt had no other end than the aim (send, decide/attempt.go), though the settings allow second copies and maySend provides for them.

Change: where answers come quickly a request out for half of the time to its aim, and for three expected latencies, gets a second copy from the retry budget, where its class allows it. The one that loses is charged as a time-out, or outlier detection would not see silent servers any more.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -26,8 +26,7 @@
 	// tick; closeMost bounds the signal: it closes by a fifth at most.
 	windowGain = 0.5
 	closeMost  = 3 * fillAim
-	// shedSpan: by how much of itself the window may be exceeded until all is
-	// refused.
+	// shedSpan: by how much of itself the window may be exceeded until all is refused.
 	shedSpan = 0.4
 	// steadyGain smooths the pressure that the worthiest rank feels, levelGain
 	// the count of own calls, per tick: longer where they are few, by levelFew
@@ -126,6 +125,9 @@
 	b.fill += (x - b.fill) * feelGain
 }
 
+// quick says that answers come quickly: what does not come is lost, and not late.
+func (b *Balancer) quick() bool { return b.crowd < crowdFull/2 }
+
 // adjust moves the window of own calls. These rise as soon as servers slow
 // down, so it sheds in time; late answers only say how wide it may be.
 func (b *Balancer) adjust() {
@@ -189,8 +191,3 @@
 		b.keySum += n / 2
 	}
 }
-
-// keyShare is the part of this node's traffic that a key makes up.
-func (b *Balancer) keyShare(key uint64) float64 {
-	return float64(b.keys[key]) / float64(max(b.keySum, 200))
-}
--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -13,6 +13,9 @@
 	retryBurst = 20.0
 	// windowMargin keeps repeats of guarded requests clear of the window's end.
 	windowMargin = 0.9
+	// copyAfter latencies, and half of the time to its aim, an attempt must have
+	// been out for a second copy: it is then lost rather than slow.
+	copyAfter = 3
 )
 
 // first returns the first attempt that may have run, or nil.
@@ -34,11 +37,9 @@
 	if c.Effect == Free || f == nil {
 		return true
 	}
-	if c.Effect != Guarded || !b.remembered(c, f) {
-		return false
-	}
 	near := s.Zone == f.srv.Zone
-	return c.Scope == ScopeAll || c.Scope == ScopeZone && near || c.Scope == ScopeCell && near && s.Cell == f.srv.Cell
+	return c.Effect == Guarded && b.remembered(c, f) &&
+		(c.Scope == ScopeAll || near && (c.Scope == ScopeZone || c.Scope == ScopeCell && s.Cell == f.srv.Cell))
 }
 
 // remembered says whether servers still drop repeats of a guarded attempt.
@@ -49,18 +50,13 @@
 // mayRefuse says whether a refusal is truthful: trying again does no harm.
 func (b *Balancer) mayRefuse(r *request) bool {
 	c, f := &b.set.Classes[r.Class], r.first()
-	if c.Effect == Free || f == nil {
-		return true
-	}
-	return c.Effect == Guarded && c.Scope == ScopeAll && b.remembered(c, f)
+	return c.Effect == Free || f == nil || c.Effect == Guarded && c.Scope == ScopeAll && b.remembered(c, f)
 }
 
 // step moves a request with nothing outstanding on: another attempt, or its end.
 func (b *Balancer) step(r *request) {
-	if r.first() == nil || b.now < r.aimAt && b.budget >= 1 {
-		if s := b.pick(r); s != nil && b.send(r, s) {
-			return
-		}
+	if (r.first() == nil || b.now < r.aimAt && b.budget >= 1) && b.another(r) {
+		return
 	}
 	if len(r.attempts) > 0 && r.first() == nil {
 		b.feel(r, Full, 0, true) // turned away wherever it went
@@ -68,6 +64,12 @@
 	b.finish(r)
 }
 
+// another sends an attempt to the best server there is for it.
+func (b *Balancer) another(r *request) bool {
+	s := b.pick(r)
+	return s != nil && b.send(r, s)
+}
+
 // pause is how long a refused client should stay away: until what is out now is
 // answered, or, its aim past, for as long as it will, as it brings nothing back.
 func (b *Balancer) pause(r *request) time.Duration {
@@ -93,6 +95,7 @@
 	b.outNow++
 	r.attempts = append(r.attempts, attempt{srv: s, sentAt: b.now, expect: expect, out: true, mayRun: true})
 	b.out.Send(r.ID, s.ID, r.aimAt-b.now)
+	b.out.Wake(uint64(r.ID)<<4|tokenCopy, b.now+max((r.aimAt-b.now)/2, copyAfter*expect))
 	return true
 }
 
@@ -131,6 +134,9 @@
 		s.lastAnswer = b.now
 		s.links, s.linkedAt = b.idleLinks(s)+1, b.now
 	}
+	if o.Result == Cancelled && r.ended && len(r.attempts) > 1 && took > copyAfter*a.expect {
+		o.Result = TimedOut // its second copy was answered first
+	}
 	alive := s.lastAnswer > a.sentAt
 	if o.Result == OK || o.Result == TimedOut {
 		b.learn(r, a, float64(took), o.Result == TimedOut)
@@ -144,7 +150,7 @@
 	}
 	// A time-out at a server that answers others, and no sooner than it should, is
 	// load and no fault: it shows in the stretch and counts as no failure.
-	if bad, counts := isFailure(o.Result); counts && (o.Result != TimedOut || !alive || b.crowd < crowdFull/2) {
+	if bad, counts := isFailure(o.Result); counts && (o.Result != TimedOut || !alive || b.quick()) {
 		b.record(s, bad, b.now, b.ready, b.out)
 	}
 }
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -99,6 +99,7 @@
 	tokenSweep
 	tokenDue
 	tokenAsk
+	tokenCopy
 )
 
 // Arrive takes a client's request, which is owed one final answer.
@@ -190,6 +191,10 @@
 		b.out.Wake(tokenSweep, b.now+sweepEvery)
 	case tokenAsk:
 		b.askDue()
+	case tokenCopy:
+		if r := b.reqs[RequestID(tok>>4)]; r != nil && r.pending() && b.quick() && b.budget >= 1 {
+			b.another(r)
+		}
 	case tokenDue:
 		if r := b.reqs[RequestID(tok>>4)]; r != nil && !r.ended && !r.started {
 			b.finish(r)
--- a/decide/cases_test.go
+++ b/decide/cases_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -800,3 +801,42 @@
 		}
 	}
 }
+
+// With answers coming quickly, one that does not come by half of its time is
+// asked for a second time, where the class allows it; the server that lost it
+// is charged with a failure once the copy is answered.
+func TestSecondCopyOfALostAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		class int
+		crowd float64
+		sends int
+	}{
+		"free":        {0, 0, 2},
+		"guarded":     {1, 0, 2},
+		"single shot": {2, 0, 1},
+		"crowded":     {0, crowdFull, 1},
+	} {
+		set := testSettings()
+		set.SecondCopies = true
+		set.Classes[1].Scope = ScopeAll
+		b, tape := start(set, 6)
+		b.crowd = c.crowd
+		b.classes[c.class].latency = float64(20 * time.Millisecond)
+		b.Arrive(b.now, Request{ID: 1, Class: c.class, Due: b.now + second})
+		lost := b.reqs[1].attempts[0].srv
+		half := b.now + 250*time.Millisecond
+		due := slices.ContainsFunc(tape.wakes, func(w wake) bool { return w == wake{half, 1<<4 | tokenCopy} })
+		b.Timer(half, 1<<4|tokenCopy)
+		if !due || len(tape.sends) != c.sends {
+			t.Errorf("%s: due at half of its time: %v, sent %d times, want %d", name, due, len(tape.sends), c.sends)
+		}
+		if c.sends < 2 {
+			continue
+		}
+		b.Finished(half+10*time.Millisecond, Outcome{ID: 1, Attempt: 1, Result: OK, Settled: true})
+		b.Finished(half+10*time.Millisecond, Outcome{ID: 1, Attempt: 0, Result: Cancelled, Settled: true})
+		if lost.run != 1 || len(b.reqs) != 0 {
+			t.Errorf("%s: the server that lost it has a run of %d failures, %d requests held", name, lost.run, len(b.reqs))
+		}
+	}
+}
--- a/decide/members.go
+++ b/decide/members.go
@@ -143,12 +143,8 @@
 // The budget is what servers of its size answer (more is sent and turned away),
 // times the multiple allowed, times the capacity it has now at the least.
 func (b *Balancer) coldMay(s *server) bool {
-	if !s.cold {
-		return true
-	}
 	w := b.warmth(s)
-	if w >= 1 {
-		s.cold = false
+	if s.cold = s.cold && w < 1; !s.cold {
 		return true
 	}
 	rate := b.okMeter.at(b.now) * s.Scale / max(b.warmScale, 1e-9)
--- a/decide/outlier.go
+++ b/decide/outlier.go
@@ -170,9 +170,8 @@
 	d.judge("success rate", successVolume, 1-cut, now, servers, g, out)
 }
 
-// byFailurePercentage ejects servers by a fixed threshold. Departure (common
-// mode): not when most calls fail everywhere, since each ejection would only
-// load the rest.
+// byFailurePercentage ejects servers by a fixed threshold. Departure (common mode):
+// not when most calls fail everywhere, as each ejection would only load the rest.
 func (d *detector) byFailurePercentage(now time.Duration, servers []*server, g *rand.Rand, out Effects) {
 	if d.badShare(now) <= commonMode {
 		d.judge("failure percentage", failureVolume, failureThreshold, now, servers, g, out)
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -174,7 +174,7 @@
 // keyed offers the servers that a key is kept on: those of the node's zone that
 // win it by hash, which every node computes alike; more for a hot key.
 func (b *Balancer) keyed(r *request, try func(*server, bool)) {
-	n := keyServers + int(2*b.keyShare(r.Key)*float64(len(b.local.list)))
+	n := keyServers + int(2*float64(b.keys[r.Key])/float64(max(b.keySum, 200))*float64(len(b.local.list)))
 	for i := range uint64(min(n, len(b.local.list), keyMost)) {
 		home, most := b.local.list[0], 0.0
 		for _, s := range b.local.list {
