Refuse answers that tell no length; test drain and the program end to end

net/http takes Connection: close out of an answer's head (found by the drain test), so that a close announced cannot be told from a connection cut: an answer that only its connection's end would delimit is refused.

--- /dev/null
+++ b/cmd/mallowfield/main_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test binary stand in for the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("MALLOWFIELD_TEST_MAIN") == "1" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+const soon = 30 * time.Second
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(soon); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came about: %s", what)
+		}
+	}
+}
+
+// unused gives an address that nothing listens at.
+func unused(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// TestProgramHolds runs the program through what a long day brings: bad
+// configurations on SIGHUP, more connections than it may hold, SIGTERM.
+func TestProgramHolds(t *testing.T) {
+	const sockets = 256
+	listen := unused(t)
+	file := filepath.Join(t.TempDir(), "config.json")
+	text, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": listen, "discovery": unused(t), "seed": "1",
+		"limits":   map[string]any{"cores": 1, "memory_mb": 64, "sockets": sockets},
+		"settings": map[string]any{"classes": []any{map[string]any{"name": "look", "effect": "free", "objectiveMs": 1000, "deadlineMs": 2000}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(text []byte) {
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(text)
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "MALLOWFIELD_TEST_MAIN=1", "GW_CONFIG="+file)
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	up := func() bool {
+		resp, err := http.Get("http://" + listen + "/up")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}
+	eventually(t, "the program is up", up)
+
+	for i := range 20 {
+		write(text[:i*len(text)/20])
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "up after a reload", up)
+	}
+
+	for range 3 * sockets {
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	open := func() int {
+		fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", cmd.Process.Pid))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(fds)
+	}
+	eventually(t, "up beside a crowd that says nothing", func() bool {
+		if n := open(); n > sockets {
+			t.Fatalf("%d descriptors, %d are allowed", n, sockets)
+		}
+		return up()
+	})
+
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("after SIGTERM: %v", err)
+		}
+	case <-time.After(soon):
+		t.Error("the program did not end on SIGTERM")
+	}
+}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -319,6 +319,9 @@
 	if err != nil {
 		n.t.Fatalf("reading the answer's body: %v", err)
 	}
+	if resp.Close { // net/http takes the header out
+		resp.Header.Set("Connection", "close")
+	}
 	return resp.StatusCode, string(body), resp.Header
 }
 
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -30,7 +30,7 @@
 var (
 	errSpoilt   = errors.New("spoilt answer")
 	errEndless  = fmt.Errorf("%w: longer than an answer may be", errSpoilt)
-	errUnframed = fmt.Errorf("%w: no length, and no close announced", errSpoilt)
+	errUnframed = fmt.Errorf("%w: it tells no length", errSpoilt)
 )
 
 // answer is a server's 200, whole.
@@ -169,13 +169,12 @@
 	}
 }
 
-// body reads an answer's body to its end. Where only the connection's end would
-// show that, the head must have announced it: or an answer cut short, or one
-// that lost its length on the way, would pass for a whole one.
+// body reads an answer's body to its end. One that only the connection's end
+// would delimit is refused: cut short, or with its length lost on the way, it
+// would pass for whole. It does harm to servers that close instead of counting.
 func (c *upConn) body(resp *http.Response) ([]byte, error) {
 	defer resp.Body.Close()
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoAtLeast(1, 1) &&
-		!strings.EqualFold(resp.Header.Get("Connection"), "close") {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, errUnframed
 	}
 	if resp.ContentLength > maxBody {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -137,6 +137,10 @@
 		"other protocol":  respond("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"),
 		"bad chunk":       respond("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n"),
 		"endless answer":  endless, "endless head": endlessHead, "endless 1xx": endlessInfo,
+		"ended by a close": func(c net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc")
+			return false
+		},
 		"cut short": func(c net.Conn, _ *http.Request, _ []byte) bool {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
 			return false
