Leave a watch on discovery that has fallen silent within seconds

Ruled out: the budget of cold servers (none was known), shedding as the first cause (it began when the servers left answered no more), failing calls (none logged).

Change: watches of 3 s.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -18,9 +18,10 @@
 
 const (
 	// watchWait is how long a watch asks discovery to hold its answer. It bounds
-	// how long a watch fallen silent goes unnoticed, and each call costs
-	// discovery work that all nodes share.
-	watchWait = 20 * time.Second
+	// how long a watch fallen silent goes unnoticed: a release runs its course in
+	// some seconds, and a node that misses it sends to servers that have gone. It
+	// could do harm where discovery counts a call that goes on with a watch as work.
+	watchWait = 3 * time.Second
 	// watchMargin is how much later an answer may come before the watch counts
 	// as silent: what it hid counts as told 2 s after the wait.
 	watchMargin = time.Second
