Free a client connection's place only once its descriptor is closed

TestProgramHolds found 285 to 390 descriptors of 256 allowed in about half of its runs: Accept counted an evicted connection as gone and closed it beside, so that a burst of newcomers outran the closes. The close now comes first, and the place is free when it has returned.

--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -78,8 +78,9 @@
 	defer c.mu.Unlock()
 	for c.all >= c.most {
 		if old := c.victim(); old != nil {
-			c.remove(old)
-			go old.Conn.Close() // its reader notices and closes it once more
+			// Closed here and not beside: a burst of newcomers would outrun the
+			// closes, and each connection holds its descriptor until it is closed.
+			c.evict(old)
 			continue
 		}
 		if c.closed {
@@ -106,13 +107,16 @@
 	return e.Value.(*clientConn)
 }
 
-func (c *conns) remove(cc *clientConn) {
-	if cc.gone {
-		return
-	}
+// evict closes a connection and frees its place once the descriptor is closed,
+// not sooner. Called and left under the lock, which it gives up meanwhile; its
+// reader notices and closes it once more, to no effect.
+func (c *conns) evict(cc *clientConn) {
 	cc.gone = true
-	c.all--
 	cc.unlist()
+	c.mu.Unlock()
+	_ = cc.Conn.Close() // returns when nobody reads or writes it any more
+	c.mu.Lock()
+	c.all--
 	c.freed.Signal()
 }
 
@@ -159,10 +163,13 @@
 }
 
 func (cc *clientConn) Close() error {
-	cc.owner.mu.Lock()
-	cc.owner.remove(cc)
-	cc.owner.mu.Unlock()
-	return cc.Conn.Close()
+	c := cc.owner
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !cc.gone {
+		c.evict(cc)
+	}
+	return nil
 }
 
 func (cc *clientConn) Read(p []byte) (int, error) {
