--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -12,8 +12,8 @@
 	"os"
 	"time"
 
-	"mallowfield/decide"
-	"mallowfield/internal/wire"
+	"jasperpin/decide"
+	"jasperpin/internal/wire"
 )
 
 func main() {
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"mallowfield/internal/wire"
+	"jasperpin/internal/wire"
 )
 
 // batch builds a frame at a clock of one second from whole records.
--- a/cmd/mallowfield/main.go
+++ b/cmd/jasperpin/main.go
@@ -1,4 +1,4 @@
-// Command mallowfield is one node of the load balancer. It reads its
+// Command jasperpin is one node of the load balancer. It reads its
 // configuration where GW_CONFIG points, serves until SIGTERM or SIGINT, answers
 // what it has taken, and ends. SIGHUP has it read the configuration anew.
 package main
@@ -15,7 +15,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"mallowfield/internal/node"
+	"jasperpin/internal/node"
 )
 
 // gcPercent trades memory for processor time: what a node holds is small beside
@@ -25,15 +25,15 @@
 
 func main() {
 	flag.Usage = func() {
-		fmt.Fprint(flag.CommandLine.Output(), "usage: mallowfield\n\nOne node; GW_CONFIG names its configuration file. See README.md.\n")
+		fmt.Fprint(flag.CommandLine.Output(), "usage: jasperpin\n\nOne node; GW_CONFIG names its configuration file. See README.md.\n")
 	}
 	flag.Parse()
 	if flag.NArg() > 0 {
-		fmt.Fprintf(os.Stderr, "mallowfield: unexpected argument %q\n", flag.Arg(0))
+		fmt.Fprintf(os.Stderr, "jasperpin: unexpected argument %q\n", flag.Arg(0))
 		os.Exit(2)
 	}
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "mallowfield:", err)
+		fmt.Fprintln(os.Stderr, "jasperpin:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/mallowfield/main_test.go
+++ b/cmd/jasperpin/main_test.go
@@ -15,7 +15,7 @@
 
 // TestMain lets the test binary stand in for the program.
 func TestMain(m *testing.M) {
-	if os.Getenv("MALLOWFIELD_TEST_MAIN") == "1" {
+	if os.Getenv("JASPERPIN_TEST_MAIN") == "1" {
 		main()
 		os.Exit(0)
 	}
@@ -65,7 +65,7 @@
 	}
 	write(text)
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "MALLOWFIELD_TEST_MAIN=1", "GW_CONFIG="+file)
+	cmd.Env = append(os.Environ(), "JASPERPIN_TEST_MAIN=1", "GW_CONFIG="+file)
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -1,4 +1,4 @@
-// Package decide holds every decision mallowfield makes: which server gets an
+// Package decide holds every decision jasperpin makes: which server gets an
 // attempt, when another one is due, what is refused, and which servers are
 // ejected. It is a pure state machine: the caller feeds it events with the
 // time they happened, and its decisions leave through Effects. It starts no
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -16,8 +16,8 @@
 	"strings"
 	"time"
 
-	"mallowfield/decide"
-	"mallowfield/internal/wire"
+	"jasperpin/decide"
+	"jasperpin/internal/wire"
 )
 
 // ErrConfig marks every complaint about the configuration.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"mallowfield/decide"
+	"jasperpin/decide"
 )
 
 const (
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"mallowfield/decide"
+	"jasperpin/decide"
 )
 
 const (
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"mallowfield/decide"
+	"jasperpin/decide"
 )
 
 // Why an attempt was given up.
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"mallowfield/decide"
+	"jasperpin/decide"
 )
 
 const (
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"mallowfield/decide"
+	"jasperpin/decide"
 )
 
 // TestSurplusIsNoAnswer has a server send more than belongs to its answer: the
--- a/internal/wire/setup.go
+++ b/internal/wire/setup.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"mallowfield/decide"
+	"jasperpin/decide"
 )
 
 // ErrSetup marks every complaint about the settings of a launch.
