--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,397 @@
+// Package config reads the file that the operator owns: the node, its limits, its
+// services with their routes, and the pools behind them. It reports all mistakes
+// of a file at once, each with its line and with what was expected.
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"jasperpin/decide"
+	"jasperpin/internal/core"
+	"jasperpin/internal/discovery"
+	"jasperpin/internal/limit"
+	"jasperpin/internal/route"
+)
+
+// Config is all that a node is told.
+type Config struct {
+	Name   string
+	Listen []string // addresses with ports; 0 stands for any free one
+	Seed   uint64
+	Limits limit.Machine
+	// Budgets says whether pools share the limits out. A node with one pool that
+	// has them all to itself needs none.
+	Budgets  bool
+	Services []Service
+	Pools    []Pool
+}
+
+// Service is what clients ask for under some hosts and paths.
+type Service struct {
+	Name         string
+	Routes       []route.Rule
+	Gate         limit.GateSettings
+	TenantHeader string // canonical; "" where tenants are not told apart
+}
+
+// Pool is a list of servers under one instance of the decision module.
+type Pool struct {
+	Name string
+	// Plain pools speak HTTP at large, others the platform's protocol.
+	Plain       bool
+	Share       float64 // guaranteed part of the limits, 0 to 1
+	Servers     []core.Host
+	Discovery   string // its address; "" where the servers are listed
+	Known       discovery.List
+	Zones       discovery.Zones
+	Classes     map[string]int // positions in Settings.Classes by name
+	Settings    decide.Settings
+	DialTimeout time.Duration
+}
+
+// Guarantees gives each pool's part of a number of units.
+func (c *Config) Guarantees(total int) map[string]int {
+	g := make(map[string]int, len(c.Pools))
+	for i := range c.Pools {
+		g[c.Pools[i].Name] = int(c.Pools[i].Share * float64(total))
+	}
+	return g
+}
+
+// Table builds the route table.
+func (c *Config) Table() (*route.Table, error) {
+	var rules []route.Rule
+	for i := range c.Services {
+		rules = append(rules, c.Services[i].Routes...)
+	}
+	return route.New(rules)
+}
+
+// Load reads a file. Its error is Mistakes where the text is at fault.
+func Load(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	return Parse(filepath.Base(path), text)
+}
+
+// Bounds of what a file may ask for.
+const (
+	maxFile    = 16 << 20
+	maxNames   = 10_000 // services, pools, routes, servers, classes, tenants each
+	maxTime    = time.Hour
+	maxRate    = 1e9
+	maxHeld    = 1 << 24
+	maxClasses = 256
+)
+
+// What a file that does not say gets.
+const (
+	defaultShareOf  = 0.5 // of the limits, over all pools that name no share
+	defaultDeadline = 5 * time.Second
+	defaultKeep     = 15 * time.Second
+	defaultDial     = 250 * time.Millisecond
+	defaultRetry    = 2 * time.Second
+	defaultMemory   = 256 << 20
+	defaultSockets  = 1024
+)
+
+// Parse reads a file's text; name is what mistakes call it.
+func Parse(name string, text []byte) (*Config, error) {
+	r, root := open(name, text)
+	if root == nil {
+		return nil, r.result()
+	}
+	c := &Config{Budgets: true}
+	node := root.table("node")
+	c.Name = node.word("name", "node")
+	c.Listen = node.texts("listen", "an address and port such as 127.0.0.1:8080", isAddr)
+	if node.m != nil && len(c.Listen) == 0 {
+		node.fail("listen", "is missing: want one address and port or more, such as [\"127.0.0.1:8080\"]")
+	}
+	number, nodes := node.count("number", 0, 0, math.MaxUint16), node.count("nodes", 1, 1, math.MaxUint16)
+	if number >= nodes {
+		node.fail("number", "is %d of %d nodes: want 0 to %d", number, nodes, nodes-1)
+	}
+	c.Seed = uint64(node.count("seed", 0, 0, math.MaxInt32))
+	if root.m["node"] == nil {
+		root.fail("node", "is missing: want a table [node] with name and listen")
+	}
+	node.done()
+
+	lim := root.table("limits")
+	c.Limits = limit.Machine{
+		Cores:       lim.number("cores", 1, 0.01, 4096),
+		Memory:      lim.size("memory", defaultMemory, limit.LeastMemory, 1<<44),
+		Descriptors: lim.count("descriptors", defaultSockets, limit.LeastDescriptors, 1<<24),
+	}
+	lim.done()
+
+	pools := make(map[string]*Pool)
+	for _, t := range root.tables("pool") {
+		p := readPool(t)
+		p.Settings.Self, p.Settings.Nodes = number, nodes
+		if pools[p.Name] != nil {
+			t.fail("name", "%q is used twice: want another name for each pool", p.Name)
+		}
+		pools[p.Name] = &p
+		c.Pools = append(c.Pools, p)
+	}
+	c.share(root)
+	names := make(map[string]bool)
+	for _, t := range root.tables("service") {
+		s := readService(t, pools)
+		if names[s.Name] {
+			t.fail("name", "%q is used twice: want another name for each service", s.Name)
+		}
+		names[s.Name] = true
+		c.Services = append(c.Services, s)
+	}
+	if len(c.Services) == 0 {
+		root.fail("service", "is missing: want one [[service]] or more")
+	}
+	root.done()
+	if len(r.errs) == 0 {
+		if _, err := c.Table(); err != nil {
+			r.routes(err)
+		}
+	}
+	return c, r.result()
+}
+
+// share sets the guaranteed parts of the pools that name none.
+func (c *Config) share(root *table) {
+	sum, unnamed := 0.0, 0
+	for i := range c.Pools {
+		if c.Pools[i].Share < 0 {
+			unnamed++
+		} else {
+			sum += c.Pools[i].Share
+		}
+	}
+	if sum > 1+1e-9 {
+		root.fail("pool", "shares add up to %.3g: want 1 at the most, since each is guaranteed", sum)
+	}
+	for i := range c.Pools {
+		if c.Pools[i].Share < 0 {
+			c.Pools[i].Share = max(0, min(defaultShareOf, 1-sum)) / float64(unnamed)
+		}
+	}
+}
+
+func readPool(t *table) Pool {
+	p := Pool{
+		Name: t.word("name", ""), Classes: make(map[string]int), Zones: make(discovery.Zones),
+		Plain:       t.choice("protocol", "http", "http", "platform") == "http",
+		Share:       t.number("share", -1, 0, 1),
+		Discovery:   t.text("discovery", "", "an address and port such as 127.0.0.1:8500", isAddr),
+		DialTimeout: t.time("connect_timeout", defaultDial, time.Millisecond, time.Minute),
+	}
+	for i, z := range t.texts("zones", "the name of a zone", isWord) {
+		p.Zones[z] = i
+	}
+	set := &p.Settings
+	if zone := t.text("zone", "", "one of zones", isWord); zone != "" {
+		at, ok := p.Zones[zone]
+		if !ok {
+			t.fail("zone", "is %q: want one of zones", zone)
+		}
+		set.Zone = at
+	}
+	set.MaxAttempts = t.count("attempts", 3, 1, 10)
+	set.SecondCopies = t.flag("second_copies", true)
+	set.Cancel = true
+	set.KeepAlive = t.time("keepalive", defaultKeep, 100*time.Millisecond, maxTime)
+	set.RetryAfterMost = t.time("retry_after", defaultRetry, 0, maxTime)
+	set.CrossCost = t.number("cross_cost", 0, 0, 100)
+	set.Ask, set.AskWithin = p.Discovery != "", 10*time.Second
+	cold := t.table("cold")
+	set.StartShare = cold.number("start", 1, 0.01, 1)
+	set.FallMultiple = cold.number("multiple", 1, 0.1, 100)
+	set.WarmWithin = cold.time("warm", 0, 0, maxTime)
+	cold.done()
+
+	seen := make(map[string]bool)
+	for _, s := range t.tables("server") {
+		h := core.Host{
+			Addr: s.text("address", "", "an address and port such as 127.0.0.1:9001", isAddr), Condition: decide.Ready,
+			Share: s.number("share", 1, 0.001, 1000), Cell: s.count("cell", 0, 0, math.MaxUint16),
+		}
+		s.must("address")
+		h.Name = s.text("name", h.Addr, "a name", isWord)
+		h.Zone = len(p.Zones)
+		if zone := s.text("zone", "", "one of the pool's zones", isWord); zone != "" {
+			at, ok := p.Zones[zone]
+			if !ok {
+				s.fail("zone", "is %q: want one of the pool's zones", zone)
+			}
+			h.Zone = at
+		} else if len(p.Zones) == 0 {
+			h.Zone = 0
+		}
+		if s.flag("drain", false) {
+			h.Condition = decide.Draining
+		}
+		if seen[h.Name] {
+			s.fail("name", "%q stands for two servers: want another name for each", h.Name)
+		}
+		seen[h.Name] = true
+		s.done()
+		p.Servers = append(p.Servers, h)
+	}
+	for _, addr := range t.texts("servers", "an address and port such as 127.0.0.1:9001", isAddr) {
+		if seen[addr] {
+			t.fail("servers", "names %s twice: want each server once", addr)
+		}
+		seen[addr] = true
+		p.Servers = append(p.Servers, core.Host{Name: addr, Addr: addr, Condition: decide.Ready, Share: 1})
+	}
+	switch {
+	case p.Discovery != "" && len(p.Servers) > 0:
+		t.fail("discovery", "stands beside a list of servers: want one of the two")
+	case p.Discovery == "" && len(p.Servers) == 0:
+		t.fail("servers", "is missing: want servers = [\"127.0.0.1:9001\"], [[pool.server]] tables or discovery = \"127.0.0.1:8500\"")
+	}
+	for _, s := range t.tables("class") {
+		readClass(s, &p)
+	}
+	if len(p.Classes) == 0 {
+		t.fail("class", "is missing: want one [[pool.class]] or more, with name, repeat and aim")
+	}
+	t.done()
+	return p
+}
+
+func readClass(s *table, p *Pool) {
+	name := s.word("name", "")
+	effect := s.choice("repeat", "", "safe", "keyed", "never")
+	s.must("repeat")
+	cls := decide.Class{
+		Effect:   map[string]decide.Effect{"safe": decide.Free, "keyed": decide.Guarded}[effect],
+		Scope:    map[string]decide.Scope{"all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}[s.choice("group", "all", "all", "zone", "cell")],
+		Window:   s.time("remember", 0, 0, maxTime),
+		Aim:      s.time("aim", time.Second, time.Millisecond, maxTime),
+		Deadline: s.time("deadline", defaultDeadline, time.Millisecond, core.LongestWait),
+		Worth:    s.number("worth", 1, 0, 1e6), LateWorth: s.number("late_worth", 0, 0, 1e6),
+	}
+	if effect == "never" {
+		cls.Effect = decide.SingleShot
+	}
+	if effect == "keyed" && cls.Window == 0 {
+		s.fail("remember", "is missing: want how long servers drop the repeats of a keyed class, such as \"12s\"")
+	}
+	if cls.Aim > cls.Deadline {
+		s.fail("aim", "is %v, longer than the deadline of %v: want it no longer", cls.Aim, cls.Deadline)
+	}
+	if _, twice := p.Classes[name]; twice {
+		s.fail("name", "%q is used twice in one pool: want another name for each class", name)
+	}
+	if len(p.Settings.Classes) == maxClasses {
+		s.fail("name", "%q is one class too many: want %d at the most", name, maxClasses)
+	}
+	p.Classes[name] = len(p.Settings.Classes)
+	p.Settings.Classes = append(p.Settings.Classes, cls)
+	s.done()
+}
+
+func readService(t *table, pools map[string]*Pool) Service {
+	s := Service{Name: t.word("name", ""), TenantHeader: canonical(t.text("tenant_header", "", "the name of a header", isWord))}
+	s.Gate = limit.GateSettings{
+		Rate: t.number("rate", 0, 0, maxRate), Burst: t.number("burst", 0, 0, maxRate),
+		Concurrent: t.count("concurrent", 0, 0, maxHeld),
+		Queue:      t.count("queue", 0, 0, maxHeld), QueueWait: t.time("queue_wait", 100*time.Millisecond, 0, time.Minute),
+		Tenants: make(map[string]limit.TenantSettings),
+	}
+	if s.Gate.Queue > 0 && s.Gate.Concurrent == 0 {
+		t.fail("queue", "has nothing to wait for: want concurrent beside it")
+	}
+	for _, n := range t.tables("tenant") {
+		name := n.text("name", "", "a tenant's name, or \"*\" for all others", func(s string) bool { return s == "*" || isWord(s) })
+		n.must("name")
+		if name == "*" {
+			name = limit.Others
+		}
+		if _, twice := s.Gate.Tenants[name]; twice {
+			n.fail("name", "%q is used twice in one service: want each tenant once", cmp.Or(name, "*"))
+		}
+		s.Gate.Tenants[name] = limit.TenantSettings{
+			Rate: n.number("rate", 0, 0, maxRate), Burst: n.number("burst", 0, 0, maxRate),
+			Concurrent: n.count("concurrent", 0, 0, maxHeld), Weight: n.number("weight", 1, 0.001, 1e6),
+		}
+		n.done()
+	}
+	if len(s.Gate.Tenants) > 0 && s.TenantHeader == "" {
+		t.fail("tenant_header", "is missing: want the header that names the tenant, such as \"Req-Owner\"")
+	}
+	routes := t.tables("route")
+	for _, n := range routes {
+		s.Routes = append(s.Routes, readRoute(n, s.Name, pools)...)
+	}
+	if len(routes) == 0 {
+		t.fail("route", "is missing: want one [[service.route]] or more")
+	}
+	t.done()
+	return s
+}
+
+// readRoute makes a rule for each host of a route.
+func readRoute(t *table, service string, pools map[string]*Pool) []route.Rule {
+	r := route.Rule{
+		Service: service, Path: t.text("path", "", "a prefix that begins with /", func(s string) bool { return strings.HasPrefix(s, "/") }),
+		Method: t.text("method", "", "a method in upper case such as GET", isMethod),
+		Class:  t.text("class", "", "the name of a class", isWord), As: t.text("as", "", "the name of a class", isWord),
+		Origin: t.origin(),
+	}
+	hosts := t.texts("hosts", "a host such as orders.example.org or *.example.org", func(s string) bool { return s != "" })
+	if pool := t.text("pool", "", "the name of a pool", isWord); pool != "" {
+		r.Targets = []route.Target{{Pool: pool, Weight: 1}}
+		t.known("pool", pool, r, pools)
+	}
+	for _, n := range t.tables("pools") {
+		g := route.Target{Pool: n.word("name", ""), Weight: n.count("weight", 1, 0, route.MaxWeight)}
+		n.known("name", g.Pool, r, pools)
+		n.done()
+		r.Targets = append(r.Targets, g)
+	}
+	switch {
+	case len(r.Targets) == 0:
+		t.fail("pool", "is missing: want pool = \"NAME\" or pools = [{ name = \"NAME\", weight = 1 }]")
+	case t.m["pool"] != nil && t.m["pools"] != nil:
+		t.fail("pools", "stands beside pool: want one of the two")
+	}
+	t.done()
+	if len(hosts) == 0 {
+		hosts = []string{""}
+	}
+	var rules []route.Rule
+	for _, h := range hosts {
+		r.Host = h
+		rules = append(rules, r)
+	}
+	return rules
+}
+
+// known checks that a route's target is there and knows the class it is given.
+func (t *table) known(key, pool string, r route.Rule, pools map[string]*Pool) {
+	p := pools[pool]
+	if p == nil {
+		if pool != "" {
+			t.fail(key, "%q is no pool of this file: want %s", pool, oneOf(slices.Sorted(maps.Keys(pools))))
+		}
+		return
+	}
+	for _, class := range []string{r.As, r.Class} {
+		if _, ok := p.Classes[class]; !ok && class != "" && (class == r.As || r.As == "") {
+			t.fail(key, "pool %q has no class %q: want %s", pool, class, oneOf(slices.Sorted(maps.Keys(p.Classes))))
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/pool.go
@@ -0,0 +1,459 @@
+// Package core is the life of requests, whatever protocol they come and go by.
+// A Pool owns one decide.Balancer and the servers that it decides about; it sees
+// to it that a request gets one final answer and an attempt one outcome. Fronts
+// hand it requests, an Upstream carries its attempts out.
+package core
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"log/slog"
+	"sync"
+	"time"
+
+	"jasperpin/decide"
+)
+
+// Why an attempt was given up: the cause of its context.
+var (
+	ErrTimedOut  = errors.New("the attempt's time is over")
+	ErrCancelled = errors.New("called off")
+)
+
+// Why a request was not taken.
+var (
+	ErrNameInUse = errors.New("a request under this name is open")
+	ErrRetired   = errors.New("the pool takes nothing any more")
+)
+
+// MaxBody is the longest body, either way, in bytes.
+const MaxBody = 64 << 10
+
+// LongestWait bounds the deadlines taken where the class tells none, and so how
+// long a timer may be kept.
+const LongestWait = time.Minute
+
+// Status is how a request ended.
+type Status uint8
+
+// A request is served with a server's answer, refused (trying again is harmless),
+// or failed (it may have run).
+const (
+	Served Status = iota
+	Refused
+	Failed
+)
+
+// Final is the one answer to a request.
+type Final struct {
+	Status     Status
+	RetryAfter time.Duration // told with a refusal, if above 0
+	Answer     *Answer       // where served
+}
+
+// Answer is a server's answer, whole. Code is its status, of HTTP's kind.
+type Answer struct {
+	Code   int
+	Header map[string][]string
+	Body   []byte
+}
+
+// Message is a request as it goes on to a server.
+type Message struct {
+	Method string
+	Target string // path and query as they came
+	Host   string
+	Header map[string][]string // canonical names, end to end only
+	Body   []byte
+}
+
+// Request is what a front hands over once the last byte has come.
+type Request struct {
+	Message
+	Name  string // the client's name for it; no two open ones share one
+	Class int
+	Key   uint64        // what it is about; 0 for nothing
+	Hint  time.Duration // its work, as a guess; 0 for none
+	Again bool          // the client has tried before
+	At    time.Time     // when its last byte came
+	Wait  time.Duration // how long after At the client waits
+}
+
+// Upstream carries attempts to servers by one protocol.
+type Upstream interface {
+	// Server begins to know a server. The pool calls Leave when it has forgotten it.
+	Server() Server
+	// Close gives up all that is at rest. Nothing is sent after it.
+	Close()
+}
+
+// Server is one server as its upstream knows it.
+type Server interface {
+	// Send carries one attempt out and tells how it ended; an answer comes with
+	// decide.OK only. It returns soon after its context ends, whose cause is
+	// ErrTimedOut or ErrCancelled; see Outcome. Calls may run side by side.
+	Send(ctx context.Context, addr string, m *Message, wait time.Duration) (decide.Result, *Answer)
+	// Leave says that the process behind the address ends or has been replaced:
+	// what connects to it is not used again.
+	Leave()
+}
+
+// Outcome is the outcome of an attempt that brought no whole answer. Never says
+// that it is known not to have run.
+func Outcome(ctx context.Context, never bool) decide.Result {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, ErrCancelled):
+		return decide.Cancelled
+	case never:
+		return decide.NoConnection
+	case errors.Is(cause, ErrTimedOut):
+		return decide.TimedOut
+	}
+	return decide.Reset
+}
+
+// Host is one server of a list.
+type Host struct {
+	Name, Addr string
+	Zone, Cell int
+	Condition  decide.Condition
+	Share      float64
+	BornMS     float64 // Unix time of its start, in ms; 0 for long ago
+}
+
+// Settings are what a pool is made of.
+type Settings struct {
+	Decide   decide.Settings
+	Seed     uint64
+	Upstream Upstream
+	Watch    func() // the module's order to watch discovery; may be nil
+	Log      *slog.Logger
+}
+
+// Exchange is a request from its last byte to its end.
+type Exchange struct {
+	*Request
+	id       decide.RequestID
+	due      time.Duration
+	attempts []*attempt
+	out      int        // attempts without an outcome
+	settled  bool       // answered, or its client is gone: nothing more is owed
+	final    chan Final // holds one
+}
+
+// attempt is one send of a request to a server.
+type attempt struct {
+	n      int
+	req    *Exchange
+	srv    *server
+	wait   time.Duration
+	ctx    context.Context
+	giveUp context.CancelCauseFunc
+	timer  *time.Timer
+	ended  bool // its outcome has been told
+}
+
+// server is one server of the list.
+type server struct {
+	id   decide.ServerID
+	addr string
+	born float64
+	up   Server
+}
+
+// Pool owns a Balancer. Every event enters through do, under one lock, and the
+// module's effects are carried out once the lock is free again.
+type Pool struct {
+	set   Settings
+	start time.Time
+
+	mu      sync.Mutex
+	b       *decide.Balancer
+	todo    []func()
+	reqs    map[decide.RequestID]*Exchange
+	open    map[string]bool // the clients' names of reqs
+	last    decide.RequestID
+	servers map[string]*server
+	byID    map[decide.ServerID]*server
+	endBy   time.Duration // no deadline lies later, where a drain has begun
+	retired bool
+	closed  bool
+	empty   chan struct{} // closed once retired and nothing is held
+}
+
+// NewPool makes a pool that knows no server yet.
+func NewPool(set Settings) *Pool {
+	p := &Pool{
+		set: set, start: time.Now(), empty: make(chan struct{}),
+		reqs: make(map[decide.RequestID]*Exchange), open: make(map[string]bool),
+		servers: make(map[string]*server), byID: make(map[decide.ServerID]*server),
+	}
+	p.do(func(now time.Duration) { p.b = decide.New(set.Decide, set.Seed, now, effects{p}) })
+	return p
+}
+
+// Classes are the pool's classes of requests. They never change.
+func (p *Pool) Classes() []decide.Class { return p.set.Decide.Classes }
+
+// since puts a moment on the module's clock: Unix time, so that born_ms needs no
+// conversion, but monotonic, so that a step of the wall clock moves no deadline.
+func (p *Pool) since(t time.Time) time.Duration {
+	return time.Duration(p.start.UnixNano()) + t.Sub(p.start)
+}
+
+// do feeds the Balancer one event and carries out what it decided.
+func (p *Pool) do(event func(now time.Duration)) {
+	p.mu.Lock()
+	event(p.since(time.Now()))
+	todo := p.todo
+	p.todo = nil
+	p.mu.Unlock()
+	for _, f := range todo {
+		f()
+	}
+}
+
+func (p *Pool) later(f func()) { p.todo = append(p.todo, f) }
+
+// Arrive takes a request, which is owed one final answer from now on. It takes
+// none under the name of one that is open: names are new with every request,
+// servers and clients tell answers apart by them, and one that is used twice is
+// somebody else's.
+func (p *Pool) Arrive(q *Request) (*Exchange, error) {
+	r := &Exchange{Request: q, final: make(chan Final, 1)}
+	var err error
+	p.do(func(time.Duration) {
+		switch {
+		case p.retired:
+			err = ErrRetired
+			return
+		case p.open[q.Name]:
+			err = ErrNameInUse
+			return
+		}
+		p.open[q.Name] = true
+		for p.last++; p.reqs[p.last] != nil; p.last++ {
+		}
+		r.id, r.due = p.last, p.since(q.At)+q.Wait
+		if p.endBy > 0 {
+			r.due = min(r.due, p.endBy)
+		}
+		p.reqs[r.id] = r
+		// The module's clock never runs back, and a request that waited to be read
+		// has its true deadline all the same.
+		p.b.Arrive(p.since(time.Now()), decide.Request{
+			ID: r.id, Class: q.Class, Key: q.Key, Hint: q.Hint, Due: r.due, Repeat: q.Again,
+		})
+	})
+	if err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// Final brings the request's one answer.
+func (r *Exchange) Final() <-chan Final { return r.final }
+
+// Gone ends a request that nobody waits for any more.
+func (p *Pool) Gone(r *Exchange) {
+	p.do(func(now time.Duration) {
+		r.settled = true
+		p.b.ClientGone(now, r.id)
+		p.release(r)
+	})
+}
+
+// Retire takes nothing more. What is held ends as it would have; Empty tells when.
+func (p *Pool) Retire() {
+	p.do(func(time.Duration) {
+		if !p.retired {
+			p.retired = true
+			if len(p.reqs) == 0 {
+				close(p.empty)
+			}
+		}
+	})
+}
+
+// Empty is closed once a retired pool holds no request and has no attempt out.
+func (p *Pool) Empty() <-chan struct{} { return p.empty }
+
+// Close ends a pool that is not used any more.
+func (p *Pool) Close() {
+	p.do(func(time.Duration) { p.retired, p.closed = true, true })
+	p.set.Upstream.Close()
+}
+
+// end tells the module an attempt's outcome. The first that is served settles
+// its request and goes to the client.
+func (p *Pool) end(a *attempt, result decide.Result, ans *Answer) {
+	p.do(func(now time.Duration) {
+		r := a.req
+		if a.ended {
+			return
+		}
+		a.ended = true
+		r.out--
+		if result == decide.OK && !r.settled {
+			r.settled = true
+			r.final <- Final{Status: Served, Answer: ans}
+		}
+		p.b.Finished(now, decide.Outcome{ID: r.id, Attempt: a.n, Result: result, Settled: r.settled})
+		p.release(r)
+	})
+	a.giveUp(nil)
+	a.timer.Stop()
+}
+
+// release forgets a request that owes nothing and waits for nothing.
+func (p *Pool) release(r *Exchange) {
+	if r.settled && r.out == 0 && p.reqs[r.id] == r {
+		delete(p.reqs, r.id)
+		delete(p.open, r.Name)
+		if p.retired && len(p.reqs) == 0 {
+			close(p.empty)
+		}
+	}
+}
+
+// DrainBy moves all later deadlines forward: the process ends by then.
+func (p *Pool) DrainBy(t time.Time) {
+	p.do(func(time.Duration) { p.endBy = p.since(t) })
+}
+
+// Listed takes news of the servers.
+func (p *Pool) Listed(kind decide.ListKind, hosts []Host) {
+	p.do(func(now time.Duration) {
+		news := make([]decide.Server, 0, len(hosts))
+		named := make(map[string]bool, len(hosts))
+		for i := range hosts {
+			h := &hosts[i]
+			named[h.Name] = true
+			s := p.servers[h.Name]
+			if h.Condition == decide.Gone && s == nil {
+				continue
+			}
+			if s == nil {
+				s = &server{id: p.newID(h.Name), addr: h.Addr, born: h.BornMS, up: p.set.Upstream.Server()}
+				p.servers[h.Name], p.byID[s.id] = s, s
+			}
+			if h.Condition != decide.Ready || h.BornMS != s.born || h.Addr != s.addr {
+				// Idle connections to a process that is gone, leaving or elsewhere
+				// would only end the next attempt in a reset.
+				p.later(s.up.Leave)
+			}
+			s.born = h.BornMS
+			if h.Addr != "" {
+				s.addr = h.Addr
+			}
+			news = append(news, decide.Server{
+				ID: s.id, Zone: h.Zone, Cell: h.Cell, Condition: h.Condition, Scale: h.Share,
+				Since: time.Duration(h.BornMS * float64(time.Millisecond)),
+			})
+		}
+		p.b.Listed(now, kind, news)
+		for name, s := range p.servers {
+			whole := kind == decide.ListFull || kind == decide.ListCached
+			if whole && !named[name] {
+				p.drop(name, s)
+			}
+		}
+		for i := range hosts {
+			if s := p.servers[hosts[i].Name]; s != nil && hosts[i].Condition == decide.Gone {
+				p.drop(hosts[i].Name, s)
+			}
+		}
+	})
+}
+
+func (p *Pool) drop(name string, s *server) {
+	delete(p.servers, name)
+	delete(p.byID, s.id)
+	p.later(s.up.Leave)
+}
+
+// newID names a server to the module: a hash, so that all nodes keep a key on
+// the same servers, and the next free number where two names meet.
+func (p *Pool) newID(host string) decide.ServerID {
+	h := fnv.New32a()
+	h.Write([]byte(host))
+	id := decide.ServerID(h.Sum32())
+	for p.byID[id] != nil {
+		id++
+	}
+	return id
+}
+
+// effects is decide.Effects; each method is called under the lock.
+type effects struct{ *Pool }
+
+func (p effects) Send(id decide.RequestID, to decide.ServerID, timeout time.Duration) {
+	r := p.reqs[id]
+	if r == nil {
+		return
+	}
+	wait := r.due - p.since(time.Now())
+	if timeout != 0 {
+		wait = min(wait, timeout)
+	}
+	a := &attempt{n: len(r.attempts), req: r, srv: p.byID[to], wait: wait}
+	a.ctx, a.giveUp = context.WithCancelCause(context.Background())
+	a.timer = time.AfterFunc(max(wait, 0), func() { a.giveUp(ErrTimedOut) })
+	r.attempts = append(r.attempts, a)
+	r.out++
+	p.later(func() {
+		if a.srv == nil || wait <= 0 || r.settled {
+			p.end(a, decide.Moot, nil)
+			return
+		}
+		go p.attempt(a)
+	})
+}
+
+// attempt has one attempt carried out.
+func (p *Pool) attempt(a *attempt) {
+	p.mu.Lock()
+	addr := a.srv.addr
+	p.mu.Unlock()
+	result, ans := a.srv.up.Send(a.ctx, addr, &a.req.Message, a.wait)
+	p.end(a, result, ans)
+}
+
+func (p effects) Cancel(id decide.RequestID, n int) {
+	if r := p.reqs[id]; r != nil && n >= 0 && n < len(r.attempts) {
+		p.later(func() { r.attempts[n].giveUp(ErrCancelled) })
+	}
+}
+
+func (p effects) Refuse(id decide.RequestID, retryAfter time.Duration) {
+	p.settle(id, Final{Status: Refused, RetryAfter: retryAfter})
+}
+
+func (p effects) Fail(id decide.RequestID) { p.settle(id, Final{Status: Failed}) }
+
+func (p *Pool) settle(id decide.RequestID, fin Final) {
+	if r := p.reqs[id]; r != nil && !r.settled {
+		r.settled = true
+		r.final <- fin
+		p.release(r)
+	}
+}
+
+func (p effects) Wake(token uint64, at time.Duration) {
+	time.AfterFunc(at-p.since(time.Now()), func() {
+		p.do(func(now time.Duration) {
+			if !p.closed { // a timer of the module sets the next one, for ever
+				p.b.Timer(now, token)
+			}
+		})
+	})
+}
+
+func (p effects) Watch(on bool) {
+	if on && p.set.Watch != nil {
+		p.set.Watch()
+	}
+}
+
+func (p effects) Log(text string) { p.later(func() { p.set.Log.Info(text) }) }
--- a/internal/node/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,12 +1,16 @@
-package node
+// Package discovery keeps the list of servers that the platform's discovery, or
+// one in its form, tells of.
+package discovery
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,6 +18,7 @@
 	"time"
 
 	"jasperpin/decide"
+	"jasperpin/internal/core"
 )
 
 const (
@@ -35,6 +40,8 @@
 	agentRetry = 200 * time.Millisecond
 	// maxList bounds an answer: a whole list takes some 150 bytes a server.
 	maxList = 16 << 20
+	// maxHead bounds the head of an answer, in bytes.
+	maxHead = 32 << 10
 )
 
 // entry is one server as discovery tells of it.
@@ -46,11 +53,28 @@
 	BornMS           float64 `json:"born_ms"`
 }
 
-// hostList is an answer of discovery.
-type hostList struct {
-	seq   uint64
+// List is an answer of discovery, or one that was kept.
+type List struct {
+	Seq   uint64
+	Hosts []core.Host
 	whole bool
-	hosts []entry
+}
+
+// Zones numbers zones by their names.
+type Zones map[string]int
+
+// number gives a zone's position, or one past all for a zone never heard of: its
+// servers are served like any in another zone.
+func (z Zones) number(name string) int {
+	if i, ok := z[name]; ok {
+		return i
+	}
+	return math.MaxUint8 + 1
+}
+
+// Parse reads a list that was kept.
+func Parse(text []byte, zones Zones) (List, error) {
+	return decodeList(bytes.NewReader(text), zones, nil)
 }
 
 func (e *entry) check() error {
@@ -68,6 +92,14 @@
 	return nil
 }
 
+// host is the entry as the core has it.
+func (e *entry) host(zones Zones) core.Host {
+	return core.Host{
+		Name: e.Host, Addr: e.Dial, Zone: zones.number(e.Site), Cell: e.Block,
+		Condition: e.condition(), Share: e.Share, BornMS: e.BornMS,
+	}
+}
+
 // condition reads the health. A word not known is taken for a drain: nothing new
 // goes there, and it may finish what it has.
 func (e *entry) condition() decide.Condition {
@@ -82,8 +114,8 @@
 
 // decodeList reads an answer entry by entry and calls each for every one as soon
 // as it has come: what came whole before a break is true.
-func decodeList(r io.Reader, each func(entry)) (hostList, error) {
-	var l hostList
+func decodeList(r io.Reader, zones Zones, each func(core.Host)) (List, error) {
+	var l List
 	dec := json.NewDecoder(r)
 	if err := expect(dec, '{'); err != nil {
 		return l, err
@@ -96,13 +128,13 @@
 		}
 		switch key {
 		case "seq":
-			err = dec.Decode(&l.seq)
+			err = dec.Decode(&l.Seq)
 			seen |= 1
 		case "whole":
 			err = dec.Decode(&l.whole)
 			seen |= 2
 		case "hosts":
-			err = l.decodeHosts(dec, each)
+			err = l.decodeHosts(dec, zones, each)
 			seen |= 4
 		default:
 			err = dec.Decode(new(json.RawMessage))
@@ -117,7 +149,7 @@
 	return l, expect(dec, '}')
 }
 
-func (l *hostList) decodeHosts(dec *json.Decoder, each func(entry)) error {
+func (l *List) decodeHosts(dec *json.Decoder, zones Zones, each func(core.Host)) error {
 	if err := expect(dec, '['); err != nil {
 		return err
 	}
@@ -129,9 +161,10 @@
 		if err := e.check(); err != nil {
 			return err
 		}
-		l.hosts = append(l.hosts, e)
+		h := e.host(zones)
+		l.Hosts = append(l.Hosts, h)
 		if each != nil {
-			each(e)
+			each(h)
 		}
 	}
 	return expect(dec, ']')
@@ -148,15 +181,19 @@
 	return nil
 }
 
-// errMoved ends a call to a discovery that is no longer the node's.
-var errMoved = errors.New("discovery has moved")
+// Why a call was ended.
+var (
+	errMoved   = errors.New("discovery has moved")
+	errStalled = errors.New("no progress")
+)
 
-// watcher keeps the watch on discovery.
-type watcher struct {
-	ask    bool // discovery is asked: the module orders the calls after a failure
+// Watcher keeps the watch on one discovery.
+type Watcher struct {
+	ask    bool
+	zones  Zones
 	client *http.Transport
-	tell   func(kind decide.ListKind, hosts []entry)
-	start  chan struct{} // the module's orders
+	tell   func(kind decide.ListKind, hosts []core.Host)
+	start  chan struct{} // orders to watch
 	log    *slog.Logger
 
 	mu    sync.Mutex
@@ -165,9 +202,12 @@
 	leave context.CancelCauseFunc // ends the call that is out
 }
 
-func newWatcher(cfg *Config, l *loop, log *slog.Logger) *watcher {
-	return &watcher{
-		addr: cfg.Discovery, ask: cfg.Settings.Ask, seq: cfg.Known.seq, tell: l.listed, start: l.watch, log: log,
+// NewWatcher makes a watcher of the discovery at an address, from a version on.
+// Where discovery is asked, each watch waits for an order (Order) and a failure
+// ends it; otherwise an agent pushes the lists and the watch begins by itself.
+func NewWatcher(addr string, seq uint64, ask bool, zones Zones, log *slog.Logger) *Watcher {
+	return &Watcher{
+		addr: addr, seq: seq, ask: ask, zones: zones, start: make(chan struct{}, 1), log: log,
 		client: &http.Transport{
 			DialContext:     (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext,
 			MaxConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxHead, IdleConnTimeout: watchWait,
@@ -175,10 +215,18 @@
 	}
 }
 
-// move goes over to another discovery. The one left may fall silent at any
+// Order has a watch begun.
+func (w *Watcher) Order() {
+	select {
+	case w.start <- struct{}{}:
+	default: // an order already waits
+	}
+}
+
+// Move goes over to another discovery. The one left may fall silent at any
 // moment, so that its call is not waited for and the new one is called at once,
 // order or not. Versions are each discovery's own: the first call asks for all.
-func (w *watcher) move(addr string) {
+func (w *Watcher) Move(addr string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if addr == w.addr {
@@ -188,14 +236,11 @@
 	if w.leave != nil {
 		w.leave(errMoved)
 	}
-	select {
-	case w.start <- struct{}{}:
-	default: // an order already waits
-	}
+	w.Order()
 }
 
 // dial notes which discovery a call goes to, and the version it asks from.
-func (w *watcher) dial(leave context.CancelCauseFunc) (addr string, seq uint64) {
+func (w *Watcher) dial(leave context.CancelCauseFunc) (addr string, seq uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.leave = leave
@@ -207,7 +252,7 @@
 }
 
 // told notes the version that discovery has told, if it still is the node's.
-func (w *watcher) told(addr string, seq uint64) {
+func (w *Watcher) told(addr string, seq uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if addr == w.addr {
@@ -215,9 +260,10 @@
 	}
 }
 
-// run watches until the context ends. A failure ends the watch; the next one is
+// Run watches until the context ends, and tells what it hears. A failure ends the watch; the next one is
 // the module's to order, or follows by itself where an agent pushes lists.
-func (w *watcher) run(ctx context.Context) {
+func (w *Watcher) Run(ctx context.Context, tell func(kind decide.ListKind, hosts []core.Host)) {
+	w.tell = tell
 	defer w.client.CloseIdleConnections()
 	for {
 		if w.ask {
@@ -266,7 +312,7 @@
 }
 
 // call makes one call of the watch and passes on what it tells.
-func (w *watcher) call(ctx context.Context) (err error) {
+func (w *Watcher) call(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	addr, seq := w.dial(cancel)
@@ -294,7 +340,7 @@
 	// Entries are told before each wait for more, so that an answer that stops in
 	// the middle has told all that came whole. They are changes until the end
 	// shows that the list is whole.
-	var fresh []entry
+	var fresh []core.Host
 	r := readerFunc(func(p []byte) (int, error) {
 		if len(fresh) > 0 {
 			w.tell(decide.ListDelta, fresh)
@@ -303,7 +349,7 @@
 		stall.Reset(bodyStall)
 		return resp.Body.Read(p)
 	})
-	l, err := decodeList(io.LimitReader(r, maxList), func(e entry) { fresh = append(fresh, e) })
+	l, err := decodeList(io.LimitReader(r, maxList), w.zones, func(h core.Host) { fresh = append(fresh, h) })
 	switch {
 	case err != nil:
 		if len(fresh) > 0 {
@@ -311,11 +357,11 @@
 		}
 		return err
 	case l.whole:
-		w.tell(decide.ListFull, l.hosts)
+		w.tell(decide.ListFull, l.Hosts)
 	default:
 		w.tell(decide.ListDelta, fresh)
 	}
-	w.told(addr, l.seq)
+	w.told(addr, l.Seq)
 	return nil
 }
 
--- a/internal/node/body.go
+++ b/internal/httpfront/body.go
@@ -1,16 +1,13 @@
-package node
+package httpfront
 
 import (
 	"fmt"
 	"io"
 )
 
-// maxBody is the longest body of the protocol, either way. The connections' cap
-// bounds how many are held.
-const maxBody = 64 << 10
-
 // readBody reads a request's body whole. Room grows with what has come, not with
-// what a length promises, or silent clients could hold it all.
+// what a length promises, or silent clients could hold it all; the connections'
+// cap bounds how many are read at a time.
 func readBody(r io.Reader, length int64) ([]byte, error) {
 	if length == 0 {
 		return nil, nil
--- a/internal/node/conns.go
+++ b/internal/httpfront/conns.go
@@ -1,4 +1,4 @@
-package node
+package httpfront
 
 import (
 	"cmp"
@@ -29,7 +29,6 @@
 // like and not clients who are known; it could do harm to new clients who connect
 // all at once and are slow to write. Otherwise the one that has rested longest goes.
 type conns struct {
-	net.Listener
 	most int
 
 	mu       sync.Mutex
@@ -41,12 +40,26 @@
 	closed   bool
 }
 
-func newConns(ln net.Listener, most int) *conns {
-	c := &conns{Listener: ln, most: most}
+func newConns(most int) *conns {
+	c := &conns{most: most}
 	c.freed = sync.NewCond(&c.mu)
 	return c
 }
 
+// limit changes the cap. What is open stays open until its place is wanted.
+func (c *conns) limit(most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.most = most
+	c.freed.Signal()
+}
+
+// listener is one of the listeners under the cap.
+type listener struct {
+	net.Listener
+	*conns
+}
+
 // clientConn is a client's connection. What it notes of its reads tells when a
 // request's last byte came.
 type clientConn struct {
@@ -68,8 +81,9 @@
 
 // Accept admits a connection and closes another for it where the cap is
 // reached. Where every one holds a whole request it waits for the first to end.
-func (c *conns) Accept() (net.Conn, error) {
-	nc, err := c.Listener.Accept()
+func (l *listener) Accept() (net.Conn, error) {
+	c := l.conns
+	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -120,12 +134,13 @@
 	c.freed.Signal()
 }
 
-func (c *conns) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.freed.Broadcast()
-	c.mu.Unlock()
-	return c.Listener.Close()
+// Close closes the listener and lets none wait for a place any more.
+func (l *listener) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	l.freed.Broadcast()
+	l.mu.Unlock()
+	return l.Listener.Close()
 }
 
 // take marks a connection as holding a whole request. It says false where the
--- /dev/null
+++ b/internal/httpfront/front.go
@@ -0,0 +1,372 @@
+// Package httpfront is the front for HTTP/1.1: it takes clients' requests within
+// a cap on their connections and gives each its one answer. It turns away what
+// cannot be used, and decides nothing else.
+package httpfront
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"jasperpin/decide"
+	"jasperpin/internal/core"
+	"jasperpin/internal/route"
+	"jasperpin/internal/service"
+)
+
+const (
+	// headWait is how long a request's head may take, from connecting on for the
+	// first: clients take 2 s, and who sends none is owed a close after 3 s.
+	headWait = 2500 * time.Millisecond
+	// wholeWait is how long a request may take from its first byte to its last:
+	// clients write at 64 kB a second, and 3 s are the most that is owed.
+	wholeWait = 2800 * time.Millisecond
+	// idleWait closes a connection that no request has come on for long.
+	idleWait = time.Minute
+	// maxHead bounds the head of a request, in bytes.
+	maxHead = 32 << 10
+)
+
+// Front takes clients' requests and gives their answers.
+type Front struct {
+	set      *service.Set
+	srv      *http.Server
+	conns    *conns
+	names    atomic.Uint64 // of plain requests
+	draining atomic.Bool
+}
+
+// New makes a front that holds so many connections at the most.
+func New(set *service.Set, conns int, log *slog.Logger) *Front {
+	f := &Front{set: set, conns: newConns(conns)}
+	f.srv = &http.Server{
+		Handler: f, ReadHeaderTimeout: headWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHead,
+		ConnContext: withConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	return f
+}
+
+// Serve takes connections from a listener until the front shuts down. Several
+// listeners may be served side by side, under one cap.
+func (f *Front) Serve(ln net.Listener) error { return f.srv.Serve(&listener{ln, f.conns}) }
+
+// Limit changes how many connections are held at the most.
+func (f *Front) Limit(conns int) { f.conns.limit(conns) }
+
+// Drain has /up answer 503 and connections close after their next answer.
+func (f *Front) Drain() { f.draining.Store(true) }
+
+// Accepted counts the connections taken so far.
+func (f *Front) Accepted() int64 { return f.conns.accepted.Load() }
+
+// Shutdown takes no connection any more and waits until those that are open have
+// had their answers, or closes them when the context ends.
+func (f *Front) Shutdown(ctx context.Context) error {
+	err := f.srv.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = f.srv.Close()
+	}
+	return err
+}
+
+// complaint is a request's fault.
+type complaint struct {
+	status int
+	text   string
+}
+
+// complain turns bad input away and closes the connection. Whoever sends one
+// thing that cannot be used is not to be believed about where the next request
+// begins: the rest of a body would be read as requests of its own. It does harm
+// where a good client errs once: its next request needs a new connection.
+func complain(w http.ResponseWriter, c *complaint) {
+	// net/http would wait for the rest of the body, which may never come.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	w.Header().Set("Connection", "close")
+	http.Error(w, c.text, c.status)
+}
+
+func (f *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	cc := connOf(hr.Context())
+	if f.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if hr.URL.Path == "/up" && (hr.Method == http.MethodGet || hr.Method == http.MethodHead) {
+		if f.draining.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	target, fault := f.find(hr)
+	if fault != nil {
+		complain(w, fault)
+		return
+	}
+	q, fault := f.parse(hr, target)
+	if fault != nil {
+		complain(w, fault)
+		return
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(cc.firstByte().Add(wholeWait))
+	body, err := readBody(hr.Body, hr.ContentLength)
+	if err != nil {
+		complain(w, &complaint{http.StatusBadRequest, "body cut short or malformed"})
+		return
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	q.At = cc.came()
+	if !cc.take() {
+		panic(http.ErrAbortHandler)
+	}
+	defer cc.free()
+	defer cc.served()
+	q.Message = core.Message{Method: hr.Method, Target: targetOf(hr), Host: hr.Host, Header: core.EndToEnd(hr.Header), Body: body}
+	if target.Plain {
+		forwarded(q.Header, hr.RemoteAddr)
+	}
+	pass, err := f.set.Enter(hr.Context(), target, tenant(hr, target), len(body))
+	if err != nil {
+		if hr.Context().Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+		f.refuse(w, err, target.Plain)
+		return
+	}
+	served := false
+	defer func() { pass.Leave(served) }()
+	x, err := target.Arrive(q)
+	for errors.Is(err, core.ErrRetired) { // the configuration has changed meanwhile
+		if target, fault = f.find(hr); fault == nil {
+			q, fault = f.reparse(hr, target, q)
+		}
+		if fault != nil {
+			complain(w, fault)
+			return
+		}
+		x, err = target.Arrive(q)
+	}
+	if err != nil {
+		complain(w, &complaint{http.StatusConflict, "Req-Id is in use"})
+		return
+	}
+	select {
+	case fin := <-x.Final():
+		served = fin.Status == core.Served
+		f.answer(w, fin, target.Plain)
+	case <-hr.Context().Done():
+		target.Gone(x)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// find finds where a request goes.
+func (f *Front) find(hr *http.Request) (service.Target, *complaint) {
+	target, err := f.set.Find(hr.Host, route.Query{Path: hr.URL.EscapedPath(), Method: hr.Method})
+	switch {
+	case errors.Is(err, service.ErrNoRoute):
+		return target, &complaint{http.StatusNotFound, "no service takes this host and path"}
+	case err != nil:
+		return target, &complaint{http.StatusBadRequest, err.Error()}
+	}
+	return target, nil
+}
+
+// reparse reads a request anew for another pool. Its body has been read.
+func (f *Front) reparse(hr *http.Request, target service.Target, was *core.Request) (*core.Request, *complaint) {
+	q, fault := f.parse(hr, target)
+	if fault != nil {
+		return nil, fault
+	}
+	q.Message, q.At = was.Message, was.At
+	return q, nil
+}
+
+// tenant is whose request it is.
+func tenant(hr *http.Request, t service.Target) string {
+	if t.TenantHeader == "" {
+		return ""
+	}
+	return hr.Header.Get(t.TenantHeader)
+}
+
+// forwarded adds the client's address to those that the request has come through.
+func forwarded(h map[string][]string, remote string) {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return
+	}
+	const name = "X-Forwarded-For"
+	h[name] = []string{strings.Join(append(h[name], host), ", ")}
+}
+
+// parse reads what the module is told of a request.
+func (f *Front) parse(hr *http.Request, target service.Target) (*core.Request, *complaint) {
+	number, ok := target.Pool.Class(target.Class)
+	if !ok {
+		return nil, &complaint{http.StatusNotFound, "unknown class"}
+	}
+	class := &target.Classes()[number]
+	q := &core.Request{Class: number}
+	if _, rest, _ := strings.Cut(strings.TrimPrefix(hr.URL.EscapedPath(), "/"), "/"); rest != "" {
+		q.Key = keyOf(rest[strings.LastIndexByte(rest, '/')+1:])
+	}
+	if target.Plain {
+		return f.plain(hr, class, q)
+	}
+	keys, wantKeys := len(hr.Header["Idempotency-Key"]), 0
+	method := http.MethodPost
+	switch class.Effect {
+	case decide.Free:
+		method, keys = http.MethodGet, 0 // a key changes nothing
+	case decide.Guarded:
+		wantKeys = 1
+	}
+	switch ms, err := strconv.ParseInt(hr.Header.Get("Req-Deadline-Ms"), 10, 64); {
+	case len(hr.TransferEncoding) > 0:
+		// net/http takes a request with both framings for a chunked one and hides
+		// the length, so that what another reader would see as a second request
+		// passes as a body. Bodies are short and their senders know their length:
+		// none comes in chunks. It does harm to a client that streams its body.
+		return nil, &complaint{http.StatusLengthRequired, "a body wants a Content-Length and no other framing"}
+	case hr.Method != method:
+		return nil, &complaint{http.StatusMethodNotAllowed, "the class takes " + method}
+	case keys != wantKeys:
+		return nil, &complaint{http.StatusBadRequest, "Idempotency-Key contradicts the class"}
+	case hr.ContentLength > core.MaxBody:
+		return nil, &complaint{http.StatusRequestEntityTooLarge, "body too long"}
+	case method == http.MethodGet && hr.ContentLength > 0:
+		return nil, &complaint{http.StatusBadRequest, "the class takes no body"}
+	case len(hr.Header["Req-Id"]) != 1 || hr.Header.Get("Req-Id") == "":
+		return nil, &complaint{http.StatusBadRequest, "not one Req-Id"}
+	case err != nil || ms <= 0:
+		return nil, &complaint{http.StatusBadRequest, "Req-Deadline-Ms is not a number above 0"}
+	default:
+		q.Again = hr.Header.Get("Req-Retry") == "1"
+		if us, err := strconv.ParseFloat(hr.Header.Get("Req-Cost"), 64); err == nil && us > 0 && us < 1e9 {
+			q.Hint = time.Duration(us * float64(time.Microsecond))
+		}
+		q.Name = hr.Header.Get("Req-Id")
+		q.Wait = patience(class, ms)
+		return q, nil
+	}
+}
+
+// patience is how long a client waits: no longer than its class does over all
+// its tries.
+func patience(class *decide.Class, ms int64) time.Duration {
+	most := cmp.Or(class.Deadline, core.LongestWait)
+	return min(time.Duration(min(ms, most.Milliseconds()+1))*time.Millisecond, most)
+}
+
+// plain reads a request of HTTP at large: its method says what it is, it needs no
+// name, and its client waits as long as its class does unless it says otherwise.
+func (f *Front) plain(hr *http.Request, class *decide.Class, q *core.Request) (*core.Request, *complaint) {
+	reads := hr.Method == http.MethodGet || hr.Method == http.MethodHead || hr.Method == http.MethodOptions
+	switch {
+	case len(hr.TransferEncoding) > 0: // as above
+		return nil, &complaint{http.StatusLengthRequired, "a body wants a Content-Length and no other framing"}
+	case hr.ContentLength > core.MaxBody:
+		return nil, &complaint{http.StatusRequestEntityTooLarge, "body too long"}
+	case hr.Method == http.MethodConnect || hr.Method == http.MethodTrace || hr.Header.Get("Upgrade") != "":
+		return nil, &complaint{http.StatusNotImplemented, "no tunnels and no upgrades"}
+	case class.Effect == decide.Free && !reads:
+		return nil, &complaint{http.StatusMethodNotAllowed, "the class takes GET, HEAD and OPTIONS"}
+	case class.Effect == decide.Guarded && len(hr.Header["Idempotency-Key"]) != 1:
+		return nil, &complaint{http.StatusBadRequest, "the class wants one Idempotency-Key"}
+	}
+	q.Name = strconv.FormatUint(f.names.Add(1), 36)
+	q.Wait = cmp.Or(class.Deadline, core.LongestWait)
+	if text := hr.Header.Get("Req-Deadline-Ms"); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 {
+			return nil, &complaint{http.StatusBadRequest, "Req-Deadline-Ms is not a number above 0"}
+		}
+		q.Wait = patience(class, ms)
+	}
+	return q, nil
+}
+
+// keyOf gives a key its number, the same at every node; 0 is for none.
+func keyOf(text string) uint64 {
+	if text == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, text)
+	return max(h.Sum64(), 1)
+}
+
+// targetOf is path and query as the client wrote them, without the scheme and
+// host of the absolute form.
+func targetOf(hr *http.Request) string {
+	uri := hr.RequestURI
+	if _, rest, ok := strings.Cut(uri, "://"); ok && !strings.HasPrefix(uri, "/") {
+		return rest[max(strings.IndexByte(rest, '/'), 0):]
+	}
+	return uri
+}
+
+// statuses of answers that no server gave.
+var statuses = map[core.Status]int{core.Refused: http.StatusServiceUnavailable, core.Failed: http.StatusBadGateway}
+
+// answer gives the client its final answer.
+func (f *Front) answer(w http.ResponseWriter, fin core.Final, plain bool) {
+	h := w.Header()
+	if f.draining.Load() {
+		h.Set("Connection", "close")
+	}
+	if fin.Answer == nil {
+		own(w, statuses[fin.Status], fin.RetryAfter, plain)
+		return
+	}
+	for k, v := range fin.Answer.Header {
+		h[k] = v
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // the server gave none, and none is guessed
+	}
+	if fin.Answer.Code != http.StatusNoContent && fin.Answer.Code != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(fin.Answer.Body)))
+	}
+	w.WriteHeader(fin.Answer.Code)
+	_, _ = w.Write(fin.Answer.Body)
+}
+
+// refuse answers what was not let in. Nothing of it has run.
+func (f *Front) refuse(w http.ResponseWriter, err error, plain bool) {
+	var r *service.Refusal
+	if !errors.As(err, &r) {
+		r = &service.Refusal{}
+	}
+	status := http.StatusServiceUnavailable
+	if r.Tenant {
+		status = http.StatusTooManyRequests
+	}
+	own(w, status, r.RetryAfter, plain)
+}
+
+// own gives an answer of the node's own. The platform's protocol takes decimals
+// for when to come back, since whole seconds are longer than most aims; HTTP at
+// large does not.
+func own(w http.ResponseWriter, status int, retryAfter time.Duration, plain bool) {
+	digits, seconds := 3, retryAfter.Seconds()
+	if plain {
+		digits, seconds = 0, math.Ceil(seconds)
+	}
+	if seconds > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', digits, 64))
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
--- a/internal/node/pool.go
+++ b/internal/httpup/conns.go
@@ -1,4 +1,4 @@
-package node
+package httpup
 
 import (
 	"bufio"
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"jasperpin/internal/core"
 )
 
 const (
@@ -26,15 +28,34 @@
 
 var errNoSocket = errors.New("no socket left")
 
-// pool owns the connections to servers: how many there are, and those at rest.
-type pool struct {
-	room   chan struct{} // one for each connection open
+// Options are what a pool's connections go by.
+type Options struct {
+	Name        string        // under which Room counts the pool's connections
+	DialTimeout time.Duration // also how long an attempt waits for room
+	KeepAlive   time.Duration // after which servers close what is idle; 0 for untold
+	// Plain takes every whole answer under 500 for served, as HTTP at large means
+	// them. Otherwise 200 alone is, as the platform's protocol has it.
+	Plain bool
+}
+
+// Upstream is a pool's connections to its servers, those at rest among them.
+type Upstream struct {
+	Options
+	room   *Room
 	dialer net.Dialer
 	rest   time.Duration
 
 	mu     sync.Mutex
 	idle   list.List   // of *upConn, the longest at rest first
 	expiry *time.Timer // set while any is at rest
+	closed bool
+}
+
+// server is a core.Server: the connections to one process.
+type server struct {
+	*Upstream
+	idle  []*upConn // guarded by the Upstream's lock, newest last
+	epoch int       // likewise: of the process behind the address
 }
 
 // upConn is a connection to a server.
@@ -46,20 +67,25 @@
 	epoch   int
 	since   time.Time     // at rest
 	place   *list.Element // in the pool's list, while at rest
-	pool    *pool
 }
 
-func newPool(cfg *Config) *pool {
-	return &pool{
-		room:   make(chan struct{}, cfg.Conns()),
-		dialer: net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1},
-		rest:   cmp.Or(time.Duration(restMost*float64(cfg.Settings.KeepAlive)), restUntold),
+// New makes a pool's upstream. Its name must be one that the room knows.
+func New(o Options, room *Room) *Upstream {
+	u := &Upstream{
+		Options: o, room: room,
+		dialer: net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1},
+		rest:   cmp.Or(time.Duration(restMost*float64(o.KeepAlive)), restUntold),
 	}
+	room.join(u)
+	return u
 }
 
+// Server begins to know a server.
+func (p *Upstream) Server() core.Server { return &server{Upstream: p} }
+
 // get gives a connection to a server: the one that rested last, if it is still
 // open and silent, else a new one.
-func (p *pool) get(ctx context.Context, s *server, addr string) (*upConn, error) {
+func (p *Upstream) get(ctx context.Context, s *server, addr string) (*upConn, error) {
 	for {
 		c, epoch := p.resting(s)
 		if c == nil {
@@ -73,7 +99,7 @@
 }
 
 // resting takes out the connection to a server that has rested least.
-func (p *pool) resting(s *server) (c *upConn, epoch int) {
+func (p *Upstream) resting(s *server) (c *upConn, epoch int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if n := len(s.idle); n > 0 {
@@ -84,7 +110,7 @@
 }
 
 // remove takes a connection from those at rest.
-func (p *pool) remove(c *upConn) {
+func (p *Upstream) remove(c *upConn) {
 	p.idle.Remove(c.place)
 	c.place = nil
 	for i, x := range c.srv.idle {
@@ -95,29 +121,23 @@
 	}
 }
 
-func (p *pool) dial(ctx context.Context, s *server, addr string, epoch int) (*upConn, error) {
-	if err := p.reserve(ctx); err != nil {
+func (p *Upstream) dial(ctx context.Context, s *server, addr string, epoch int) (*upConn, error) {
+	if err := p.room.take(ctx, p); err != nil {
 		return nil, err
 	}
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		<-p.room
+		p.room.give(p)
 		return nil, fmt.Errorf("connecting to a server: %w", err)
 	}
-	c := &upConn{Conn: nc, srv: s, epoch: epoch, pool: p}
+	c := &upConn{Conn: nc, srv: s, epoch: epoch}
 	c.br = bufio.NewReaderSize(c, readAhead)
 	return c, nil
 }
 
-// reserve takes room for one more connection. Where there is none the one that
-// has rested longest goes, to whichever server, and no other: closing more would
-// cost handshakes all over the fleet.
-func (p *pool) reserve(ctx context.Context) error {
-	select {
-	case p.room <- struct{}{}:
-		return nil
-	default:
-	}
+// yield closes the connection that has rested longest, to whichever server, and
+// no other: closing more would cost handshakes all over the fleet.
+func (p *Upstream) yield() bool {
 	p.mu.Lock()
 	var oldest *upConn
 	if e := p.idle.Front(); e != nil {
@@ -125,26 +145,18 @@
 		p.remove(oldest)
 	}
 	p.mu.Unlock()
-	if oldest != nil {
-		oldest.Close()
-	}
-	t := time.NewTimer(p.dialer.Timeout)
-	defer t.Stop()
-	select {
-	case p.room <- struct{}{}:
-		return nil
-	case <-t.C:
-		return errNoSocket
-	case <-ctx.Done():
-		return context.Cause(ctx)
+	if oldest == nil {
+		return false
 	}
+	oldest.Close()
+	return true
 }
 
 // put lays a connection to rest after a whole answer, unless more has come on it
 // than belongs to that answer, or its server is another by now.
-func (p *pool) put(c *upConn) {
+func (p *Upstream) put(c *upConn) {
 	p.mu.Lock()
-	fit := c.br.Buffered() == 0 && c.epoch == c.srv.epoch
+	fit := c.br.Buffered() == 0 && c.epoch == c.srv.epoch && !p.closed
 	if fit {
 		c.since = time.Now()
 		c.place = p.idle.PushBack(c)
@@ -160,7 +172,7 @@
 }
 
 // expire closes what has rested too long and waits for the next.
-func (p *pool) expire() {
+func (p *Upstream) expire() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for e := p.idle.Front(); e != nil; e = p.idle.Front() {
@@ -175,20 +187,20 @@
 	p.expiry = nil
 }
 
-// close closes all that is at rest.
-func (p *pool) close() {
+// Close closes all that is at rest. What is in use is closed after its answer.
+func (p *Upstream) Close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for e := p.idle.Front(); e != nil; e = p.idle.Front() {
-		c := e.Value.(*upConn)
-		p.remove(c)
-		c.Close()
+	p.closed = true
+	p.mu.Unlock()
+	for p.yield() {
 	}
+	p.room.leave(p)
 }
 
-// leave closes the connections at rest to a server whose process ends or has
+// Leave closes the connections at rest to a server whose process ends or has
 // been replaced; those in use are closed after their answer.
-func (p *pool) leave(s *server) {
+func (s *server) Leave() {
+	p := s.Upstream
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s.epoch++
@@ -227,6 +239,6 @@
 // connection closes it, once.
 func (c *upConn) Close() error {
 	err := c.Conn.Close()
-	<-c.pool.room
+	c.srv.room.give(c.srv.Upstream)
 	return err
 }
--- /dev/null
+++ b/internal/limit/gate.go
@@ -0,0 +1,263 @@
+package limit
+
+import (
+	"container/list"
+	"math"
+	"time"
+)
+
+// Others is the tenant that stands for all that the settings do not name: what
+// strangers call themselves must not grow any table.
+const Others = ""
+
+// GateSettings are the limits of one service. Zero values limit nothing.
+type GateSettings struct {
+	Rate, Burst float64 // requests a second, and at once
+	Concurrent  int     // requests held at a time
+	// Queue is how many requests may wait for a place, QueueWait how long one may.
+	Queue     int
+	QueueWait time.Duration
+	Tenants   map[string]TenantSettings // Others is for all tenants not named
+}
+
+// TenantSettings are the limits of one tenant. Weight is its share of the
+// service's places against other tenants that want some; 0 stands for 1.
+type TenantSettings struct {
+	Rate, Burst float64
+	Concurrent  int
+	Weight      float64
+}
+
+// Verdict says what becomes of a request at the gate.
+type Verdict uint8
+
+// A request is let in, waits for a place, or is refused. TooMany is the tenant's
+// own doing (429), Crowded is not (503).
+const (
+	Admitted Verdict = iota
+	Queued
+	TooMany
+	Crowded
+)
+
+// Gate holds a service's places and shares them among its tenants: a tenant below
+// its fair share of the places finds one in reserve, so that a flood of another
+// does not crowd it out. Waiting requests get free places by turns of weight.
+type Gate struct {
+	set     GateSettings
+	bucket  Bucket
+	tenants map[string]*tenant
+	held    int
+	waiting int
+	ticket  uint64
+	order   list.List // of *waiter, by arrival and so by when their time is up
+}
+
+type tenant struct {
+	TenantSettings
+	name    string
+	bucket  Bucket
+	held    int
+	passed  float64   // work let in by weight: the least is served next
+	waiters list.List // of *waiter
+}
+
+type waiter struct {
+	id     uint64
+	t      *tenant
+	until  time.Duration
+	at     *list.Element // in the gate's order
+	inLine *list.Element // in the tenant's line
+}
+
+// reserve is the part of the places that only tenants below their fair share get.
+const reserve = 0.2
+
+// NewGate makes an empty gate.
+func NewGate(set GateSettings) *Gate {
+	g := &Gate{tenants: make(map[string]*tenant)}
+	g.Configure(set)
+	return g
+}
+
+// Configure changes the limits and returns the tickets let in by that. What is
+// held and who waits stay.
+func (g *Gate) Configure(set GateSettings) []uint64 {
+	g.set = set
+	g.bucket.Rate, g.bucket.Burst = set.Rate, set.Burst
+	for name, t := range g.tenants {
+		if _, named := set.Tenants[name]; named || name == Others {
+			continue
+		}
+		t.TenantSettings, t.bucket = TenantSettings{}, Bucket{}
+		if t.held == 0 && t.waiters.Len() == 0 {
+			delete(g.tenants, name)
+		}
+	}
+	g.tenant(Others)
+	for name, ts := range set.Tenants {
+		t := g.tenant(name)
+		t.TenantSettings = ts
+		t.bucket.Rate, t.bucket.Burst = ts.Rate, ts.Burst
+	}
+	return g.admit()
+}
+
+// QueueWait is how long a request may wait for a place.
+func (g *Gate) QueueWait() time.Duration { return g.set.QueueWait }
+
+func (g *Gate) tenant(name string) *tenant {
+	t := g.tenants[name]
+	if t == nil {
+		t = &tenant{name: name}
+		g.tenants[name] = t
+	}
+	return t
+}
+
+// Tenant gives the name under which a tenant is counted.
+func (g *Gate) Tenant(name string) string {
+	if _, named := g.set.Tenants[name]; named {
+		return name
+	}
+	return Others
+}
+
+// Arrive decides on a request of a tenant, under the name that Tenant gives. A ticket stands for
+// one that waits; wait is when to come back, where that is known.
+func (g *Gate) Arrive(now time.Duration, name string) (v Verdict, ticket uint64, wait time.Duration) {
+	t := g.tenant(name)
+	if ok, wait := t.bucket.Take(now); !ok {
+		return TooMany, 0, wait
+	}
+	if ok, wait := g.bucket.Take(now); !ok {
+		t.bucket.Back()
+		return Crowded, 0, wait
+	}
+	if t.waiters.Len() == 0 && g.room(t) {
+		g.let(t)
+		return Admitted, 0, 0
+	}
+	if g.waiting >= g.set.Queue || g.share(t, float64(g.set.Queue)) <= t.waiters.Len() {
+		if t.Concurrent > 0 && t.held >= t.Concurrent {
+			return TooMany, 0, 0
+		}
+		return Crowded, 0, 0
+	}
+	g.ticket++
+	w := &waiter{id: g.ticket, t: t, until: now + g.set.QueueWait}
+	if t.waiters.Len() == 0 {
+		t.passed = max(t.passed, g.least()) // idling earns nothing
+	}
+	w.at, w.inLine = g.order.PushBack(w), t.waiters.PushBack(w)
+	g.waiting++
+	return Queued, w.id, 0
+}
+
+// room says whether a tenant may have a place now.
+func (g *Gate) room(t *tenant) bool {
+	if t.Concurrent > 0 && t.held >= t.Concurrent {
+		return false
+	}
+	if g.set.Concurrent <= 0 {
+		return true
+	}
+	if g.held >= g.set.Concurrent {
+		return false
+	}
+	free := float64(g.set.Concurrent - g.held)
+	return len(g.set.Tenants) == 0 || free > reserve*float64(g.set.Concurrent) || t.held < g.share(t, float64(g.set.Concurrent))
+}
+
+// share is a tenant's part of so many places among those that hold or want any.
+func (g *Gate) share(t *tenant, places float64) int {
+	sum := t.weight()
+	for _, o := range g.tenants {
+		if o != t && (o.held > 0 || o.waiters.Len() > 0) {
+			sum += o.weight()
+		}
+	}
+	return int(math.Ceil(places * t.weight() / sum))
+}
+
+func (t *tenant) weight() float64 {
+	if t.Weight <= 0 {
+		return 1
+	}
+	return t.Weight
+}
+
+func (g *Gate) let(t *tenant) {
+	t.held++
+	g.held++
+	t.passed += 1 / t.weight()
+}
+
+// least is the least work let in of the tenants in line.
+func (g *Gate) least() float64 {
+	least, any := 0.0, false
+	for _, o := range g.tenants {
+		if o.waiters.Len() > 0 && (!any || o.passed < least) {
+			least, any = o.passed, true
+		}
+	}
+	return least
+}
+
+// Done gives back the place of a request, under the name that Tenant gave when it
+// arrived, and returns the tickets let in for it.
+func (g *Gate) Done(name string) []uint64 {
+	t := g.tenants[name]
+	if t == nil || t.held == 0 {
+		panic("limit: a place is given back that nobody holds")
+	}
+	t.held--
+	g.held--
+	return g.admit()
+}
+
+// admit lets in who waits, by turns.
+func (g *Gate) admit() (in []uint64) {
+	for {
+		var next *tenant
+		for _, t := range g.tenants {
+			if t.waiters.Len() == 0 || !g.room(t) {
+				continue
+			}
+			if next == nil || t.passed < next.passed || t.passed == next.passed && t.name < next.name {
+				next = t
+			}
+		}
+		if next == nil {
+			return in
+		}
+		w := next.waiters.Front().Value.(*waiter)
+		g.unlist(w)
+		g.let(next)
+		in = append(in, w.id)
+	}
+}
+
+func (g *Gate) unlist(w *waiter) {
+	g.order.Remove(w.at)
+	w.t.waiters.Remove(w.inLine)
+	g.waiting--
+}
+
+// Leave takes a ticket out of line. It says false where it is not in line any
+// more: it has been let in, and its place must be given back.
+func (g *Gate) Leave(ticket uint64) bool {
+	for e := g.order.Front(); e != nil; e = e.Next() {
+		if w := e.Value.(*waiter); w.id == ticket {
+			g.unlist(w)
+			return true
+		}
+	}
+	return false
+}
+
+// Held counts the requests that are in.
+func (g *Gate) Held() int { return g.held }
+
+// Waiting counts the requests in line.
+func (g *Gate) Waiting() int { return g.waiting }
--- a/internal/node/config.go
+++ b/internal/platform/platform.go
@@ -1,4 +1,6 @@
-package node
+// Package platform reads what the platform tells a node: the JSON file that
+// GW_CONFIG names and the environment.
+package platform
 
 import (
 	"bytes"
@@ -7,7 +9,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"math"
 	"net/netip"
 	"os"
 	"reflect"
@@ -17,46 +18,28 @@
 	"time"
 
 	"jasperpin/decide"
+	"jasperpin/internal/discovery"
+	"jasperpin/internal/limit"
 	"jasperpin/internal/wire"
 )
 
 // ErrConfig marks every complaint about the configuration.
 var ErrConfig = errors.New("bad configuration")
 
-// Shares of the limits. Client and upstream connections get the same number:
-// each request held has at most one attempt out, so that none waits for a
-// descriptor while idle upstream connections can be closed for it.
-const (
-	// spareSockets stay free of both: standard streams, poller, listener,
-	// discovery, and connections that are being closed.
-	spareSockets = 64
-	// heapShare of the memory limit is where the collector works hardest; the
-	// rest is for stacks, the runtime and kernel buffers charged to the process.
-	heapShare = 0.7
-)
-
 // Config is all that a node is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
 	Seed                    uint64
-	Cores                   float64
-	MemoryMB, Sockets       int
+	Limits                  limit.Machine
 	Settings                decide.Settings
 	DialTimeout             time.Duration
-	Known                   hostList
-
-	classes map[string]int
-	zones   map[string]int
+	Known                   discovery.List
+	Classes                 map[string]int // their positions in the settings, by name
+	Zones                   discovery.Zones
 }
 
-// Conns is how many connections clients, and likewise attempts, may hold.
-func (c *Config) Conns() int { return (c.Sockets - spareSockets) / 2 }
-
-// MemoryLimit is the soft limit of the Go runtime, in bytes.
-func (c *Config) MemoryLimit() int64 { return int64(heapShare * float64(c.MemoryMB) * (1 << 20)) }
-
-// LoadConfig reads the configuration that the environment names.
-func LoadConfig(getenv func(string) string) (*Config, error) {
+// Load reads the configuration that the environment names.
+func Load(getenv func(string) string) (*Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("%w: GW_CONFIG: not set", ErrConfig)
@@ -68,10 +51,10 @@
 	return parseConfig(text, getenv)
 }
 
-// ReloadConfig reads the configuration anew. Its addresses are the text's own:
+// Reload reads the configuration anew. Its addresses are the text's own:
 // what the environment says is as old as the process.
-func ReloadConfig(getenv func(string) string) (*Config, error) {
-	return LoadConfig(func(name string) string {
+func Reload(getenv func(string) string) (*Config, error) {
+	return Load(func(name string) string {
 		if name != "GW_CONFIG" {
 			return ""
 		}
@@ -79,9 +62,9 @@
 	})
 }
 
-// restartOnly names what differs between two configurations and only a restart
+// RestartOnly names what differs between two configurations and only a restart
 // can change: listeners, budgets and the module's settings are laid out once.
-func (c *Config) restartOnly(next *Config) []string {
+func (c *Config) RestartOnly(next *Config) []string {
 	var names []string
 	for _, f := range []struct {
 		name string
@@ -89,9 +72,9 @@
 	}{
 		{"name", c.Name == next.Name},
 		{"listen", c.Listen == next.Listen},
-		{"limits", c.Cores == next.Cores && c.MemoryMB == next.MemoryMB && c.Sockets == next.Sockets},
+		{"limits", c.Limits == next.Limits},
 		{"settings", c.DialTimeout == next.DialTimeout && reflect.DeepEqual(c.Settings, next.Settings) &&
-			maps.Equal(c.classes, next.classes) && maps.Equal(c.zones, next.zones)},
+			maps.Equal(c.Classes, next.Classes) && maps.Equal(c.Zones, next.Zones)},
 	} {
 		if !f.same {
 			names = append(names, f.name)
@@ -131,8 +114,8 @@
 	}
 	c := &Config{
 		Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery,
-		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets,
-		classes: make(map[string]int), zones: make(map[string]int),
+		Limits:  limit.Machine{Cores: raw.Limits.Cores, Memory: int64(raw.Limits.MemoryMB) << 20, Descriptors: raw.Limits.Sockets},
+		Classes: make(map[string]int), Zones: make(discovery.Zones),
 	}
 	for _, e := range []struct {
 		name string
@@ -154,12 +137,12 @@
 	switch {
 	case c.Name == "":
 		return nil, bad("name", "missing")
-	case !(c.Cores > 0) || c.Cores > 4096:
-		return nil, bad("limits.cores", "%v is not a number of cores", c.Cores)
-	case c.MemoryMB < 32 || c.MemoryMB > 1<<24:
-		return nil, bad("limits.memory_mb", "%d is not at least 32", c.MemoryMB)
-	case c.Sockets < 2*spareSockets || c.Sockets > 1<<24:
-		return nil, bad("limits.sockets", "%d is not at least %d", c.Sockets, 2*spareSockets)
+	case !(c.Limits.Cores > 0) || c.Limits.Cores > 4096:
+		return nil, bad("limits.cores", "%v is not a number of cores", c.Limits.Cores)
+	case raw.Limits.MemoryMB < limit.LeastMemory>>20 || raw.Limits.MemoryMB > 1<<24:
+		return nil, bad("limits.memory_mb", "%d is not at least %d", raw.Limits.MemoryMB, limit.LeastMemory>>20)
+	case c.Limits.Descriptors < limit.LeastDescriptors || c.Limits.Descriptors > 1<<24:
+		return nil, bad("limits.sockets", "%d is not at least %d", c.Limits.Descriptors, limit.LeastDescriptors)
 	case raw.Settings == nil:
 		return nil, bad("settings", "missing")
 	}
@@ -167,7 +150,7 @@
 		return nil, err
 	}
 	if len(raw.Known) > 0 && string(raw.Known) != "null" {
-		if c.Known, err = decodeList(bytes.NewReader(raw.Known), nil); err != nil {
+		if c.Known, err = discovery.Parse(raw.Known, c.Zones); err != nil {
 			return nil, bad("known", "%v", err)
 		}
 	}
@@ -196,13 +179,13 @@
 	for i := range c.Settings.Classes {
 		field := fmt.Sprintf("classes.%d.name", i)
 		name := flat[field]
-		if _, twice := c.classes[name]; name == "" || twice || strings.ContainsAny(name, "/?#") {
+		if _, twice := c.Classes[name]; name == "" || twice || strings.ContainsAny(name, "/?#") {
 			return bad("settings: "+field, "%q is missing, used twice or not fit for a path", name)
 		}
-		c.classes[name] = i
+		c.Classes[name] = i
 	}
 	for i, z := range strings.Split(flat["zones"], ",") {
-		c.zones[z] = i
+		c.Zones[z] = i
 	}
 	return nil
 }
@@ -242,12 +225,3 @@
 		out[path] = unfit.Replace(fmt.Sprint(v))
 	}
 }
-
-// zone gives a zone's position, or one past all for a zone never heard of: its
-// servers are served like any in another zone.
-func (c *Config) zone(name string) int {
-	if i, ok := c.zones[name]; ok {
-		return i
-	}
-	return math.MaxUint8 + 1
-}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,444 @@
+// Package service holds what a node serves: the route table, the services with
+// their limits, and the pools behind them. Fronts of any protocol ask it where a
+// request goes and whether there is room; a new configuration takes effect here.
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"jasperpin/internal/config"
+	"jasperpin/internal/core"
+	"jasperpin/internal/limit"
+	"jasperpin/internal/route"
+)
+
+// ErrNoRoute says that no service takes such requests.
+var ErrNoRoute = errors.New("no route")
+
+// Pool is a pool under its name, as the configuration has it.
+type Pool struct {
+	*core.Pool
+	Name    string
+	Plain   bool // speaks HTTP at large
+	classes map[string]int
+	own     *owned
+}
+
+// Class gives a class's position by its name.
+func (p *Pool) Class(name string) (int, bool) {
+	i, ok := p.classes[name]
+	return i, ok
+}
+
+// Service is a service under its name.
+type Service struct {
+	Name         string
+	TenantHeader string // canonical; "" where tenants are not told apart
+
+	mu    sync.Mutex
+	gate  *limit.Gate
+	lines map[uint64]chan struct{} // who waits, by ticket; closed when let in
+}
+
+// Target is where a request goes.
+type Target struct {
+	*Service
+	*Pool
+	Class string
+}
+
+// table is one configuration in force. It never changes.
+type table struct {
+	routes   *route.Table
+	services map[string]*Service
+	pools    map[string]*Pool
+	only     *Target // where everything goes, where there is no choice
+}
+
+// Find finds where a request goes by its Host header and what else the query
+// tells. Its error is ErrNoRoute, or tells what is wrong with host or path.
+func (s *Set) Find(host string, q route.Query) (Target, error) {
+	t := s.now.Load()
+	if t.only != nil {
+		target := *t.only
+		target.Class = route.Class(q.Path)
+		return target, nil
+	}
+	var err error
+	if q.Host, err = route.Host(host); err != nil {
+		return Target{}, fmt.Errorf("host: %w", err)
+	}
+	if err := route.CheckPath(q.Path); err != nil {
+		return Target{}, fmt.Errorf("path: %w", err)
+	}
+	if q.Pick == 0 {
+		q.Pick = rand.Uint64()
+	}
+	m, ok := t.routes.Match(q)
+	if !ok {
+		return Target{}, ErrNoRoute
+	}
+	return Target{Service: t.services[m.Rule.Service], Pool: t.pools[m.Pool], Class: m.Class}, nil
+}
+
+// Refusal says that a request was not let in, and when to come back, if known.
+type Refusal struct {
+	Tenant     bool // the tenant asks for more than it may
+	RetryAfter time.Duration
+}
+
+func (r *Refusal) Error() string {
+	if r.Tenant {
+		return "the tenant's limit is reached"
+	}
+	return "the limit is reached"
+}
+
+// Pass lets one request in, from Enter to Leave.
+type Pass struct {
+	set    *Set
+	target Target
+	tenant string
+	bytes  int
+}
+
+// Enter lets a request in or refuses it with a *Refusal; it may wait in the
+// service's line for as long as that lets it, or until the context ends. Bytes is
+// what its body holds: room for an answer is taken with it, so that none fails
+// for want of it.
+func (s *Set) Enter(ctx context.Context, t Target, tenant string, bytes int) (*Pass, error) {
+	p := &Pass{set: s, target: t, bytes: bytes + core.MaxBody}
+	if s.budgets == nil {
+		return p, nil
+	}
+	name, err := t.Service.enter(ctx, s.clock(), tenant)
+	if err != nil {
+		return nil, s.bound(t, err)
+	}
+	p.tenant = name
+	if !s.budgets.take(t.Pool.Name, p.bytes) {
+		t.Service.leave(name)
+		return nil, s.bound(t, &Refusal{RetryAfter: t.Pool.own.retry})
+	}
+	return p, nil
+}
+
+// bound keeps a refusal's wait within what the pool's settings allow.
+func (s *Set) bound(t Target, err error) error {
+	if r, ok := err.(*Refusal); ok {
+		r.RetryAfter = min(r.RetryAfter, t.Pool.own.retry)
+	}
+	return err
+}
+
+// Leave ends a pass; served says how the request did.
+func (p *Pass) Leave(served bool) {
+	if p.set.budgets == nil {
+		return
+	}
+	p.set.budgets.give(p.target.Pool.Name, p.bytes)
+	p.target.Service.leave(p.tenant)
+	p.set.ended(p.target.Pool.own, served)
+}
+
+// enter passes the service's gate and returns the name that the tenant is counted
+// under.
+func (s *Service) enter(ctx context.Context, now time.Duration, tenant string) (string, error) {
+	s.mu.Lock()
+	tenant = s.gate.Tenant(tenant)
+	verdict, ticket, wait := s.gate.Arrive(now, tenant)
+	switch verdict {
+	case limit.Admitted:
+		s.mu.Unlock()
+		return tenant, nil
+	case limit.TooMany, limit.Crowded:
+		if wait == 0 {
+			wait = s.gate.QueueWait()
+		}
+		s.mu.Unlock()
+		return "", &Refusal{Tenant: verdict == limit.TooMany, RetryAfter: wait}
+	}
+	in := make(chan struct{})
+	s.lines[ticket] = in
+	t := time.NewTimer(s.gate.QueueWait())
+	s.mu.Unlock()
+	defer t.Stop()
+	var err error
+	select {
+	case <-in:
+		return tenant, nil
+	case <-t.C:
+		err = &Refusal{RetryAfter: s.gate.QueueWait()}
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.gate.Leave(ticket) {
+		return tenant, nil // let in at the last moment
+	}
+	delete(s.lines, ticket)
+	return "", err
+}
+
+func (s *Service) leave(tenant string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ticket := range s.gate.Done(tenant) {
+		close(s.lines[ticket])
+		delete(s.lines, ticket)
+	}
+}
+
+// budgets are what the pools share of requests and bytes. Requests bound the
+// goroutines as well: each has one, and one for each attempt that is out.
+type budgets struct {
+	mu              sync.Mutex
+	requests, bytes *limit.Budget
+}
+
+func (b *budgets) take(pool string, bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.requests.Take(pool, 1) {
+		return false
+	}
+	if !b.bytes.Take(pool, bytes) {
+		b.requests.Give(pool, 1)
+		return false
+	}
+	return true
+}
+
+func (b *budgets) give(pool string, bytes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests.Give(pool, 1)
+	b.bytes.Give(pool, bytes)
+}
+
+func (b *budgets) trouble(pool string, on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests.Trouble(pool, on)
+	b.bytes.Trouble(pool, on)
+}
+
+// configure lays the limits out anew.
+func (b *budgets) configure(m limit.Machine, guarantees func(total int) map[string]int) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	conns, held := m.Conns(), m.Held()
+	return errors.Join(b.requests.Configure(conns, guarantees(conns)), b.bytes.Configure(held, guarantees(held)))
+}
+
+// health is how a pool's requests end.
+type health struct {
+	mu sync.Mutex
+	limit.Health
+	trouble bool
+}
+
+// ended notes how a request did, and tells the budgets of a pool's trouble.
+func (s *Set) ended(o *owned, served bool) {
+	h := &o.health
+	h.mu.Lock()
+	was := h.trouble
+	h.trouble = h.Saw(s.clock(), served)
+	is := h.trouble
+	h.mu.Unlock()
+	if is == was {
+		return
+	}
+	s.trouble(o.name, is)
+	s.log.Info("pool in trouble", "pool", o.name, "trouble", is)
+}
+
+func (s *Set) trouble(pool string, is bool) {
+	s.budgets.trouble(pool, is)
+	s.room.Trouble(pool, is)
+}
+
+func (s *Set) clock() time.Duration { return time.Since(s.start) }
+
+// Set is all that a node serves.
+type Set struct {
+	log     *slog.Logger
+	start   time.Time
+	now     atomic.Pointer[table]
+	room    Room
+	budgets *budgets // nil where one pool has all to itself
+	make    MakeUpstream
+
+	mu    sync.Mutex // one configuration at a time
+	endBy time.Time
+	old   map[*owned]bool // pools that drain
+}
+
+// Room is where connections to servers are counted.
+type Room interface {
+	Configure(total int, guarantees map[string]int) error
+	Trouble(pool string, on bool)
+}
+
+// MakeUpstream makes a pool's upstream.
+type MakeUpstream func(p *config.Pool) core.Upstream
+
+// New makes a set of what a configuration names.
+func New(cfg *config.Config, room Room, upstream MakeUpstream, log *slog.Logger) (*Set, error) {
+	s := &Set{log: log, start: time.Now(), room: room, make: upstream, old: make(map[*owned]bool)}
+	if cfg.Budgets {
+		b := &budgets{}
+		b.requests, _ = limit.NewBudget(0, nil)
+		b.bytes, _ = limit.NewBudget(0, nil)
+		s.budgets = b
+	}
+	s.now.Store(&table{})
+	if err := s.Apply(cfg); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Apply puts a configuration in force, or changes nothing and says why. A pool
+// that did not change keeps all it has learned; one that did, or that is gone,
+// takes nothing more, and what it holds ends there.
+func (s *Set) Apply(cfg *config.Config) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	routes, err := cfg.Table()
+	if err != nil {
+		return fmt.Errorf("applying a configuration: %w", err)
+	}
+	was := s.now.Load()
+	guarantees := func(total int) map[string]int {
+		g := cfg.Guarantees(total)
+		for name := range was.pools {
+			g[name] += 0 // what drains still connects, but is guaranteed nothing
+		}
+		for o := range s.old {
+			g[o.name] += 0
+		}
+		return g
+	}
+	conns := cfg.Limits.Conns()
+	if err := s.room.Configure(conns, guarantees(conns)); err != nil {
+		return fmt.Errorf("applying a configuration: connections: %w", err)
+	}
+	if s.budgets != nil {
+		if err := s.budgets.configure(cfg.Limits, guarantees); err != nil {
+			return fmt.Errorf("applying a configuration: %w", err)
+		}
+	}
+	next := &table{routes: routes, services: make(map[string]*Service), pools: make(map[string]*Pool)}
+	for i := range cfg.Pools {
+		c := &cfg.Pools[i]
+		if p := was.pools[c.Name]; p != nil && p.own.update(c) {
+			next.pools[c.Name] = p
+			continue
+		}
+		next.pools[c.Name] = s.begin(c, cfg.Seed)
+		if s.budgets != nil {
+			s.trouble(c.Name, false) // the one before may have been
+		}
+	}
+	for i := range cfg.Services {
+		c := &cfg.Services[i]
+		sv := was.services[c.Name]
+		if sv == nil {
+			sv = &Service{Name: c.Name, TenantHeader: c.TenantHeader, gate: limit.NewGate(c.Gate), lines: make(map[uint64]chan struct{})}
+		} else {
+			sv = sv.configure(c)
+		}
+		next.services[c.Name] = sv
+	}
+	if !cfg.Budgets && len(cfg.Pools) == 1 && len(cfg.Services) == 1 {
+		next.only = &Target{Service: next.services[cfg.Services[0].Name], Pool: next.pools[cfg.Pools[0].Name]}
+	}
+	s.now.Store(next)
+	for name, p := range was.pools {
+		if next.pools[name] != p {
+			s.retire(p)
+		}
+	}
+	return nil
+}
+
+// configure gives the service under a new configuration. Who is in and who waits
+// stay; a service whose tenants are told apart by another header begins anew.
+func (s *Service) configure(c *config.Service) *Service {
+	if s.TenantHeader != c.TenantHeader {
+		return &Service{Name: c.Name, TenantHeader: c.TenantHeader, gate: limit.NewGate(c.Gate), lines: make(map[uint64]chan struct{})}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ticket := range s.gate.Configure(c.Gate) {
+		close(s.lines[ticket])
+		delete(s.lines, ticket)
+	}
+	return s
+}
+
+// retire lets a pool end what it holds and closes it then. Called under the lock.
+func (s *Set) retire(p *Pool) {
+	p.Retire()
+	if !s.endBy.IsZero() {
+		p.DrainBy(s.endBy)
+	}
+	s.old[p.own] = true
+	s.log.Info("pool drains", "pool", p.Name)
+	go func() {
+		<-p.Empty()
+		p.own.end()
+		s.mu.Lock()
+		delete(s.old, p.own)
+		s.mu.Unlock()
+		s.log.Info("pool drained", "pool", p.Name)
+	}()
+}
+
+// Pools names the pools in force.
+func (s *Set) Pools() []string {
+	var names []string
+	for name := range s.now.Load().pools {
+		names = append(names, name)
+	}
+	return names
+}
+
+// DrainBy moves all later deadlines forward: the process ends by then.
+func (s *Set) DrainBy(t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endBy = t
+	for _, p := range s.now.Load().pools {
+		p.DrainBy(t)
+	}
+	for o := range s.old {
+		o.pool.DrainBy(t)
+	}
+}
+
+// Close ends all pools. No request may be open.
+func (s *Set) Close() {
+	s.mu.Lock()
+	pools := s.now.Load().pools
+	old := make([]*owned, 0, len(s.old))
+	for o := range s.old {
+		old = append(old, o)
+	}
+	s.mu.Unlock()
+	for _, p := range pools {
+		p.own.end()
+	}
+	for _, o := range old {
+		o.end()
+	}
+}
--- /dev/null
+++ b/internal/standin/box.go
@@ -0,0 +1,271 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Mode is how a box behaves.
+type Mode uint8
+
+// A box serves, turns all work away while it drains, says nothing at all, answers
+// 500, resets connections once it has the request, or answers with noise.
+const (
+	Serving Mode = iota
+	Draining
+	Silent
+	Erring
+	Resetting
+	Spoiling
+)
+
+// BoxSettings say what a box can do.
+type BoxSettings struct {
+	Name     string
+	Speed    float64 // of a core, against the yardstick's; 0 stands for 1
+	Cores    int     // 0 stands for 1
+	Queue    int     // requests that may wait for a core; beyond them work is declined
+	ColdFrom float64 // part of its speed that it starts with; 0 for all
+	Warm     time.Duration
+	// Stops says that work under way ends when its attempt is called off.
+	Stops bool
+	// Work is what a request without Req-Cost takes on the yardstick.
+	Work time.Duration
+	// Window is how long repeats of an Idempotency-Key are dropped; 0 for never.
+	Window time.Duration
+}
+
+// Box is a server of stated speed, cores and queue. It takes its time asleep, so
+// that many fit one machine, and counts what has run.
+type Box struct {
+	BoxSettings
+	Addr string
+
+	srv   *http.Server
+	ln    net.Listener
+	cores chan struct{}
+	born  time.Time
+
+	mu      sync.Mutex
+	mode    Mode
+	waiting int
+	turned  chan struct{}  // closed at the next change of mode
+	effects map[string]int // by key, where there is one, or else by id
+	until   map[string]time.Time
+	counts  Counts
+}
+
+// Counts are what a box has seen.
+type Counts struct {
+	Asked    int // requests that came whole
+	Ran      int // work begun
+	Declined int
+	Dropped  int // repeats of a key
+}
+
+// NewBox starts a box.
+func NewBox(set BoxSettings) (*Box, error) {
+	ln, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	if set.Speed <= 0 {
+		set.Speed = 1
+	}
+	set.Cores = max(set.Cores, 1)
+	b := &Box{
+		BoxSettings: set, Addr: ln.Addr().String(), ln: ln, cores: make(chan struct{}, set.Cores), born: time.Now(),
+		turned: make(chan struct{}), effects: make(map[string]int), until: make(map[string]time.Time),
+	}
+	b.srv = &http.Server{Handler: b}
+	go func() { _ = b.srv.Serve(ln) }()
+	return b, nil
+}
+
+// Close kills the box: its connections break and new ones are refused.
+func (b *Box) Close() error { return b.srv.Close() }
+
+// Turn changes how the box behaves. What waits in silence goes on.
+func (b *Box) Turn(m Mode) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.mode = m
+	close(b.turned)
+	b.turned = make(chan struct{})
+}
+
+// Counts tells what the box has seen so far.
+func (b *Box) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counts
+}
+
+// Effects adds to sum how often each unsafe or keyed request has taken effect: by
+// its key, or its id where it has none.
+func (b *Box) Effects(sum map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, n := range b.effects {
+		sum[id] += n
+	}
+}
+
+// Entry is the box as discovery lists it.
+func (b *Box) Entry() Entry {
+	e := Hosts(b.Addr)[0]
+	if b.Name != "" {
+		e.Host = b.Name
+	}
+	if b.Warm > 0 {
+		e.BornMS = float64(b.born.UnixMilli())
+	}
+	return e
+}
+
+func (b *Box) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	b.counts.Asked++
+	mode, turned := b.mode, b.turned
+	b.mu.Unlock()
+	switch mode {
+	case Silent:
+		select {
+		case <-turned:
+		case <-r.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
+	case Draining:
+		b.decline(w)
+		return
+	case Resetting:
+		hangUp(w, "")
+		return
+	}
+	if !b.begin(r) {
+		b.decline(w)
+		return
+	}
+	defer func() { <-b.cores }()
+	if !b.run(r) {
+		return // called off while it waited
+	}
+	switch mode {
+	case Erring:
+		w.WriteHeader(http.StatusInternalServerError)
+	case Spoiling:
+		hangUp(w, "HTTP/1.1 2x0 what\r\nContent-Length: -1\r\n\r\n")
+	default:
+		text := r.Header.Get("Req-Id") + " " + string(body)
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+// begin takes a core, or says that there is no room to wait for one.
+func (b *Box) begin(r *http.Request) bool {
+	select {
+	case b.cores <- struct{}{}:
+		return true
+	default:
+	}
+	b.mu.Lock()
+	if b.waiting >= b.Queue {
+		b.mu.Unlock()
+		return false
+	}
+	b.waiting++
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		b.waiting--
+		b.mu.Unlock()
+	}()
+	select {
+	case b.cores <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// run does the work. It says false where nobody waits for it any more and
+// nothing has been done.
+func (b *Box) run(r *http.Request) bool {
+	if r.Context().Err() != nil {
+		return false
+	}
+	now := time.Now()
+	key := r.Header.Get("Idempotency-Key")
+	b.mu.Lock()
+	b.counts.Ran++
+	if id := r.Header.Get("Req-Id"); r.Method != http.MethodGet {
+		switch {
+		case key == "":
+			b.effects[id]++
+		case now.Before(b.until[key]):
+			b.counts.Dropped++
+		default:
+			b.effects[key]++
+			b.until[key] = now.Add(b.Window)
+		}
+	}
+	b.mu.Unlock()
+	work := b.Work
+	if us, err := strconv.ParseFloat(r.Header.Get("Req-Cost"), 64); err == nil && us > 0 {
+		work = time.Duration(us * float64(time.Microsecond))
+	}
+	ctx := context.Background()
+	if b.Stops {
+		ctx = r.Context()
+	}
+	t := time.NewTimer(time.Duration(float64(work) / (b.Speed * b.warmth(now))))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+// warmth is the part of its speed that the box has by now.
+func (b *Box) warmth(now time.Time) float64 {
+	if b.ColdFrom <= 0 || b.Warm <= 0 {
+		return 1
+	}
+	return min(1, b.ColdFrom+(1-b.ColdFrom)*float64(now.Sub(b.born))/float64(b.Warm))
+}
+
+func (b *Box) decline(w http.ResponseWriter) {
+	b.mu.Lock()
+	b.counts.Declined++
+	b.mu.Unlock()
+	w.Header().Set("Srv-Declined", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// hangUp writes some bytes in place of an answer and breaks the connection, or
+// leaves it open for good where there were any.
+func hangUp(w http.ResponseWriter, text string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if text != "" {
+		_, _ = io.WriteString(c, text)
+		return
+	}
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	c.Close()
+}
