Test budgets, buckets and the fair gate by properties

Never over the total, each guarantee to be had at any time, nothing leaked, no ticket lost; the properties found a reserve that a lone tenant could fill and a wait rounded down to too early.

--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -33,7 +33,8 @@
 		b.level--
 		return true, 0
 	}
-	return false, time.Duration(math.Ceil((1 - b.level) / b.Rate * float64(time.Second)))
+	// One more for what rounding loses.
+	return false, time.Duration(math.Ceil((1-b.level)/b.Rate*float64(time.Second))) + 1
 }
 
 // Back puts a token back that was taken for a request which another limit refused.
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"math"
 	"time"
 )
 
@@ -138,7 +137,7 @@
 		g.let(t)
 		return Admitted, 0, 0
 	}
-	if g.waiting >= g.set.Queue || g.share(t, float64(g.set.Queue)) <= t.waiters.Len() {
+	if !g.fits(t, t.waiters.Len(), g.waiting, g.set.Queue) {
 		if t.Concurrent > 0 && t.held >= t.Concurrent {
 			return TooMany, 0, 0
 		}
@@ -159,25 +158,24 @@
 	if t.Concurrent > 0 && t.held >= t.Concurrent {
 		return false
 	}
-	if g.set.Concurrent <= 0 {
-		return true
-	}
-	if g.held >= g.set.Concurrent {
-		return false
-	}
-	free := float64(g.set.Concurrent - g.held)
-	return len(g.set.Tenants) == 0 || free > reserve*float64(g.set.Concurrent) || t.held < g.share(t, float64(g.set.Concurrent))
+	return g.set.Concurrent <= 0 || g.fits(t, t.held, g.held, g.set.Concurrent)
 }
 
-// share is a tenant's part of so many places among those that hold or want any.
-func (g *Gate) share(t *tenant, places float64) int {
-	sum := t.weight()
+// fits says whether a tenant that holds so many of the places may have one more.
+// Some are in reserve for tenants below their share, and stay empty while these
+// ask for nothing: what one tenant has in work cannot be called back for another.
+func (g *Gate) fits(t *tenant, own, used, places int) bool {
+	if used >= places {
+		return false
+	}
+	if len(g.set.Tenants) == 0 || float64(places-used) > reserve*float64(places) {
+		return true
+	}
+	sum := 0.0
 	for _, o := range g.tenants {
-		if o != t && (o.held > 0 || o.waiters.Len() > 0) {
-			sum += o.weight()
-		}
+		sum += o.weight()
 	}
-	return int(math.Ceil(places * t.weight() / sum))
+	return float64(own) < float64(places)*t.weight()/sum
 }
 
 func (t *tenant) weight() float64 {
