--- a/cmd/jasperpin/main.go
+++ b/cmd/jasperpin/main.go
@@ -4,12 +4,13 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 )
 
 func main() {
-	if err := root().Execute(); err != nil {
+	if err := root().ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "jasperpin:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/cmd/jasperpin/tools_test.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// run runs the command line and gives what it prints.
+func run(args ...string) (string, error) {
+	var out bytes.Buffer
+	cmd := root()
+	cmd.SetOut(&out)
+	cmd.SetErr(&out)
+	cmd.SetArgs(args)
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+const example = "../../deploy/jasperpin.toml"
+
+func TestCheck(t *testing.T) {
+	if out, err := run("check", example); err != nil || !strings.Contains(out, "2 services, 4 routes, 3 pools") {
+		t.Errorf("%q, %v", out, err)
+	}
+	file := filepath.Join(t.TempDir(), "bad.toml")
+	if err := os.WriteFile(file, []byte("[node]\nlistn = 3\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := run("check", file); err == nil || !strings.Contains(err.Error(), "bad.toml:2: listn is no key of this table: did you mean listen?") {
+		t.Errorf("a bad file: %v", err)
+	}
+	if _, err := run("check", file+".none"); err == nil {
+		t.Error("a file that is not there passes")
+	}
+}
+
+func TestRoute(t *testing.T) {
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"GET", "http://orders.example.org/look/7"}, "service orders\npool    orders\nclass   look\nbecause host orders.example.org, any path (jasperpin.toml:"},
+		{[]string{"GET", "/look/7", "-H", "Host: B.ORDERS.example.org:8080"}, "because host *.orders.example.org"},
+		{[]string{"POST", "http://stock.example.org/counts/1"}, "path prefix /counts/, method POST, taken as class count"},
+		{[]string{"GET", "http://stock.example.org"}, "weight 5 of 100"},
+		{[]string{"GET", "http://orders.example.org/none"}, "which the pool does not have: answered 404"},
+	} {
+		if out, err := run(append([]string{"route", example}, c.args...)...); err != nil || !strings.Contains(out, c.want) {
+			t.Errorf("%v: %q, %v", c.args, out, err)
+		}
+	}
+	for _, args := range [][]string{{"GET", "http://other.example.org/"}, {"GET", "http://a b/"}, {"GET", "look"}, {"GET", "http://orders.example.org/a/../b"}, {"GET", "/", "-H", "host"}} {
+		if out, err := run(append([]string{"route", example}, args...)...); err == nil {
+			t.Errorf("%v passes: %q", args, out)
+		}
+	}
+}
+
+func TestVersionAndCompletion(t *testing.T) {
+	if out, err := run("version"); err != nil || !strings.HasPrefix(out, "jasperpin ") {
+		t.Errorf("%q, %v", out, err)
+	}
+	if out, err := run("completion", "bash"); err != nil || !strings.Contains(out, "jasperpin") {
+		t.Errorf("%d bytes, %v", len(out), err)
+	}
+}
+
+// TestNothingToServe names what the user can mend.
+func TestNothingToServe(t *testing.T) {
+	t.Setenv("GW_CONFIG", "")
+	if _, err := run(); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -61,7 +61,7 @@
 func (c *Config) Guarantees(total int) map[string]int {
 	g := make(map[string]int, len(c.Pools))
 	for i := range c.Pools {
-		g[c.Pools[i].Name] = int(c.Pools[i].Share * float64(total))
+		g[c.Pools[i].Name] = int(c.Pools[i].Share*float64(total) + 1e-6) // what rounding loses
 	}
 	return g
 }
@@ -391,7 +391,7 @@
 	}
 	for _, class := range []string{r.As, r.Class} {
 		if _, ok := p.Classes[class]; !ok && class != "" && (class == r.As || r.As == "") {
-			t.fail(key, "pool %q has no class %q: want %s", pool, class, oneOf(slices.Sorted(maps.Keys(p.Classes))))
+			t.fail(key, "%q has no class %q: want %s", pool, class, oneOf(slices.Sorted(maps.Keys(p.Classes))))
 		}
 	}
 }
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,182 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"jasperpin/decide"
+	"jasperpin/internal/route"
+)
+
+func example(t testing.TB) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/jasperpin.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// TestExample reads the documented example as it says.
+func TestExample(t *testing.T) {
+	c, err := Parse("jasperpin.toml", []byte(example(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "edge-1" || len(c.Listen) != 1 || c.Limits.Memory != 256<<20 || c.Limits.Descriptors != 1024 {
+		t.Errorf("node: %+v", c)
+	}
+	if len(c.Pools) != 3 || len(c.Services) != 2 {
+		t.Fatalf("%d pools, %d services", len(c.Pools), len(c.Services))
+	}
+	orders, next := c.Pools[0], c.Pools[2]
+	if orders.Plain || orders.Share != 0.4 || orders.Discovery != "127.0.0.1:8500" || !orders.Settings.Ask {
+		t.Errorf("orders: %+v", orders)
+	}
+	if got := orders.Settings; got.StartShare != 0.13 || got.WarmWithin != 23*time.Second || got.RetryAfterMost != 2*time.Second {
+		t.Errorf("orders: %+v", got)
+	}
+	if got := orders.Settings.Classes[orders.Classes["order"]]; got.Effect != decide.Guarded || got.Window != 12*time.Second || got.Worth != 5 {
+		t.Errorf("order: %+v", got)
+	}
+	if got := orders.Settings.Classes[orders.Classes["credit"]]; got.Effect != decide.SingleShot || got.Aim != 2500*time.Millisecond {
+		t.Errorf("credit: %+v", got)
+	}
+	if !next.Plain || next.Servers[1].Condition != decide.Draining || next.Servers[0].Share != 2 || next.Share != 0.25 {
+		t.Errorf("stock-next: %+v", next)
+	}
+	table, err := c.Table()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, ok := table.Match(route.Query{Host: "stock.example.org", Path: "/counts/7", Method: "POST"})
+	if !ok || m.Pool != "stock" || m.Class != "count" || !strings.HasPrefix(m.Rule.Origin, "jasperpin.toml:") {
+		t.Errorf("got %+v", m)
+	}
+}
+
+const small = `[node]
+listen = ["127.0.0.1:0"]
+[[service]]
+name = "s"
+[[service.route]]
+pool = "p"
+[[pool]]
+name = "p"
+servers = ["127.0.0.1:1"]
+[[pool.class]]
+name = "look"
+repeat = "safe"
+`
+
+// TestMistakes spoils a good file: each mistake is told with its line and with
+// what was expected.
+func TestMistakes(t *testing.T) {
+	if _, err := Parse("f", []byte(small)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ was, is, want string }{
+		{`listen = ["127.0.0.1:0"]`, `listen = "127.0.0.1:0"`, `f:2: listen is "127.0.0.1:0": want an array`},
+		{`listen = ["127.0.0.1:0"]`, `listen = ["somewhere"]`, `f:2: listen is "somewhere": want an address and port`},
+		{`listen = ["127.0.0.1:0"]`, `lisen = ["127.0.0.1:0"]`, `f:2: lisen is no key of this table: did you mean listen?`},
+		{`listen = ["127.0.0.1:0"]`, ``, `f:1: listen is missing`},
+		{`listen = ["127.0.0.1:0"]`, `listen = ["127.0.0.1:0"]` + "\n[limits]\nmemory = \"1XB\"", `f:4: memory is "1XB": want a size with its unit`},
+		{`listen = ["127.0.0.1:0"]`, `listen = ["127.0.0.1:0"]` + "\n[limits]\ndescriptors = 3", `f:4: descriptors is 3: want a whole number from 128`},
+		{`pool = "p"`, `pool = "q"`, `f:6: pool "q" is no pool of this file: want one of p`},
+		{`pool = "p"`, `pools = [{ name = "p", weight = -1 }]`, `f:6: weight is -1: want a whole number from 0`},
+		{`pool = "p"`, `pool = "p"` + "\nas = \"page\"", `f:6: pool "p" has no class "page": want one of look`},
+		{`pool = "p"`, `pool = "p"` + "\npath = \"look\"", `f:7: path is "look": want a prefix that begins with /`},
+		{`pool = "p"`, `pool = "p"` + "\nhosts = [\"A.example.org\"]", `f:5: route: host "A.example.org": want "a.example.org"`},
+		{`pool = "p"`, `pool = "p"` + "\n[[service.route]]\npool = \"p\"", `f:7: route: matches the same as the route at f:5`},
+		{`servers = ["127.0.0.1:1"]`, ``, `f:7: servers is missing`},
+		{`servers = ["127.0.0.1:1"]`, `servers = ["127.0.0.1:1", "127.0.0.1:1"]`, `f:9: servers names 127.0.0.1:1 twice`},
+		{`servers = ["127.0.0.1:1"]`, `servers = ["127.0.0.1:1"]` + "\ndiscovery = \"127.0.0.1:2\"", `f:10: discovery stands beside a list of servers`},
+		{`servers = ["127.0.0.1:1"]`, `servers = ["127.0.0.1:1"]` + "\nkeepalive = 15", `f:10: keepalive is 15: want a time with its unit`},
+		{`servers = ["127.0.0.1:1"]`, `servers = ["127.0.0.1:1"]` + "\nshare = 1.5", `f:10: share is 1.5: want a number from 0 to 1`},
+		{`repeat = "safe"`, `repeat = "maybe"`, `f:12: repeat is "maybe": want one of safe, keyed, never`},
+		{`repeat = "safe"`, `repeat = "keyed"`, `f:10: remember is missing`},
+		{`repeat = "safe"`, `repeat = "safe"` + "\naim = \"9s\"\ndeadline = \"1s\"", `f:13: aim is 9s, longer than the deadline of 1s`},
+		{`repeat = "safe"`, `repeat = "safe"` + "\n[[pool]]\nname = \"p\"", `f:14: name "p" is used twice`},
+		{`repeat = "safe"`, `repeat = "safe"` + "\n[[service]]\nname = \"s\"", `f:14: name "s" is used twice`},
+		{`repeat = "safe"`, `repeat = `, `f:12: not TOML`},
+		{`repeat = "safe"`, `repeat = "safe"` + "\nrepeat = \"safe\"", `not TOML`},
+	} {
+		_, err := Parse("f", []byte(strings.Replace(small, c.was, c.is, 1)))
+		if ms := (Mistakes)(nil); !errors.As(err, &ms) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s:\n got %v\nwant %s", c.is, err, c.want)
+		}
+	}
+}
+
+// TestAllAtOnce tells every mistake of a file, in the order of its lines.
+func TestAllAtOnce(t *testing.T) {
+	text := strings.NewReplacer(`"127.0.0.1:0"`, `7`, `pool = "p"`, `pool = "q"`, `"127.0.0.1:1"`, `"x"`, `"safe"`, `"maybe"`).Replace(small)
+	_, err := Parse("f", []byte(text))
+	ms := (Mistakes)(nil)
+	if !errors.As(err, &ms) {
+		t.Fatal(err)
+	}
+	at := 0
+	for _, line := range []int{2, 6, 9, 12} {
+		found := false
+		for ; at < len(ms) && !found; at++ {
+			found = ms[at].Line == line
+		}
+		if !found {
+			t.Errorf("line %d is not among, or not in order: %v", line, err)
+		}
+	}
+}
+
+// TestShares gives pools without a share an equal part of half the limits, or of
+// what is left.
+func TestShares(t *testing.T) {
+	pool := func(name, share string) string {
+		return fmt.Sprintf("[[pool]]\nname = %q\nservers = [\"127.0.0.1:1\"]\n%s\n[[pool.class]]\nname = \"look\"\nrepeat = \"safe\"\n", name, share)
+	}
+	c, err := Parse("f", []byte(small+pool("a", "share = 0.8")+pool("b", "")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := c.Guarantees(100)
+	if g["a"] != 80 || g["b"] != 10 || g["p"] != 10 {
+		t.Errorf("got %v", g)
+	}
+	if _, err := Parse("f", []byte(small+pool("a", "share = 0.8")+pool("b", "share = 0.3"))); err == nil {
+		t.Error("shares over the whole pass")
+	}
+}
+
+// FuzzParse never panics, names every mistake's line within the file, and what it
+// takes has a table and guarantees that fit.
+func FuzzParse(f *testing.F) {
+	f.Add(small)
+	f.Add(example(f))
+	f.Add("[node]\nlisten = 3\n[[pool]]\n[[pool.class]]\n[service]\n")
+	f.Add("a.b = 1\n[a.b.c]\n[[x]]\n[[x.y]]\n[x.y.z]\nq = [{r = [1, {s = 2}]}]")
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := Parse("f", []byte(text))
+		if err != nil {
+			for _, m := range err.(Mistakes) {
+				if m.Line < 0 || m.Line > strings.Count(text, "\n")+1 || m.Text == "" {
+					t.Errorf("mistake %+v in %d lines", m, strings.Count(text, "\n")+1)
+				}
+			}
+			return
+		}
+		if _, err := c.Table(); err != nil {
+			t.Errorf("no table: %v", err)
+		}
+		sum := 0
+		for _, n := range c.Guarantees(1000) {
+			sum += n
+		}
+		if sum > 1000 {
+			t.Errorf("guarantees of %d in 1000", sum)
+		}
+	})
+}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -62,8 +64,9 @@
 
 // Counts are what a box has seen.
 type Counts struct {
-	Asked    int // requests that came whole
-	Ran      int // work begun
+	Asked    int            // requests that came whole
+	Class    map[string]int // of these, by the path's first part
+	Ran      int            // work begun
 	Declined int
 	Dropped  int // repeats of a key
 }
@@ -81,6 +84,7 @@
 	b := &Box{
 		BoxSettings: set, Addr: ln.Addr().String(), ln: ln, cores: make(chan struct{}, set.Cores), born: time.Now(),
 		turned: make(chan struct{}), effects: make(map[string]int), until: make(map[string]time.Time),
+		counts: Counts{Class: make(map[string]int)},
 	}
 	b.srv = &http.Server{Handler: b}
 	go func() { _ = b.srv.Serve(ln) }()
@@ -103,7 +107,9 @@
 func (b *Box) Counts() Counts {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.counts
+	c := b.counts
+	c.Class = maps.Clone(c.Class)
+	return c
 }
 
 // Effects adds to sum how often each unsafe or keyed request has taken effect: by
@@ -135,6 +141,10 @@
 	}
 	b.mu.Lock()
 	b.counts.Asked++
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if len(b.counts.Class) < 100 || b.counts.Class[class] > 0 {
+		b.counts.Class[class]++
+	}
 	mode, turned := b.mode, b.turned
 	b.mu.Unlock()
 	switch mode {
