Test services over loopback: neighbours in trouble, floods, reloads, hosts, caps

Each hard case of several services in one process has a test: a neighbour at eight times its capacity or silent, a crowd that reads nothing, a tenant that floods, 50 reloads under load (none lost, none twice, the unchanged pool keeps its one connection), hosts in every form, one Req-Id in two services, a dead discovery, budgets at their cap.

--- /dev/null
+++ b/internal/node/services_test.go
@@ -0,0 +1,550 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+const testClasses = `
+[[pool.class]]
+name = "look"
+repeat = "safe"
+aim = "10s"
+deadline = "20s"
+[[pool.class]]
+name = "order"
+repeat = "keyed"
+remember = "60s"
+aim = "10s"
+deadline = "20s"
+[[pool.class]]
+name = "credit"
+repeat = "never"
+aim = "10s"
+deadline = "20s"
+`
+
+// pool is a pool in the file's words.
+func pool(name, lines string, servers ...string) string {
+	text := "[[pool]]\nname = \"" + name + "\"\nprotocol = \"platform\"\n" + lines + "\n"
+	if len(servers) > 0 {
+		text += "servers = [\"" + strings.Join(servers, "\", \"") + "\"]\n"
+	}
+	return text + testClasses
+}
+
+// svc is a service in the file's words, under the host NAME.example.org and
+// before the pool of its name.
+func svc(name, lines string) string {
+	return fmt.Sprintf("[[service]]\nname = %q\n%s\n[[service.route]]\nhosts = [\"%s.example.org\"]\npool = %q\n", name, lines, name, name)
+}
+
+const nodeText = "[node]\nlisten = [\"127.0.0.1:0\"]\n[limits]\nmemory = \"64MB\"\ndescriptors = 512\n"
+
+// startServices runs a node by a file of the operator's.
+func startServices(t *testing.T, text string) *testNode {
+	t.Helper()
+	return startServicesWithin(t, 512, text)
+}
+
+// startServicesWithin runs one with so many descriptors.
+func startServicesWithin(t *testing.T, descriptors int, text string) *testNode {
+	t.Helper()
+	n := &testNode{t: t, file: filepath.Join(t.TempDir(), "node.toml"), hup: make(chan os.Signal, 1), ended: make(chan error, 1), logged: &check.Log{}}
+	n.writeText(strings.Replace(nodeText, "512", fmt.Sprint(descriptors), 1) + text)
+	n.begin(File(n.file))
+	return n
+}
+
+// reloaded replaces the file, reloads and waits until it is in force.
+func (n *testNode) reloaded(text string) {
+	n.t.Helper()
+	was := strings.Count(n.logged.String(), "msg=reloaded")
+	n.writeText(nodeText + text)
+	n.reload()
+	check.Eventually(n.t, "the file is in force", func() bool { return strings.Count(n.logged.String(), "msg=reloaded") > was })
+}
+
+// at addresses a request to a service's host.
+func at(service, text string) string {
+	return strings.Replace(text, "Host: h\r", "Host: "+service+".example.org\r", 1)
+}
+
+func box(t *testing.T, set standin.BoxSettings) *standin.Box {
+	t.Helper()
+	return check.Owned(t, func() (*standin.Box, error) { return standin.NewBox(set) })
+}
+
+// calm asks a service one request after another until stop, and reports how many
+// were answered, and the slowest.
+func (n *testNode) calm(service string, stop <-chan struct{}) (asked int, worst time.Duration) {
+	c := n.dial()
+	br := bufio.NewReader(c)
+	for {
+		select {
+		case <-stop:
+			return asked, worst
+		default:
+		}
+		asked++
+		began := time.Now()
+		if status, body, _ := n.ask(c, br, at(service, look(fmt.Sprint("calm", asked)))); status != 200 {
+			n.t.Errorf("calm request %d: %d %q", asked, status, body)
+			return asked, worst
+		}
+		worst = max(worst, time.Since(began))
+	}
+}
+
+// TestTroubleStaysInItsPool has one service overloaded, or before servers that say
+// nothing: beside it another answers every request.
+func TestTroubleStaysInItsPool(t *testing.T) {
+	for name, mode := range map[string]standin.Mode{"overloaded": standin.Serving, "silent": standin.Silent} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			slow := box(t, standin.BoxSettings{Cores: 1, Queue: 4, Work: 20 * time.Millisecond})
+			slow.Turn(mode)
+			quick := check.Raw(t, standin.Echo)
+			n := startServices(t, svc("orders", "")+svc("stock", "")+pool("orders", "", slow.Addr)+pool("stock", "", quick.Addr))
+			l := &standin.Load{
+				Addr: n.addr, Host: "orders.example.org", Rate: 400, For: 2 * time.Second, Seed: 5,
+				Kinds: []standin.Kind{{Class: "credit", Path: "/credit/", Method: "POST", Share: 1, Work: 20 * time.Millisecond, Aim: 500 * time.Millisecond, Deadline: time.Second}},
+			}
+			running := l.Start(t.Context())
+			stop := make(chan struct{})
+			tallies := make(chan map[string]*standin.Tally, 1)
+			go func() {
+				tallies <- running.Wait()
+				close(stop)
+			}()
+			asked, worst := n.calm("stock", stop)
+			if worst > 5*time.Second {
+				t.Errorf("the slowest of %d calm requests took %v", asked, worst)
+			}
+			got := (<-tallies)["credit"]
+			if got.Ends[standin.Lost]+got.Ends[standin.Wrong] > 0 || got.Asked == 0 {
+				t.Errorf("orders: %+v", got.Ends)
+			}
+			if mode == standin.Serving && got.Ends[standin.Refused] == 0 {
+				t.Errorf("nothing was refused at many times the capacity: %+v", got.Ends)
+			}
+			sum := make(map[string]int)
+			slow.Effects(sum)
+			for id, ran := range sum {
+				if ran > 1 {
+					t.Errorf("%s ran %d times", id, ran)
+				}
+			}
+		})
+	}
+}
+
+// TestSlowReaders has a crowd ask one service for long answers and read none of
+// them: another service answers on.
+func TestSlowReaders(t *testing.T) {
+	long := check.Raw(t, standin.Respond("HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n"+strings.Repeat("z", 65536)))
+	quick := check.Raw(t, standin.Echo)
+	n := startServicesWithin(t, 128, svc("orders", "")+svc("stock", "")+pool("orders", "share = 0.2", long.Addr)+pool("stock", "share = 0.5", quick.Addr))
+	for i := range 250 {
+		c := n.dial()
+		if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for j := range 200 { // pipelined: the answers fill every buffer on the way
+				if _, err := io.WriteString(c, at("orders", look(fmt.Sprintf("s%d-%d", i, j)))); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	last, since := int64(0), time.Now()
+	check.Eventually(t, "the crowd is stuck", func() bool {
+		if got := long.Got.Load(); got != last {
+			last, since = got, time.Now()
+		}
+		return last > 0 && time.Since(since) > 500*time.Millisecond
+	})
+	for i := range 20 {
+		began := time.Now()
+		if status, _, _ := n.once(at("stock", look(fmt.Sprint("q", i)))); status != 200 {
+			t.Fatalf("beside the crowd: %d", status)
+		}
+		if took := time.Since(began); took > 5*time.Second {
+			t.Fatalf("beside the crowd: after %v", took)
+		}
+	}
+}
+
+// TestFloodingTenant has one tenant hold all it can: it is told 429 or 503 with
+// when to come back, and another tenant is served.
+func TestFloodingTenant(t *testing.T) {
+	release := make(chan struct{})
+	s := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Header.Get("Req-Owner") == "flood" {
+			<-release
+		}
+		return standin.Echo(c, r, body)
+	})
+	const limits = "tenant_header = \"Req-Owner\"\nconcurrent = 20\nqueue = 5\nqueue_wait = \"50ms\"\n" +
+		"[[service.tenant]]\nname = \"flood\"\n[[service.tenant]]\nname = \"quiet\"\n[[service.tenant]]\nname = \"metered\"\nrate = 0.5\n"
+	n := startServices(t, svc("orders", limits)+pool("orders", "", s.Addr))
+	of := func(tenant, id string) string {
+		return at("orders", strings.Replace(look(id), "Req-Id", "Req-Owner: "+tenant+"\r\nReq-Id", 1))
+	}
+	var flood sync.WaitGroup
+	var refused atomic.Int64
+	for i := range 60 {
+		flood.Go(func() {
+			switch status, _, h := n.once(of("flood", fmt.Sprint("f", i))); {
+			case status == 503 && h.Get("Retry-After") != "":
+				refused.Add(1)
+			case status != 200:
+				t.Errorf("the flood is answered %d, Retry-After %q", status, h.Get("Retry-After"))
+			}
+		})
+	}
+	check.Eventually(t, "the flood is held back", func() bool { return refused.Load() >= 40 })
+	if got := s.Got.Load(); got > 16 {
+		t.Errorf("%d of the flood's requests went on, 16 of the 20 places are its", got)
+	}
+	for i := range 10 {
+		if status, _, _ := n.once(of("quiet", fmt.Sprint("q", i))); status != 200 {
+			t.Errorf("beside the flood: %d", status)
+		}
+	}
+	if status, _, _ := n.once(of("metered", "m1")); status != 200 {
+		t.Errorf("the first within its rate: %d", status)
+	}
+	if status, _, h := n.once(of("metered", "m2")); status != 429 || h.Get("Retry-After") == "" {
+		t.Errorf("over its rate: %d, Retry-After %q", status, h.Get("Retry-After"))
+	}
+	close(release)
+	flood.Wait()
+}
+
+// TestReloadsUnderLoad removes, adds back and changes a pool 50 times while
+// requests are in flight: none is lost, none runs twice, and the pool that did not
+// change keeps its connections.
+func TestReloadsUnderLoad(t *testing.T) {
+	a, b := box(t, standin.BoxSettings{Cores: 64, Work: 3 * time.Millisecond}), box(t, standin.BoxSettings{Cores: 64, Work: 3 * time.Millisecond})
+	stock := check.Raw(t, standin.Echo)
+	rest := svc("stock", "") + pool("stock", "", stock.Addr)
+	files := []string{
+		rest + svc("orders", "") + pool("orders", "", a.Addr),
+		rest,
+		rest + svc("orders", "") + pool("orders", "attempts = 2", a.Addr, b.Addr),
+		rest + svc("orders", "concurrent = 500") + pool("orders", "attempts = 2", b.Addr),
+	}
+	n := startServices(t, files[0])
+	if status, _, _ := n.once(at("stock", look("first"))); status != 200 {
+		t.Fatal(status)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	// A request that finds no service is answered 404, which the tally takes for failed.
+	l := &standin.Load{
+		Addr: n.addr, Host: "orders.example.org", Rate: 300, For: time.Minute, Seed: 9,
+		Kinds: []standin.Kind{
+			{Class: "credit", Path: "/credit/", Method: "POST", Share: 1, Work: 3 * time.Millisecond, Aim: 10 * time.Second, Deadline: 20 * time.Second},
+			{Class: "look", Path: "/look/", Method: "GET", Share: 1, Work: 3 * time.Millisecond, Aim: 10 * time.Second, Deadline: 20 * time.Second},
+		},
+	}
+	running := l.Start(ctx)
+	for i := range 50 {
+		n.reloaded(files[(i+1)%len(files)])
+		sent := running.Sent.Load()
+		check.Eventually(t, "requests meet the new file", func() bool { return running.Sent.Load() > sent+2 })
+		if status, _, _ := n.once(at("stock", look(fmt.Sprint("s", i)))); status != 200 {
+			t.Fatalf("the other service after reload %d: %d", i, status)
+		}
+	}
+	check.Eventually(t, "what was sent has ended", func() bool { return running.Ended.Load() >= running.Sent.Load()-2 })
+	sent := running.Sent.Load()
+	cancel()
+	tallies := running.Wait()
+	all := standin.Tally{}
+	for _, tally := range tallies {
+		all.Add(tally)
+	}
+	// The last few are cut off by the end of the load itself.
+	if lost := all.Ends[standin.Lost] + all.Ends[standin.Wrong]; lost > 0 || all.Ends[standin.InTime] == 0 {
+		t.Errorf("of %d: %v", sent, all.Ends)
+	}
+	sum := make(map[string]int)
+	a.Effects(sum)
+	b.Effects(sum)
+	for id, ran := range sum {
+		if ran > 1 {
+			t.Errorf("%s ran %d times", id, ran)
+		}
+	}
+	if got := stock.Conns.Load(); got != 1 {
+		t.Errorf("the pool that did not change connected %d times", got)
+	}
+	check.Eventually(t, "all that was removed has drained", func() bool {
+		return strings.Count(n.logged.String(), "msg=\"pool drains\"") == strings.Count(n.logged.String(), "msg=\"pool drained\"")
+	})
+}
+
+// TestReloadEndsWhereItBegan removes a pool while a request is in flight.
+func TestReloadEndsWhereItBegan(t *testing.T) {
+	release := make(chan struct{})
+	old := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		<-release
+		return standin.Echo(c, r, body)
+	})
+	fresh := check.Raw(t, standin.Echo)
+	n := startServices(t, svc("orders", "")+pool("orders", "", old.Addr))
+	got := make(chan string, 1)
+	go func() {
+		status, body, _ := n.once(at("orders", post("credit", "c1", "", "x")))
+		got <- fmt.Sprint(status, " ", body)
+	}()
+	check.Eventually(t, "the request is out", func() bool { return old.Got.Load() == 1 })
+	n.reloaded(svc("orders", "") + pool("orders", "attempts = 1", fresh.Addr))
+	if status, _, _ := n.once(at("orders", look("c2"))); status != 200 || fresh.Got.Load() != 1 {
+		t.Errorf("after the reload: %d, %d at the new server", status, fresh.Got.Load())
+	}
+	close(release)
+	if got := <-got; got != "200 c1 x" {
+		t.Errorf("the request in flight: %s", got)
+	}
+	if old.Got.Load() != 1 {
+		t.Errorf("the old server got %d", old.Got.Load())
+	}
+}
+
+// TestBadFileChangesNothing reloads a file with mistakes.
+func TestBadFileChangesNothing(t *testing.T) {
+	s := check.Raw(t, standin.Echo)
+	good := svc("orders", "") + pool("orders", "", s.Addr)
+	n := startServices(t, good)
+	for i, bad := range []string{"", good + "[[pool]]\nname = \"x\"\n", strings.Replace(good, `pool = "orders"`, `pool = "none"`, 1), "=", good + svc("orders", "")} {
+		n.writeText(nodeText + bad)
+		n.reload()
+		check.Eventually(t, "the log says why", func() bool { return strings.Count(n.logged.String(), "reload failed") == i+1 })
+		if status, _, _ := n.once(at("orders", look(fmt.Sprint("b", i)))); status != 200 {
+			t.Errorf("after bad file %d: %d", i, status)
+		}
+	}
+	if got := s.Conns.Load(); got != 1 {
+		t.Errorf("%d connections to the server, want the one it began with", got)
+	}
+}
+
+// TestHosts sends hosts in every form.
+func TestHosts(t *testing.T) {
+	orders, stock := check.Raw(t, standin.Respond("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\norders")), check.Raw(t, standin.Respond("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstock"))
+	n := startServices(t, svc("orders", "")+svc("stock", "")+pool("orders", "", orders.Addr)+pool("stock", "", stock.Addr))
+	request := func(target, headers string) string {
+		return "GET " + target + " HTTP/1.1\r\n" + headers + "Req-Id: h\r\nReq-Deadline-Ms: 5000\r\nConnection: close\r\n\r\n"
+	}
+	for name, c := range map[string]struct{ text, want string }{
+		"plain":             {request("/look/1", "Host: orders.example.org\r\n"), "200 orders"},
+		"with port":         {request("/look/1", "Host: stock.example.org:8080\r\n"), "200 stock"},
+		"upper case":        {request("/look/1", "Host: STOCK.Example.Org\r\n"), "200 stock"},
+		"with the root":     {request("/look/1", "Host: stock.example.org.\r\n"), "200 stock"},
+		"missing":           {request("/look/1", ""), "400"},
+		"empty":             {request("/look/1", "Host:\r\n"), "404"},
+		"doubled":           {request("/look/1", "Host: orders.example.org\r\nHost: stock.example.org\r\n"), "400"},
+		"doubled alike":     {request("/look/1", "Host: orders.example.org\r\nHost: orders.example.org\r\n"), "400"},
+		"unknown":           {request("/look/1", "Host: other.example.org\r\n"), "404"},
+		"not a host":        {request("/look/1", "Host: orders.example.org/x\r\n"), "400"},
+		"bad port":          {request("/look/1", "Host: orders.example.org:x\r\n"), "400"},
+		"absolute form":     {request("http://stock.example.org/look/1", "Host: stock.example.org\r\n"), "200 stock"},
+		"absolute, another": {request("http://stock.example.org/look/1", "Host: orders.example.org\r\n"), "200 stock"}, // RFC 9112, 3.2.2
+		"dots":              {request("/look/../order/1", "Host: orders.example.org\r\n"), "400"},
+		"escaped dots":      {request("/look/%2e%2E/order/1", "Host: orders.example.org\r\n"), "400"},
+		"no class":          {request("/nothing/1", "Host: orders.example.org\r\n"), "404"},
+	} {
+		got := n.exchange(c.text)
+		status, want, _ := strings.Cut(c.want, " ")
+		if !strings.HasPrefix(got, "HTTP/1.1 "+status) || !strings.HasSuffix(got, want) {
+			t.Errorf("%s: %q, want %s", name, got, c.want)
+		}
+	}
+	for head := range drained(stock.Heads) {
+		if strings.HasPrefix(head.RequestURI, "http") || head.Host == "orders.example.org" {
+			t.Errorf("stock got %q for host %q", head.RequestURI, head.Host)
+		}
+	}
+}
+
+// drained gives what a channel holds by now.
+func drained[T any](c <-chan T) func(yield func(T) bool) {
+	return func(yield func(T) bool) {
+		for len(c) > 0 {
+			if !yield(<-c) {
+				return
+			}
+		}
+	}
+}
+
+// TestOneNameInTwoServices has one Req-Id open in two services: each is its own.
+func TestOneNameInTwoServices(t *testing.T) {
+	release := make(chan struct{})
+	hold := func(c net.Conn, r *http.Request, body []byte) bool {
+		<-release
+		return standin.Echo(c, r, body)
+	}
+	a, b := check.Raw(t, hold), check.Raw(t, hold)
+	n := startServices(t, svc("orders", "")+svc("stock", "")+pool("orders", "", a.Addr)+pool("stock", "", b.Addr))
+	got := make(chan int, 2)
+	for _, service := range []string{"orders", "stock"} {
+		go func() {
+			status, _, _ := n.once(at(service, look("same")))
+			got <- status
+		}()
+	}
+	check.Eventually(t, "both are out", func() bool { return a.Got.Load() == 1 && b.Got.Load() == 1 })
+	if status, _, _ := n.once(at("stock", look("same"))); status != http.StatusConflict {
+		t.Errorf("a third, in use in its own service: %d", status)
+	}
+	close(release)
+	for range 2 {
+		if status := <-got; status != 200 {
+			t.Errorf("answered %d", status)
+		}
+	}
+}
+
+// TestDeadDiscoveryOfOnePool leaves one pool without any list: its requests are
+// refused at once, and the other pool follows its own discovery.
+func TestDeadDiscoveryOfOnePool(t *testing.T) {
+	s := check.Raw(t, standin.Echo)
+	d := discovery(t, s.Addr)
+	n := startServices(t, svc("orders", "")+svc("stock", "")+
+		pool("orders", fmt.Sprintf("discovery = %q", check.Unused(t)))+pool("stock", fmt.Sprintf("discovery = %q", d.Addr)))
+	id := 0
+	check.Eventually(t, "the pool with a discovery serves", func() bool {
+		id++
+		status, _, _ := n.once(at("stock", look(fmt.Sprint("d", id))))
+		return status == 200
+	})
+	status, _, h := n.once(at("orders", post("credit", "o1", "", "x")))
+	if status != http.StatusServiceUnavailable || h.Get("Retry-After") == "" {
+		t.Errorf("without servers: %d, Retry-After %q", status, h.Get("Retry-After"))
+	}
+	// Its discovery comes up elsewhere: the same pool follows it.
+	d2 := discovery(t, s.Addr)
+	n.reloaded(svc("orders", "") + svc("stock", "") + pool("orders", fmt.Sprintf("discovery = %q", d2.Addr)) + pool("stock", fmt.Sprintf("discovery = %q", d.Addr)))
+	check.Eventually(t, "the pool is served by its new discovery", func() bool {
+		id++
+		status, _, _ := n.once(at("orders", look(fmt.Sprint("d", id))))
+		return status == 200
+	})
+}
+
+// TestPlainHTTP serves HTTP at large: any status under 500 is passed on, requests
+// need no name, and methods go by what repeating them would do.
+func TestPlainHTTP(t *testing.T) {
+	s := check.Owned(t, func() (*standin.Raw, error) {
+		return standin.NewRaw(func(c net.Conn, r *http.Request, body []byte) bool {
+			status := strings.TrimPrefix(r.URL.Path, "/")
+			text := "body of " + status
+			if status == "204" || status == "304" {
+				_, err := fmt.Fprintf(c, "HTTP/1.1 %s X\r\n\r\n", status)
+				return err == nil
+			}
+			head := fmt.Sprintf("HTTP/1.1 %s X\r\nContent-Length: %d\r\nX-Seen-For: %s\r\n\r\n", status, len(text), r.Header.Get("X-Forwarded-For"))
+			if r.Method == http.MethodHead {
+				text = ""
+			}
+			_, err := io.WriteString(c, head+text)
+			return err == nil
+		})
+	})
+	text := "[[service]]\nname = \"web\"\n[[service.route]]\nmethod = \"POST\"\nas = \"act\"\npool = \"web\"\n[[service.route]]\nas = \"page\"\npool = \"web\"\n" +
+		"[[pool]]\nname = \"web\"\nservers = [\"" + s.Addr + "\"]\n[[pool.class]]\nname = \"page\"\nrepeat = \"safe\"\naim = \"5s\"\n[[pool.class]]\nname = \"act\"\nrepeat = \"never\"\naim = \"5s\"\n"
+	n := startServices(t, text)
+	client := &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	for _, c := range []struct {
+		method, path string
+		status       int
+		body         string
+	}{
+		{"GET", "/200", 200, "body of 200"}, {"GET", "/404", 404, "body of 404"}, {"GET", "/302", 302, "body of 302"},
+		{"POST", "/201", 201, "body of 201"}, {"GET", "/204", 204, ""}, {"GET", "/304", 304, ""}, {"HEAD", "/200", 200, ""},
+		{"GET", "/500", 503, ""}, {"POST", "/503", 502, ""}, {"PUT", "/200", 405, "the class takes GET, HEAD and OPTIONS\n"},
+	} {
+		req, err := http.NewRequest(c.method, "http://"+n.addr+c.path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatalf("%s %s: %v", c.method, c.path, err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != c.status || string(body) != c.body {
+			t.Errorf("%s %s: %d %q, %v", c.method, c.path, resp.StatusCode, body, err)
+		}
+		if c.path == "/200" && c.method == "GET" && resp.Header.Get("X-Seen-For") != "127.0.0.1" {
+			t.Errorf("the server saw X-Forwarded-For %q", resp.Header.Get("X-Seen-For"))
+		}
+	}
+}
+
+// TestBudgetsAtTheirCap holds as many requests as there is room for: the pool
+// that borrowed is refused more, and the other has its guaranteed part.
+func TestBudgetsAtTheirCap(t *testing.T) {
+	release := make(chan struct{})
+	slow := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		<-release
+		return standin.Echo(c, r, body)
+	})
+	quick := check.Raw(t, standin.Echo)
+	// 128 descriptors are 32 connections each way, half of which are guaranteed to stock.
+	text := svc("orders", "") + svc("stock", "") + pool("orders", "share = 0.1", slow.Addr) + pool("stock", "share = 0.5", quick.Addr)
+	n := startServicesWithin(t, 128, text)
+	var crowd sync.WaitGroup
+	var refused, served atomic.Int64
+	for i := range 31 {
+		crowd.Go(func() {
+			status, _, _ := n.once(at("orders", look(fmt.Sprint("o", i))))
+			switch status {
+			case 200:
+				served.Add(1)
+			case 503:
+				refused.Add(1)
+			default:
+				t.Errorf("answered %d", status)
+			}
+		})
+	}
+	check.Eventually(t, "the pool is at its cap", func() bool { return refused.Load() == 15 })
+	if got := n.node.Room().Used("orders"); got > 16 {
+		t.Errorf("%d connections to servers, 16 are not another's", got)
+	}
+	for i := range 50 {
+		if status, _, _ := n.once(at("stock", look(fmt.Sprint("s", i)))); status != 200 {
+			t.Errorf("within its guarantee: %d", status)
+		}
+	}
+	close(release)
+	crowd.Wait()
+	if served.Load() != 16 {
+		t.Errorf("%d served", served.Load())
+	}
+	check.Eventually(t, "nothing is held", func() bool {
+		status, _, _ := n.once(at("orders", look("after")))
+		return status == 200
+	})
+}
