--- /dev/null
+++ b/cmd/proof/main.go
@@ -0,0 +1,66 @@
+// Command proof runs the project's measurements. Each scenario has fixed seeds and
+// a bounded time, plays on loopback, prints a table and, last, its figures as
+// name=value. It exits 1 where a bound that the scenario states is broken. The
+// figures are kept in docs/MEASUREMENTS.md; CI runs none of them.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/signal"
+	"runtime"
+	"slices"
+	"strings"
+)
+
+// scenario is one measurement.
+type scenario struct {
+	about string
+	run   func(ctx context.Context, out io.Writer) (figures, error)
+}
+
+var scenarios = map[string]scenario{
+	"services": {"a calm service beside an overloaded and a silent one, and reloads under load", services},
+	"overhead": {"processor time and p99 beside httputil.ReverseProxy", overhead},
+}
+
+// figures are a scenario's results, in order.
+type figures []string
+
+func (f *figures) add(name, format string, v any) {
+	*f = append(*f, name+"="+fmt.Sprintf(format, v))
+}
+
+// errBound marks a broken bound.
+var errBound = errors.New("a bound is broken")
+
+func main() {
+	if kind := os.Getenv(childEnv); kind != "" {
+		if err := child(kind, os.Args[1:]); err != nil {
+			fmt.Fprintln(os.Stderr, "proof:", err)
+			os.Exit(1)
+		}
+		return
+	}
+	if len(os.Args) != 2 || scenarios[os.Args[1]].run == nil {
+		fmt.Fprintln(os.Stderr, "usage: proof SCENARIO")
+		for _, name := range slices.Sorted(maps.Keys(scenarios)) {
+			fmt.Fprintf(os.Stderr, "  %-12s %s\n", name, scenarios[name].about)
+		}
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	fmt.Printf("%s on %d cores, %s\n", os.Args[1], runtime.NumCPU(), runtime.Version())
+	f, err := scenarios[os.Args[1]].run(ctx, os.Stdout)
+	fmt.Println(strings.Join(f, " "))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "proof:", err)
+		stop()
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/core/imports_test.go
@@ -0,0 +1,34 @@
+package core
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+// TestImports keeps protocols out of what every front and upstream rests on, and
+// input and output out of what decides.
+func TestImports(t *testing.T) {
+	for pkg, barred := range map[string][]string{
+		"jasperpin/internal/core":  {"net/http", "jasperpin/internal/httpfront", "jasperpin/internal/httpup"},
+		"jasperpin/internal/route": {"net", "os", "sync"},
+		"jasperpin/internal/limit": {"net", "os", "sync"},
+		"jasperpin/decide":         {"net", "os", "sync"},
+	} {
+		format := "{{join .Imports \"\\n\"}}"
+		if pkg == "jasperpin/internal/core" {
+			format = "{{join .Deps \"\\n\"}}"
+		}
+		out, err := exec.Command("go", "list", "-f", format, pkg).Output()
+		if err != nil {
+			t.Fatalf("go list: %v", err)
+		}
+		for _, dep := range strings.Fields(string(out)) {
+			for _, b := range barred {
+				if dep == b {
+					t.Errorf("%s imports %s", pkg, b)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,245 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"jasperpin/decide"
+	"jasperpin/internal/config"
+	"jasperpin/internal/core"
+	"jasperpin/internal/limit"
+	"jasperpin/internal/route"
+)
+
+// idle is an upstream that nothing is sent by.
+type idle struct{}
+
+func (idle) Server() core.Server { return idle{} }
+func (idle) Close()              {}
+func (idle) Leave()              {}
+func (idle) Send(context.Context, string, *core.Message, time.Duration) (decide.Result, *core.Answer) {
+	return decide.Failed, nil
+}
+
+// room counts nothing.
+type room struct{}
+
+func (room) Configure(int, map[string]int) error { return nil }
+func (room) Trouble(string, bool)                {}
+
+func two() *config.Config {
+	pool := func(name string, share float64) config.Pool {
+		return config.Pool{
+			Name: name, Share: share, Classes: map[string]int{"look": 0},
+			Settings: decide.Settings{Nodes: 1, MaxAttempts: 1, RetryAfterMost: time.Second, Classes: []decide.Class{{Aim: time.Second, Deadline: time.Second}}},
+			Servers:  []core.Host{{Name: "s", Addr: "127.0.0.1:1", Condition: decide.Ready, Share: 1}},
+		}
+	}
+	svc := func(name string) config.Service {
+		return config.Service{Name: name, Routes: []route.Rule{{Service: name, Host: name + ".org", Targets: []route.Target{{Pool: name, Weight: 1}}}}}
+	}
+	return &config.Config{
+		Budgets: true, Limits: limit.Machine{Cores: 1, Memory: limit.LeastMemory, Descriptors: 4096},
+		Services: []config.Service{svc("a"), svc("b")}, Pools: []config.Pool{pool("a", 0.25), pool("b", 0.5)},
+	}
+}
+
+func newSet(t *testing.T, cfg *config.Config) *Set {
+	t.Helper()
+	s, err := New(cfg, room{}, func(*config.Pool) core.Upstream { return idle{} }, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func find(t *testing.T, s *Set, host string) Target {
+	t.Helper()
+	target, err := s.Find(host, route.Query{Path: "/look/1", Method: "GET"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return target
+}
+
+// TestBytesAtTheirCap holds as many bytes as there are: one pool is refused more,
+// the other has its part, and all comes back.
+func TestBytesAtTheirCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, two())
+		defer s.Close()
+		held := limit.Machine{Memory: limit.LeastMemory}.Held()
+		a, b := find(t, s, "a.org"), find(t, s, "b.org")
+		var passes []*Pass
+		enter := func(target Target) (n int) {
+			for {
+				p, err := s.Enter(t.Context(), target, "", core.MaxBody)
+				if r := (*Refusal)(nil); errors.As(err, &r) {
+					if r.Tenant || r.RetryAfter != time.Second {
+						t.Errorf("refused with %+v", r)
+					}
+					return n
+				} else if err != nil {
+					t.Fatal(err)
+				}
+				passes = append(passes, p)
+				n++
+			}
+		}
+		most := held / (2 * core.MaxBody)
+		if n := enter(a); n < most*45/100 || n > most/2 {
+			t.Errorf("a holds %d of %d, half of which are b's", n, most)
+		}
+		if n := enter(b); n < most*45/100 {
+			t.Errorf("b holds %d of its half of %d", n, most)
+		}
+		for _, p := range passes {
+			p.Leave(true)
+		}
+		if free := s.budgets.bytes.Free(); free != held {
+			t.Errorf("%d of %d bytes are free in the end", free, held)
+		}
+	})
+}
+
+// TestTroubleBorrowsNothing has a pool's requests fail: it keeps its part and has
+// no more until it serves again.
+func TestTroubleBorrowsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, two())
+		defer s.Close()
+		a := find(t, s, "a.org")
+		one := func(served bool) {
+			p, err := s.Enter(t.Context(), a, "", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Leave(served)
+		}
+		count := func() (n int) {
+			var passes []*Pass
+			for p, err := s.Enter(t.Context(), a, "", 0); err == nil; p, err = s.Enter(t.Context(), a, "", 0) {
+				passes = append(passes, p)
+			}
+			for _, p := range passes {
+				s.budgets.give("a", p.bytes)
+				p.target.Service.leave(p.tenant)
+			}
+			return len(passes)
+		}
+		well := count()
+		for range 20 {
+			one(false)
+		}
+		if ill := count(); ill == 0 || ill >= well {
+			t.Errorf("in trouble it holds %d, otherwise %d", ill, well)
+		}
+		for range 100 {
+			one(true)
+		}
+		if again := count(); again != well {
+			t.Errorf("after its trouble it holds %d, otherwise %d", again, well)
+		}
+	})
+}
+
+// TestLine has requests wait for a place: one is let in when a place is free, one
+// gives up, one leaves with its client.
+func TestLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := two()
+		cfg.Services[0].Gate = limit.GateSettings{Concurrent: 1, Queue: 3, QueueWait: time.Second}
+		s := newSet(t, cfg)
+		defer s.Close()
+		a := find(t, s, "a.org")
+		first, err := s.Enter(t.Context(), a, "", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		type end struct {
+			p   *Pass
+			err error
+		}
+		ends := make([]chan end, 3)
+		left, leave := context.WithCancelCause(t.Context())
+		for i, ctx := range []context.Context{t.Context(), t.Context(), left} {
+			ends[i] = make(chan end, 1)
+			go func() {
+				p, err := s.Enter(ctx, a, "", 0)
+				ends[i] <- end{p, err}
+			}()
+			synctest.Wait()
+		}
+		if _, err := s.Enter(t.Context(), a, "", 0); err == nil {
+			t.Error("a fourth is let into a line of three")
+		}
+		gone := errors.New("gone")
+		leave(gone)
+		if e := <-ends[2]; !errors.Is(e.err, gone) {
+			t.Errorf("the one whose client left: %v", e.err)
+		}
+		first.Leave(true)
+		e := <-ends[0]
+		if e.err != nil {
+			t.Fatalf("the first in line: %v", e.err)
+		}
+		began := time.Now()
+		if e := <-ends[1]; e.err == nil || time.Since(began) != time.Second {
+			t.Errorf("the one that nobody made room for: %v after %v", e.err, time.Since(began))
+		}
+		e.p.Leave(true)
+		if a.gate.Held() != 0 || a.gate.Waiting() != 0 || len(a.lines) != 0 {
+			t.Errorf("%d held, %d wait, %d lines", a.gate.Held(), a.gate.Waiting(), len(a.lines))
+		}
+	})
+}
+
+// TestApplyKeepsWhatDidNotChange names what makes a new pool and what does not.
+func TestApplyKeepsWhatDidNotChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, c := range map[string]struct {
+			change func(*config.Config)
+			keep   bool
+		}{
+			"nothing": {func(*config.Config) {}, true},
+			"share":   {func(c *config.Config) { c.Pools[0].Share = 0.3 }, true},
+			"servers": {func(c *config.Config) { c.Pools[0].Servers = nil }, true},
+			"limits":  {func(c *config.Config) { c.Limits.Descriptors = 512 }, true},
+			"aim":     {func(c *config.Config) { c.Pools[0].Settings.Classes[0].Aim = time.Minute }, false},
+			"plain":   {func(c *config.Config) { c.Pools[0].Plain = true }, false},
+			"watched": {func(c *config.Config) { c.Pools[0].Discovery = "127.0.0.1:1"; c.Pools[0].Servers = nil }, false},
+		} {
+			s := newSet(t, two())
+			was := find(t, s, "a.org").Pool
+			next := two()
+			c.change(next)
+			if err := s.Apply(next); err != nil {
+				t.Fatal(err)
+			}
+			if kept := find(t, s, "a.org").Pool == was; kept != c.keep {
+				t.Errorf("%s: kept %v", name, kept)
+			}
+			synctest.Wait()
+			s.Close()
+			synctest.Wait()
+		}
+	})
+}
+
+// TestApplyRefuses leaves all as it was where a table cannot be built.
+func TestApplyRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, two())
+		defer s.Close()
+		was := s.now.Load()
+		next := two()
+		next.Services[1].Routes[0].Host = "a.org"
+		if err := s.Apply(next); err == nil || s.now.Load() != was {
+			t.Errorf("got %v", err)
+		}
+	})
+}
