--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -24,8 +24,9 @@
 }
 
 var scenarios = map[string]scenario{
-	"services": {"a calm service beside an overloaded and a silent one, and reloads under load", services},
-	"overhead": {"processor time and p99 beside httputil.ReverseProxy", overhead},
+	"services":     {"a calm service beside an overloaded and a silent one, and reloads under load", services},
+	"planners-sim": {"one level beside shared views of a tier, in virtual time", plannersSim},
+	"overhead":     {"processor time and p99 beside httputil.ReverseProxy", overhead},
 }
 
 // figures are a scenario's results, in order.
--- /dev/null
+++ b/cmd/proof/planners.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"jasperpin/internal/fleet"
+)
+
+// plannersSim compares one level with ways to share a view, over sizes of a tier,
+// loads and troubles, in virtual time with the same seeds.
+func plannersSim(ctx context.Context, out io.Writer) (figures, error) {
+	type row struct {
+		nodes   int
+		load    float64
+		restart bool
+		mode    string
+	}
+	modes := []string{"one level", "1 planner", "3 by key", "3 by site"}
+	const seeds = 5
+	var rows []row
+	for _, nodes := range []int{4, 10, 30, 100} {
+		for _, load := range []float64{0.5, 0.75, 0.95} {
+			for _, mode := range modes {
+				rows = append(rows, row{nodes, load, false, mode})
+			}
+		}
+		for _, mode := range modes {
+			rows = append(rows, row{nodes, 0.6, true, mode})
+		}
+	}
+	type job struct{ row, seed int }
+	jobs := make(chan job)
+	results := make([][seeds]*fleet.Result, len(rows))
+	var mu sync.Mutex
+	var first error
+	var wg sync.WaitGroup
+	for range runtime.NumCPU() {
+		wg.Go(func() {
+			for j := range jobs {
+				r := rows[j.row]
+				set := fleet.Settings{Nodes: r.nodes, Servers: r.nodes * 20 / 3, Load: r.load, For: 20 * time.Second, Seed: uint64(j.seed + 1)}
+				switch r.mode {
+				case "1 planner":
+					set.Planners = 1
+				case "3 by key":
+					set.Planners = 3
+				case "3 by site":
+					set.SitePlanners = true
+				}
+				if r.restart {
+					set.Restart, set.RestartEvery = 0.08, 3*time.Second
+				}
+				res, err := fleet.Run(set)
+				mu.Lock()
+				if err != nil && first == nil {
+					first = err
+				}
+				results[j.row][j.seed] = res
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range rows {
+		for seed := range seeds {
+			if ctx.Err() == nil {
+				jobs <- job{i, seed}
+			}
+		}
+	}
+	close(jobs)
+	wg.Wait()
+	if first != nil || ctx.Err() != nil {
+		return nil, fmt.Errorf("the simulation did not end: %w %w", first, ctx.Err())
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "nodes\tservers\tload\tmode\tmissed %\tby seed, least\tmost\tworth missed %\tp50 ms\tp99 ms\tattempts a request\tcrossed %\t")
+	var f figures
+	bad := 0
+	for i, r := range rows {
+		var missed, worth, attempts, crossed, p50, p99 float64
+		least, most := 100.0, 0.0
+		for _, res := range results[i] {
+			m := 100 * res.MissedShare()
+			least, most = min(least, m), max(most, m)
+			missed += m / seeds
+			worth += 100 * res.WorthMissed / res.Worth / seeds
+			attempts += float64(res.Attempts) / float64(res.Asked) / seeds
+			crossed += 100 * float64(res.Crossed) / float64(res.Attempts) / seeds
+			p50 += ms(res.Quantile(0.5)) / seeds
+			p99 += ms(res.Quantile(0.99)) / seeds
+			bad += res.Open + res.Twice
+		}
+		load := fmt.Sprint(r.load)
+		if r.restart {
+			load += ", restarts"
+		}
+		fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%.3f\t%.1f\t\n", r.nodes, r.nodes*20/3, load, r.mode, missed, least, most, worth, p50, p99, attempts, crossed)
+		if r.nodes == 30 {
+			name := map[string]string{"one level": "one", "1 planner": "p1", "3 by key": "p3key", "3 by site": "p3site"}[r.mode]
+			if r.restart {
+				name += "_restarts"
+			}
+			f.add(fmt.Sprintf("missed_%s_%g", name, r.load), "%.2f", missed)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return nil, fmt.Errorf("printing the table: %w", err)
+	}
+	if bad > 0 {
+		return f, fmt.Errorf("%w: %d requests never ended or ran twice", errBound, bad)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,545 @@
+// Package fleet plays a whole tier in virtual time and one goroutine: clients,
+// nodes, planners and servers with queues, all driven by one seed. The decisions
+// are those of the decide module; everything else is an event in a queue.
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"jasperpin/decide"
+)
+
+// Settings are one run.
+type Settings struct {
+	Nodes, Servers int
+	// Load is the work offered, as a part of what the servers can do.
+	Load float64
+	For  time.Duration
+	Seed uint64
+	// Planners is how many planners decide for all nodes; 0 for one level, where
+	// each node decides for itself. With SitePlanners each site has one of its own.
+	Planners     int
+	SitePlanners bool
+	// Trouble has servers restart, and so be cold: Restart of them at a time,
+	// each RestartEvery.
+	Restart      float64
+	RestartEvery time.Duration
+}
+
+// The world, after the operators' brief: three sites, three kinds of servers, four
+// classes of requests, keys of unlike popularity.
+const (
+	sites      = 3
+	sameSite   = 150 * time.Microsecond
+	otherSite  = 600 * time.Microsecond
+	queueSlots = 8 // a core
+	keyCount   = 1000
+	keySpan    = 6 * time.Second // how long a server is quicker with a key
+	keySaves   = 0.45
+	coldFrom   = 0.13
+	coldFor    = 23 * time.Second
+	retries    = 1
+	retryPause = 100 * time.Millisecond
+)
+
+type class struct {
+	decide.Class
+	share float64
+	work  time.Duration // mean, on the yardstick
+}
+
+var classes = []class{
+	{decide.Class{Effect: decide.Free, Aim: 750 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 1}, 0.45, 76 * time.Millisecond},
+	{decide.Class{Effect: decide.Free, Aim: 800 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1}, 0.27, 101 * time.Millisecond},
+	{decide.Class{Effect: decide.Guarded, Window: 12 * time.Second, Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 5}, 0.18, 170 * time.Millisecond},
+	{decide.Class{Effect: decide.SingleShot, Aim: 2500 * time.Millisecond, Deadline: 6 * time.Second, Worth: 3}, 0.10, 200 * time.Millisecond},
+}
+
+type kind struct {
+	share      float64
+	cores      int
+	slow, fast float64 // speed of a core, from and to
+}
+
+var kinds = []kind{{0.36, 2, 1.1, 1.5}, {0.31, 3, 0.85, 1.1}, {0.33, 2, 0.59, 0.8}}
+
+// Result is what clients saw.
+type Result struct {
+	Asked, Missed, Refused, Failed int
+	Attempts, Crossed              int // crossed between sites
+	Twice                          int // unsafe requests that ran twice
+	Open                           int // requests or attempts that never ended
+	Worth, WorthMissed             float64
+	Latencies                      []time.Duration // of answers, sorted
+}
+
+// MissedShare is the part of requests without an answer within their aim.
+func (r *Result) MissedShare() float64 { return float64(r.Missed) / float64(max(r.Asked, 1)) }
+
+// Quantile is a quantile of the latencies of answers.
+func (r *Result) Quantile(q float64) time.Duration {
+	if len(r.Latencies) == 0 {
+		return 0
+	}
+	return r.Latencies[min(int(q*float64(len(r.Latencies))), len(r.Latencies)-1)]
+}
+
+// event is something that happens at a time; events of one time happen in the
+// order in which they were set.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+type sim struct {
+	set     Settings
+	rng     *rand.Rand
+	now     time.Duration
+	seq     int
+	queue   events
+	servers []*server
+	brains  []*brain
+	res     Result
+	open    int
+	last    bool // no more arrivals
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{s.now + d, s.seq, do})
+}
+
+// oneWay is the time between two sites.
+func oneWay(a, b int) time.Duration {
+	if a == b {
+		return sameSite
+	}
+	return otherSite
+}
+
+// server is one box: cores, a queue, and the keys it met lately.
+type server struct {
+	sim     *sim
+	id      decide.ServerID
+	site    int
+	cores   int
+	speed   float64
+	born    time.Duration // 0 for long ago
+	busy    int
+	running []*job
+	waiting []*job
+	keys    map[uint64]time.Duration
+}
+
+// job is one attempt at its server.
+type job struct {
+	req     *request
+	work    time.Duration
+	started bool
+	dead    bool // called off before it began, or its server restarted
+	done    func(decide.Result)
+}
+
+func (v *server) arrive(j *job) {
+	switch {
+	case j.dead:
+	case v.busy < v.cores:
+		v.begin(j)
+	case len(v.waiting) < queueSlots*v.cores:
+		v.waiting = append(v.waiting, j)
+	default:
+		j.done(decide.Full)
+	}
+}
+
+func (v *server) begin(j *job) {
+	j.started = true
+	j.req.ran++
+	if j.req.ran == 2 && classes[j.req.class].Effect == decide.SingleShot {
+		v.sim.res.Twice++
+	}
+	v.running = append(v.running, j)
+	v.busy++
+	work := float64(j.work)
+	if last, met := v.keys[j.req.key]; met && v.sim.now-last < keySpan {
+		work *= 1 - keySaves
+	}
+	v.keys[j.req.key] = v.sim.now
+	speed := v.speed
+	if age := v.sim.now - v.born; v.born > 0 && age < coldFor {
+		speed *= coldFrom + (1-coldFrom)*float64(age)/float64(coldFor)
+	}
+	born := v.born
+	v.sim.after(time.Duration(work/speed), func() {
+		if v.born != born {
+			return // it restarted meanwhile
+		}
+		v.busy--
+		v.running = slices.DeleteFunc(v.running, func(o *job) bool { return o == j })
+		j.done(decide.OK)
+		for len(v.waiting) > 0 && v.busy < v.cores {
+			next := v.waiting[0]
+			v.waiting = v.waiting[1:]
+			if !next.dead {
+				v.begin(next)
+			}
+		}
+	})
+}
+
+// restart ends all that the server holds; it comes back cold.
+func (v *server) restart() {
+	v.born, v.busy = v.sim.now, 0
+	for _, j := range append(v.running, v.waiting...) {
+		j.done(decide.Reset)
+	}
+	v.running, v.waiting, v.keys = nil, nil, make(map[uint64]time.Duration)
+}
+
+// request is a client's request over all its tries.
+type request struct {
+	class int
+	key   uint64
+	work  time.Duration
+	site  int
+	began time.Duration
+	tries int
+	ran   int
+}
+
+// brain is one decide.Balancer: a node's own, or a planner's for many nodes.
+type brain struct {
+	sim  *sim
+	b    *decide.Balancer
+	site int
+	far  bool // a planner: each word to or from it takes a way
+	last decide.RequestID
+	reqs map[decide.RequestID]*exchange
+}
+
+// exchange is one try at the brain that decides on it.
+type exchange struct {
+	*request
+	id       decide.RequestID
+	attempts []*attempt
+	settled  bool
+	out      int
+}
+
+type attempt struct {
+	n     int
+	job   *job
+	srv   *server
+	ended bool
+}
+
+// way is how long a word takes between a brain and the node of a request.
+func (b *brain) way(r *request) time.Duration {
+	if !b.far {
+		return 0
+	}
+	return oneWay(b.site, r.site)
+}
+
+// ask brings a client's try to its brain.
+func (s *sim) ask(r *request) {
+	b := s.brainOf(r)
+	r.tries++
+	arrived := s.now
+	s.after(b.way(r), func() {
+		for b.last++; b.reqs[b.last] != nil; b.last++ {
+		}
+		x := &exchange{request: r, id: b.last}
+		b.reqs[x.id] = x
+		hint := time.Duration(float64(r.work) * math.Exp(0.3*s.rng.NormFloat64()))
+		b.b.Arrive(s.now, decide.Request{
+			ID: x.id, Class: r.class, Key: r.key, Hint: hint, Repeat: r.tries > 1, Due: min(arrived, r.began) + classes[r.class].Deadline,
+		})
+	})
+}
+
+// brainOf is who decides on a request: its node, or a planner by its key's hash,
+// so that a key's requests meet in one place.
+func (s *sim) brainOf(r *request) *brain {
+	switch {
+	case s.set.SitePlanners:
+		return s.brains[r.site]
+	case s.set.Planners > 0:
+		return s.brains[int(r.key%uint64(len(s.brains)))]
+	}
+	// The front of a site deals its requests out among the site's nodes.
+	own := (len(s.brains) - r.site + sites - 1) / sites
+	return s.brains[r.site+sites*s.rng.IntN(own)]
+}
+
+// Send, with the methods that follow, is decide.Effects.
+func (b *brain) Send(id decide.RequestID, to decide.ServerID, timeout time.Duration) {
+	x := b.reqs[id]
+	v := b.sim.servers[to]
+	a := &attempt{n: len(x.attempts), srv: v}
+	x.attempts = append(x.attempts, a)
+	x.out++
+	s := b.sim
+	s.res.Attempts++
+	if v.site != x.site {
+		s.res.Crossed++
+	}
+	trip := oneWay(x.site, v.site)
+	a.job = &job{req: x.request, work: x.work, done: func(r decide.Result) {
+		s.after(trip, func() { b.end(x, a, r) })
+	}}
+	s.after(b.way(x.request)+trip, func() { v.arrive(a.job) })
+	if timeout > 0 {
+		s.after(b.way(x.request)+timeout, func() {
+			if !a.ended {
+				b.callOff(x, a, decide.TimedOut)
+			}
+		})
+	}
+}
+
+// end takes the outcome of an attempt: the client first, then the brain.
+func (b *brain) end(x *exchange, a *attempt, r decide.Result) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if r == decide.OK && !x.settled {
+		x.settled = true
+		b.sim.answered(x.request)
+	}
+	settled := x.settled
+	b.sim.after(b.way(x.request), func() {
+		x.out--
+		b.b.Finished(b.sim.now, decide.Outcome{ID: x.id, Attempt: a.n, Result: r, Settled: settled})
+		b.release(x)
+	})
+}
+
+// callOff ends an attempt from this side. What waits at the server is dropped, and
+// what runs runs on.
+func (b *brain) callOff(x *exchange, a *attempt, r decide.Result) {
+	b.sim.after(oneWay(x.site, a.srv.site), func() { a.job.dead = !a.job.started })
+	b.end(x, a, r)
+}
+
+func (b *brain) release(x *exchange) {
+	if x.settled && x.out == 0 && b.reqs[x.id] == x {
+		delete(b.reqs, x.id)
+	}
+}
+
+func (b *brain) Cancel(id decide.RequestID, n int) {
+	if x := b.reqs[id]; x != nil && n < len(x.attempts) {
+		b.sim.after(b.way(x.request), func() {
+			if !x.attempts[n].ended {
+				b.callOff(x, x.attempts[n], decide.Cancelled)
+			}
+		})
+	}
+}
+
+func (b *brain) Refuse(id decide.RequestID, retryAfter time.Duration) {
+	b.final(id, func(r *request) { b.sim.turnedAway(r, &b.sim.res.Refused, retryAfter) })
+}
+
+func (b *brain) Fail(id decide.RequestID) {
+	b.final(id, func(r *request) { b.sim.turnedAway(r, &b.sim.res.Failed, 0) })
+}
+
+func (b *brain) final(id decide.RequestID, tell func(*request)) {
+	x := b.reqs[id]
+	if x == nil {
+		return
+	}
+	b.sim.after(b.way(x.request), func() {
+		if !x.settled {
+			x.settled = true
+			tell(x.request)
+		}
+		b.release(x)
+	})
+}
+
+func (b *brain) Wake(token uint64, at time.Duration) {
+	b.sim.after(max(at-b.sim.now, 0), func() {
+		if !b.sim.last || b.sim.open > 0 {
+			b.b.Timer(b.sim.now, token)
+		}
+	})
+}
+
+func (b *brain) Watch(bool) {}
+func (b *brain) Log(string) {}
+
+func (s *sim) answered(r *request) {
+	took := s.now - r.began
+	s.res.Latencies = append(s.res.Latencies, took)
+	s.close(r, took <= classes[r.class].Aim)
+}
+
+// turnedAway has the client try again, if it has a try left and time.
+func (s *sim) turnedAway(r *request, count *int, after time.Duration) {
+	wait := max(after, retryPause)
+	again := r.tries <= retries && s.now+wait < r.began+classes[r.class].Deadline
+	if again && (count == &s.res.Refused || classes[r.class].Effect != decide.SingleShot) {
+		s.after(wait, func() { s.ask(r) })
+		return
+	}
+	*count++
+	s.close(r, false)
+}
+
+func (s *sim) close(r *request, inTime bool) {
+	s.open--
+	worth := classes[r.class].Worth * r.work.Seconds()
+	s.res.Worth += worth
+	if !inTime {
+		s.res.Missed++
+		s.res.WorthMissed += worth
+	}
+}
+
+// Run plays one run to its last answer.
+func Run(set Settings) (*Result, error) {
+	if set.Nodes < sites || set.Servers < sites || !(set.Load > 0) || set.For <= 0 {
+		return nil, fmt.Errorf("a fleet wants %d nodes and servers or more, a load and a time: %+v", sites, set)
+	}
+	s := &sim{set: set, rng: rand.New(rand.NewPCG(set.Seed, 2))}
+	capacity := s.build()
+	s.think()
+	mean := 0.0
+	for _, c := range classes {
+		mean += c.share * c.work.Seconds()
+	}
+	s.arrivals(set.Load * capacity / mean)
+	if set.Restart > 0 {
+		s.after(set.RestartEvery, s.restarts)
+	}
+	for len(s.queue) > 0 {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.res.Open = s.open
+	for _, b := range s.brains {
+		s.res.Open += len(b.reqs)
+	}
+	slices.Sort(s.res.Latencies)
+	return &s.res, nil
+}
+
+// build makes the servers and returns what they can do, in yardstick cores.
+func (s *sim) build() (capacity float64) {
+	for i := range s.set.Servers {
+		at := (float64(i) + 0.5) / float64(s.set.Servers)
+		k := kinds[len(kinds)-1]
+		for _, o := range kinds {
+			if at -= o.share; at < 0 {
+				k = o
+				break
+			}
+		}
+		v := &server{
+			sim: s, id: decide.ServerID(i), site: i % sites, cores: k.cores,
+			speed: k.slow + (k.fast-k.slow)*s.rng.Float64(), keys: make(map[uint64]time.Duration),
+		}
+		s.servers = append(s.servers, v)
+		capacity += float64(v.cores) * v.speed
+	}
+	return capacity
+}
+
+// think makes the brains and tells them of the servers.
+func (s *sim) think() {
+	n, far := s.set.Nodes, false
+	switch {
+	case s.set.SitePlanners:
+		n, far = sites, true
+	case s.set.Planners > 0:
+		n, far = s.set.Planners, true
+	}
+	for i := range n {
+		b := &brain{sim: s, site: i % sites, far: far, reqs: make(map[decide.RequestID]*exchange)}
+		s.brains = append(s.brains, b)
+		set := decide.Settings{
+			Self: i, Nodes: n, Zone: b.site, MaxAttempts: 3, SecondCopies: true, Cancel: true, WorthByWork: true, WarmKeys: true,
+			FallMultiple: 2.5, StartShare: coldFrom, WarmWithin: coldFor, CrossCost: 0.12, KeepAlive: 15 * time.Second, RetryAfterMost: 2 * time.Second,
+		}
+		for _, c := range classes {
+			set.Classes = append(set.Classes, c.Class)
+		}
+		b.b = decide.New(set, s.set.Seed+uint64(i), s.now, b)
+	}
+	s.list()
+}
+
+// list tells every brain of every server.
+func (s *sim) list() {
+	var list []decide.Server
+	for _, v := range s.servers {
+		list = append(list, decide.Server{ID: v.id, Zone: v.site, Condition: decide.Ready, Scale: float64(v.cores), Since: v.born})
+	}
+	for _, b := range s.brains {
+		b.b.Listed(s.now, decide.ListFull, list)
+	}
+}
+
+// restarts has the next part of the servers restart, and the list tell of it a
+// second later.
+func (s *sim) restarts() {
+	if s.last {
+		return
+	}
+	for range int(s.set.Restart * float64(len(s.servers))) {
+		s.servers[s.rng.IntN(len(s.servers))].restart()
+	}
+	s.after(time.Second, s.list)
+	s.after(s.set.RestartEvery, s.restarts)
+}
+
+// arrivals sets the requests off, each as the one before comes.
+func (s *sim) arrivals(rate float64) {
+	zipf := rand.NewZipf(s.rng, 1.1, 4, keyCount-1)
+	var next func()
+	next = func() {
+		if s.now >= s.set.For {
+			s.last = true
+			return
+		}
+		r := &request{site: s.rng.IntN(sites), began: s.now, key: zipf.Uint64()*0x9e3779b97f4a7c15 + 1}
+		at := s.rng.Float64()
+		for r.class = range classes {
+			if at -= classes[r.class].share; at < 0 {
+				break
+			}
+		}
+		r.work = time.Duration(s.rng.ExpFloat64() * float64(classes[r.class].work))
+		s.res.Asked++
+		s.open++
+		s.ask(r)
+		s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	s.after(0, next)
+}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -143,8 +143,8 @@
 		f.refuse(w, err, target.Plain)
 		return
 	}
-	served := false
-	defer func() { pass.Leave(served) }()
+	end := service.Void
+	defer func() { pass.Leave(end) }()
 	x, err := target.Arrive(q)
 	for errors.Is(err, core.ErrRetired) { // the configuration has changed meanwhile
 		if target, fault = f.find(hr); fault == nil {
@@ -162,7 +162,9 @@
 	}
 	select {
 	case fin := <-x.Final():
-		served = fin.Status == core.Served
+		if end = service.Unserved; fin.Status == core.Served {
+			end = service.Served
+		}
 		f.answer(w, fin, target.Plain)
 	case <-hr.Context().Done():
 		target.Gone(x)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -138,14 +138,26 @@
 	return err
 }
 
-// Leave ends a pass; served says how the request did.
-func (p *Pass) Leave(served bool) {
+// End says how the request of a pass did, as far as it tells of its pool.
+type End uint8
+
+// Void tells nothing: the client was at fault, or did not wait.
+const (
+	Void End = iota
+	Served
+	Unserved
+)
+
+// Leave ends a pass.
+func (p *Pass) Leave(end End) {
 	if p.set.budgets == nil {
 		return
 	}
 	p.set.budgets.give(p.target.Pool.Name, p.bytes)
 	p.target.Service.leave(p.tenant)
-	p.set.ended(p.target.Pool.own, served)
+	if end != Void {
+		p.set.ended(p.target.Pool.own, end == Served)
+	}
 }
 
 // enter passes the service's gate and returns the name that the tenant is counted
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -98,7 +98,7 @@
 			t.Errorf("b holds %d of its half of %d", n, most)
 		}
 		for _, p := range passes {
-			p.Leave(true)
+			p.Leave(Served)
 		}
 		if free := s.budgets.bytes.Free(); free != held {
 			t.Errorf("%d of %d bytes are free in the end", free, held)
@@ -113,12 +113,12 @@
 		s := newSet(t, two())
 		defer s.Close()
 		a := find(t, s, "a.org")
-		one := func(served bool) {
+		one := func(end End) {
 			p, err := s.Enter(t.Context(), a, "", 0)
 			if err != nil {
 				t.Fatal(err)
 			}
-			p.Leave(served)
+			p.Leave(end)
 		}
 		count := func() (n int) {
 			var passes []*Pass
@@ -126,20 +126,25 @@
 				passes = append(passes, p)
 			}
 			for _, p := range passes {
-				s.budgets.give("a", p.bytes)
-				p.target.Service.leave(p.tenant)
+				p.Leave(Void)
 			}
 			return len(passes)
 		}
 		well := count()
 		for range 20 {
-			one(false)
+			one(Void) // clients at fault say nothing of the pool
+		}
+		if same := count(); same != well {
+			t.Errorf("after clients' faults it holds %d, before %d", same, well)
+		}
+		for range 20 {
+			one(Unserved)
 		}
 		if ill := count(); ill == 0 || ill >= well {
 			t.Errorf("in trouble it holds %d, otherwise %d", ill, well)
 		}
 		for range 100 {
-			one(true)
+			one(Served)
 		}
 		if again := count(); again != well {
 			t.Errorf("after its trouble it holds %d, otherwise %d", again, well)
@@ -182,7 +187,7 @@
 		if e := <-ends[2]; !errors.Is(e.err, gone) {
 			t.Errorf("the one whose client left: %v", e.err)
 		}
-		first.Leave(true)
+		first.Leave(Served)
 		e := <-ends[0]
 		if e.err != nil {
 			t.Fatalf("the first in line: %v", e.err)
@@ -191,7 +196,7 @@
 		if e := <-ends[1]; e.err == nil || time.Since(began) != time.Second {
 			t.Errorf("the one that nobody made room for: %v after %v", e.err, time.Since(began))
 		}
-		e.p.Leave(true)
+		e.p.Leave(Served)
 		if a.gate.Held() != 0 || a.gate.Waiting() != 0 || len(a.lines) != 0 {
 			t.Errorf("%d held, %d wait, %d lines", a.gate.Held(), a.gate.Waiting(), len(a.lines))
 		}
