Refuse what arrives at a pool that has closed for good

A request that met a retired pool was routed anew; where the table still named that pool, as after the end of a drain that ran out of time, it would have tried for ever.

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -147,6 +147,7 @@
 	defer func() { pass.Leave(end) }()
 	x, err := target.Arrive(q)
 	for errors.Is(err, core.ErrRetired) { // the configuration has changed meanwhile
+		was := target.Pool
 		if target, fault = f.find(hr); fault == nil {
 			q, fault = f.reparse(hr, target, q)
 		}
@@ -154,6 +155,10 @@
 			complain(w, fault)
 			return
 		}
+		if target.Pool == was { // the node has ended
+			f.refuse(w, &service.Refusal{}, target.Plain)
+			return
+		}
 		x, err = target.Arrive(q)
 	}
 	if err != nil {
