Forwarders and failing planners in the simulation; choose planners in a pure module

internal/plan decides for a forwarder which planner is asked, how long for, and when it decides alone: answers bounded by their usual time, death, silence and slowness told apart, return in steps.

--- a/cmd/proof/planners.go
+++ b/cmd/proof/planners.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -22,8 +24,9 @@
 		load    float64
 		restart bool
 		mode    string
+		trouble string
 	}
-	modes := []string{"one level", "1 planner", "3 by key", "3 by site"}
+	modes := []string{"one level", "1 planner", "3 by key", "3 by site", "forwarders"}
 	const seeds = 5
 	var rows []row
 	for _, nodes := range []int{4, 10, 30, 100} {
@@ -33,14 +36,24 @@
 			}
 			// Keys that servers have met save work: the servers are full at 1.5 or so.
 			for _, load := range []float64{0.75, 0.95, 1.3, 1.6} {
-				rows = append(rows, row{nodes, load, false, mode})
+				rows = append(rows, row{nodes, load, false, mode, ""})
 			}
-			rows = append(rows, row{nodes, 0.6, true, mode}, row{nodes, 0.95, true, mode})
+			rows = append(rows, row{nodes, 0.6, true, mode, ""}, row{nodes, 0.95, true, mode, ""})
 		}
 	}
 	slices.SortStableFunc(rows, func(a, b row) int {
 		return cmp.Or(a.nodes-b.nodes, cmp.Compare(fmt.Sprint(a.restart, a.load), fmt.Sprint(b.restart, b.load)))
 	})
+	at, span := 5*time.Second, 4*time.Second
+	faults := map[string]fleet.Fault{
+		"one planner killed": {Planner: 0, Kind: fleet.Killed, At: at, For: span},
+		"all killed":         {Planner: fleet.All, Kind: fleet.Killed, At: at, For: span},
+		"all paused":         {Planner: fleet.All, Kind: fleet.Paused, At: at, For: span},
+		"all slow":           {Planner: fleet.All, Kind: fleet.Slow, At: at, For: span},
+	}
+	for _, name := range slices.Sorted(maps.Keys(faults)) {
+		rows = append(rows, row{30, 0.95, true, "forwarders", name})
+	}
 	type job struct{ row, seed int }
 	jobs := make(chan job)
 	results := make([][seeds]*fleet.Result, len(rows))
@@ -59,6 +72,11 @@
 					set.Planners = 3
 				case "3 by site":
 					set.SitePlanners = true
+				case "forwarders":
+					set.Forward = true
+				}
+				if f, ok := faults[r.trouble]; ok {
+					set.Faults = []fleet.Fault{f}
 				}
 				if r.restart {
 					set.Restart, set.RestartEvery = 0.08, 3*time.Second
@@ -107,12 +125,18 @@
 		if r.restart {
 			load += ", restarts"
 		}
+		if r.trouble != "" {
+			load += ", " + r.trouble
+		}
 		fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%.3f\t%.1f\t\n", r.nodes, r.nodes*20/3, load, r.mode, missed, least, most, worth, p50, p99, attempts, crossed)
 		if r.nodes == 30 {
-			name := map[string]string{"one level": "one", "1 planner": "p1", "3 by key": "p3key", "3 by site": "p3site"}[r.mode]
+			name := map[string]string{"one level": "one", "1 planner": "p1", "3 by key": "p3key", "3 by site": "p3site", "forwarders": "forwarders"}[r.mode]
 			if r.restart {
 				name += "_restarts"
 			}
+			if r.trouble != "" {
+				name += "_" + strings.ReplaceAll(r.trouble, " ", "_")
+			}
 			f.add(fmt.Sprintf("missed_%s_%g", name, r.load), "%.2f", missed)
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,12 +25,39 @@
 	// each node decides for itself. With SitePlanners each site has one of its own.
 	Planners     int
 	SitePlanners bool
+	// Forward has the nodes be forwarders of site planners: each waits for a plan
+	// no longer than it costs, and then decides alone.
+	Forward bool
+	Faults  []Fault
 	// Trouble has servers restart, and so be cold: Restart of them at a time,
 	// each RestartEvery.
 	Restart      float64
 	RestartEvery time.Duration
 }
 
+// Fault is something that befalls a planner, or all of them.
+type Fault struct {
+	Planner int // or All
+	Kind    FaultKind
+	At, For time.Duration
+}
+
+// All stands for every planner.
+const All = -1
+
+// FaultKind is what befalls a planner.
+type FaultKind uint8
+
+// A planner is killed and comes back knowing nothing; is paused and comes back with
+// old beliefs and all that was said to it meanwhile; or takes slowBy for every word.
+const (
+	Killed FaultKind = iota
+	Paused
+	Slow
+)
+
+const slowBy = 50 * time.Millisecond
+
 // The world, after the operators' brief: three sites, three kinds of servers, four
 // classes of requests, keys of unlike popularity.
 const (
@@ -72,6 +99,7 @@
 type Result struct {
 	Asked, Missed, Refused, Failed int
 	Attempts, Crossed              int // crossed between sites
+	Planned, Alone                 int // tries decided by a planner, and by a forwarder itself
 	Twice                          int // unsafe requests that ran twice
 	Open                           int // requests or attempts that never ended
 	Worth, WorthMissed             float64
@@ -119,7 +147,8 @@
 	seq     int
 	queue   events
 	servers []*server
-	brains  []*brain
+	brains  []*brain // who decides: nodes, or planners
+	forward []*forwarder
 	res     Result
 	open    int
 	last    bool // no more arrivals
@@ -226,6 +255,8 @@
 	began time.Duration
 	tries int
 	ran   int
+
+	mayHaveRun bool // an attempt of this try ended without proof that it did not
 }
 
 // brain is one decide.Balancer: a node's own, or a planner's for many nodes.
@@ -236,6 +267,31 @@
 	far  bool // a planner: each word to or from it takes a way
 	last decide.RequestID
 	reqs map[decide.RequestID]*exchange
+
+	dead   bool // a killed planner: nothing that is said to it or that it set arrives
+	paused time.Duration
+	slow   bool
+}
+
+// hear has something reach a brain after a time: not at all if it is dead then,
+// and once its pause is over if it is paused.
+func (b *brain) hear(after time.Duration, do func()) {
+	if b.slow {
+		after += slowBy
+	}
+	b.arrive(after, do)
+}
+
+func (b *brain) arrive(after time.Duration, do func()) {
+	b.sim.after(after, func() {
+		switch {
+		case b.dead:
+		case b.sim.now < b.paused:
+			b.arrive(b.paused-b.sim.now, do)
+		default:
+			do()
+		}
+	})
 }
 
 // exchange is one try at the brain that decides on it.
@@ -245,6 +301,7 @@
 	attempts []*attempt
 	settled  bool
 	out      int
+	turn     *turn // the question that it answers, where a planner decides
 }
 
 type attempt struct {
@@ -262,18 +319,30 @@
 	return oneWay(b.site, r.site)
 }
 
-// ask brings a client's try to its brain.
+// ask brings a client's try to who decides on it.
 func (s *sim) ask(r *request) {
-	b := s.brainOf(r)
 	r.tries++
-	arrived := s.now
-	s.after(b.way(r), func() {
+	r.mayHaveRun = false // a new request to those who decide
+	if s.set.Forward {
+		s.forwarderOf(r).ask(r, -1)
+		return
+	}
+	s.brainOf(r).take(r, nil)
+}
+
+// take hands a try to the brain.
+func (b *brain) take(r *request, t *turn) {
+	arrived := b.sim.now
+	b.hear(b.way(r), func() {
 		for b.last++; b.reqs[b.last] != nil; b.last++ {
 		}
-		x := &exchange{request: r, id: b.last}
+		x := &exchange{request: r, id: b.last, turn: t}
 		b.reqs[x.id] = x
-		hint := time.Duration(float64(r.work) * math.Exp(0.3*s.rng.NormFloat64()))
-		b.b.Arrive(s.now, decide.Request{
+		if t != nil {
+			t.x = x
+		}
+		hint := time.Duration(float64(r.work) * math.Exp(0.3*b.sim.rng.NormFloat64()))
+		b.b.Arrive(b.sim.now, decide.Request{
 			ID: x.id, Class: r.class, Key: r.key, Hint: hint, Repeat: r.tries > 1, Due: min(arrived, r.began) + classes[r.class].Deadline,
 		})
 	})
@@ -300,18 +369,30 @@
 	a := &attempt{n: len(x.attempts), srv: v}
 	x.attempts = append(x.attempts, a)
 	x.out++
+	b.sim.after(b.way(x.request), func() { b.carry(x, a, timeout) })
+}
+
+// carry carries an attempt out at the node, unless the plan for it comes too late.
+func (b *brain) carry(x *exchange, a *attempt, timeout time.Duration) {
+	if !x.turn.accept() || x.settled {
+		if !x.turn.waits() {
+			x.settled = true
+		}
+		b.end(x, a, decide.Moot)
+		return
+	}
 	s := b.sim
 	s.res.Attempts++
-	if v.site != x.site {
+	if a.srv.site != x.site {
 		s.res.Crossed++
 	}
-	trip := oneWay(x.site, v.site)
+	trip := oneWay(x.site, a.srv.site)
 	a.job = &job{req: x.request, work: x.work, done: func(r decide.Result) {
 		s.after(trip, func() { b.end(x, a, r) })
 	}}
-	s.after(b.way(x.request)+trip, func() { v.arrive(a.job) })
+	s.after(trip, func() { a.srv.arrive(a.job) })
 	if timeout > 0 {
-		s.after(b.way(x.request)+timeout, func() {
+		s.after(timeout, func() {
 			if !a.ended {
 				b.callOff(x, a, decide.TimedOut)
 			}
@@ -329,8 +410,12 @@
 		x.settled = true
 		b.sim.answered(x.request)
 	}
+	if r != decide.Moot && r != decide.Full && r != decide.NoConnection && r != decide.OK {
+		x.mayHaveRun = true
+	}
 	settled := x.settled
-	b.sim.after(b.way(x.request), func() {
+	x.turn.ended()
+	b.hear(b.way(x.request), func() {
 		x.out--
 		b.b.Finished(b.sim.now, decide.Outcome{ID: x.id, Attempt: a.n, Result: r, Settled: settled})
 		b.release(x)
@@ -353,7 +438,7 @@
 func (b *brain) Cancel(id decide.RequestID, n int) {
 	if x := b.reqs[id]; x != nil && n < len(x.attempts) {
 		b.sim.after(b.way(x.request), func() {
-			if !x.attempts[n].ended {
+			if !x.attempts[n].ended && x.attempts[n].job != nil {
 				b.callOff(x, x.attempts[n], decide.Cancelled)
 			}
 		})
@@ -374,16 +459,19 @@
 		return
 	}
 	b.sim.after(b.way(x.request), func() {
-		if !x.settled {
+		if x.turn.accept() && !x.settled {
 			x.settled = true
 			tell(x.request)
 		}
+		if !x.turn.waits() {
+			x.settled = true
+		}
 		b.release(x)
 	})
 }
 
 func (b *brain) Wake(token uint64, at time.Duration) {
-	b.sim.after(max(at-b.sim.now, 0), func() {
+	b.hear(max(at-b.sim.now, 0), func() {
 		if !b.sim.last || b.sim.open > 0 {
 			b.b.Timer(b.sim.now, token)
 		}
@@ -434,6 +522,9 @@
 		mean += c.share * c.work.Seconds()
 	}
 	s.arrivals(set.Load * capacity / mean)
+	for _, f := range set.Faults {
+		s.after(f.At, func() { s.befall(f) })
+	}
 	if set.Restart > 0 {
 		s.after(set.RestartEvery, s.restarts)
 	}
@@ -443,8 +534,10 @@
 		e.do()
 	}
 	s.res.Open = s.open
-	for _, b := range s.brains {
-		s.res.Open += len(b.reqs)
+	for _, b := range s.all() {
+		if !b.dead {
+			s.res.Open += len(b.reqs)
+		}
 	}
 	slices.Sort(s.res.Latencies)
 	return &s.res, nil
@@ -475,35 +568,58 @@
 func (s *sim) think() {
 	n, far := s.set.Nodes, false
 	switch {
-	case s.set.SitePlanners:
+	case s.set.SitePlanners || s.set.Forward:
 		n, far = sites, true
 	case s.set.Planners > 0:
 		n, far = s.set.Planners, true
 	}
 	for i := range n {
-		b := &brain{sim: s, site: i % sites, far: far, reqs: make(map[decide.RequestID]*exchange)}
-		s.brains = append(s.brains, b)
-		set := decide.Settings{
-			Self: i, Nodes: n, Zone: b.site, MaxAttempts: 3, SecondCopies: true, Cancel: true, WorthByWork: true, WarmKeys: true,
-			FallMultiple: 2.5, StartShare: coldFrom, WarmWithin: coldFor, CrossCost: 0.12, KeepAlive: 15 * time.Second, RetryAfterMost: 2 * time.Second,
-		}
-		for _, c := range classes {
-			set.Classes = append(set.Classes, c.Class)
+		s.brains = append(s.brains, s.brain(i, n, i%sites, far))
+	}
+	if s.set.Forward {
+		for i := range s.set.Nodes {
+			s.forward = append(s.forward, s.forwarder(i))
 		}
-		b.b = decide.New(set, s.set.Seed+uint64(i), s.now, b)
 	}
 	s.list()
 }
 
+// brain makes one of n that decide, at a site.
+func (s *sim) brain(i, n, site int, far bool) *brain {
+	b := &brain{sim: s, site: site, far: far, reqs: make(map[decide.RequestID]*exchange)}
+	set := decide.Settings{
+		Self: i, Nodes: n, Zone: site, MaxAttempts: 3, SecondCopies: true, Cancel: true, WorthByWork: true, WarmKeys: true,
+		FallMultiple: 2.5, StartShare: coldFrom, WarmWithin: coldFor, CrossCost: 0.12, KeepAlive: 15 * time.Second, RetryAfterMost: 2 * time.Second,
+	}
+	for _, c := range classes {
+		set.Classes = append(set.Classes, c.Class)
+	}
+	b.b = decide.New(set, s.set.Seed+uint64(i), s.now, b)
+	return b
+}
+
+// all are the brains of all levels.
+func (s *sim) all() []*brain {
+	all := slices.Clone(s.brains)
+	for _, f := range s.forward {
+		all = append(all, f.own)
+	}
+	return all
+}
+
 // list tells every brain of every server.
 func (s *sim) list() {
+	for _, b := range s.all() {
+		b.listed()
+	}
+}
+
+func (b *brain) listed() {
 	var list []decide.Server
-	for _, v := range s.servers {
+	for _, v := range b.sim.servers {
 		list = append(list, decide.Server{ID: v.id, Zone: v.site, Condition: decide.Ready, Scale: float64(v.cores), Since: v.born})
 	}
-	for _, b := range s.brains {
-		b.b.Listed(s.now, decide.ListFull, list)
-	}
+	b.hear(0, func() { b.b.Listed(b.sim.now, decide.ListFull, list) })
 }
 
 // restarts has the next part of the servers restart, and the list tell of it a
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -4,6 +4,8 @@
 	"reflect"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // TestFleet plays small tiers in every form: one seed plays one run, every request
@@ -14,6 +16,7 @@
 		"one planner":   {Nodes: 4, Servers: 24, Load: 0.75, Planners: 1},
 		"three by key":  {Nodes: 4, Servers: 24, Load: 0.95, Planners: 3},
 		"three by site": {Nodes: 6, Servers: 24, Load: 0.95, SitePlanners: true},
+		"forwarders":    {Nodes: 6, Servers: 24, Load: 0.95, Forward: true},
 		"restarts":      {Nodes: 4, Servers: 24, Load: 0.6, Restart: 0.1, RestartEvery: 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -43,3 +46,80 @@
 		t.Error("a fleet of nothing runs")
 	}
 }
+
+// TestPlannersFail has planners fail in every way during a run: every request ends
+// once, none that must not runs twice, planners forget what has ended, and misses
+// stay near those of one level.
+func TestPlannersFail(t *testing.T) {
+	base := Settings{Nodes: 9, Servers: 45, Load: 0.95, For: 8 * time.Second, Seed: 3}
+	one, err := Run(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	base.Forward = true
+	well, err := Run(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at, span := 2*time.Second, 3*time.Second
+	for name, faults := range map[string][]Fault{
+		"one killed":       {{0, Killed, at, span}},
+		"all killed":       {{All, Killed, at, span}},
+		"one paused":       {{1, Paused, at, span}},
+		"all paused":       {{All, Paused, at, span}},
+		"one slow":         {{2, Slow, at, span}},
+		"all slow":         {{All, Slow, at, span}},
+		"killed at once":   {{0, Killed, 0, span}},
+		"one after other":  {{0, Killed, at, span}, {1, Killed, at + span/2, span}, {2, Paused, at + span, span}},
+		"again and again":  {{0, Killed, at, span / 6}, {0, Killed, at + span/3, span / 6}, {0, Paused, at + 2*span/3, span / 6}},
+		"until the end":    {{All, Killed, at, time.Minute}},
+		"paused, then die": {{0, Paused, at, span}, {0, Killed, at + span/2, span}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			set := base
+			set.Faults = faults
+			r, err := Run(set)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Open != 0 || r.Twice != 0 || len(r.Latencies)+r.Refused+r.Failed != r.Asked {
+				t.Errorf("%d asked, %d answered, %d refused, %d failed; %d never ended, %d ran twice", r.Asked, len(r.Latencies), r.Refused, r.Failed, r.Open, r.Twice)
+			}
+			if r.Planned == 0 || r.Alone <= well.Alone {
+				t.Errorf("%d planned, %d alone; without a fault %d and %d", r.Planned, r.Alone, well.Planned, well.Alone)
+			}
+			if r.MissedShare() > one.MissedShare()+0.005 {
+				t.Errorf("missed %.2f%%, one level %.2f%%", 100*r.MissedShare(), 100*one.MissedShare())
+			}
+			t.Logf("missed %.3f%% (one level %.3f%%), %d planned, %d alone", 100*r.MissedShare(), 100*one.MissedShare(), r.Planned, r.Alone)
+		})
+	}
+}
+
+// TestAnyFaults has anything befall the planners of a small tier, in any order and
+// over each other.
+func TestAnyFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := Settings{
+			Nodes: 3, Servers: 9, Load: rapid.Float64Range(0.3, 1.8).Draw(t, "load"), For: 2 * time.Second,
+			Seed: rapid.Uint64().Draw(t, "seed"), Forward: true,
+		}
+		ms := func(name string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+		}
+		for range rapid.IntRange(0, 6).Draw(t, "faults") {
+			set.Faults = append(set.Faults, Fault{
+				Planner: rapid.IntRange(All, sites-1).Draw(t, "planner"), Kind: FaultKind(rapid.IntRange(0, 2).Draw(t, "kind")),
+				At: ms("at", 2000), For: ms("for", 3000),
+			})
+		}
+		r, err := Run(set)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Open != 0 || r.Twice != 0 || len(r.Latencies)+r.Refused+r.Failed != r.Asked {
+			t.Fatalf("%d asked, %d answered, %d refused, %d failed; %d never ended, %d ran twice", r.Asked, len(r.Latencies), r.Refused, r.Failed, r.Open, r.Twice)
+		}
+	})
+}
