Show a planner its own site's servers alone; hand back what it has no room for

Where the servers are full, sharing a view lost by a factor of four. The cause was not the window of calls: shown all servers, a busy planner spreads its work over the other sites (41% crossed), where no server has met the keys, and all sites do less.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,7 +31,10 @@
 	Faults  []Fault
 	// Trouble has servers restart, and so be cold: Restart of them at a time,
 	// each RestartEvery.
-	Restart      float64
+	Restart float64
+	// SmallSite is the part of its servers that the first site has; the others have
+	// the rest. 0 stands for all of them.
+	SmallSite    float64
 	RestartEvery time.Duration
 }
 
@@ -446,6 +449,10 @@
 }
 
 func (b *brain) Refuse(id decide.RequestID, retryAfter time.Duration) {
+	if x := b.reqs[id]; x != nil && x.turn != nil && len(x.attempts) == 0 && b.sim.now < x.began+classes[x.class].Aim {
+		b.final(id, x.turn.handBack)
+		return
+	}
 	b.final(id, func(r *request) { b.sim.turnedAway(r, &b.sim.res.Refused, retryAfter) })
 }
 
@@ -558,6 +565,9 @@
 			sim: s, id: decide.ServerID(i), site: i % sites, cores: k.cores,
 			speed: k.slow + (k.fast-k.slow)*s.rng.Float64(), keys: make(map[uint64]time.Duration),
 		}
+		if n := i / sites; s.set.SmallSite > 0 && v.site == 0 && float64(n) >= s.set.SmallSite*float64(s.set.Servers)/sites {
+			v.site = 1 + n%(sites-1)
+		}
 		s.servers = append(s.servers, v)
 		capacity += float64(v.cores) * v.speed
 	}
@@ -614,9 +624,15 @@
 	}
 }
 
+// listed tells a brain of the servers: a planner of its own site's alone. Shown
+// all, it spreads the work of a busy site over the others, where no server has met
+// its keys, and all sites together do less for it.
 func (b *brain) listed() {
 	var list []decide.Server
 	for _, v := range b.sim.servers {
+		if b.far && v.site != b.site {
+			continue
+		}
 		list = append(list, decide.Server{ID: v.id, Zone: v.site, Condition: decide.Ready, Scale: float64(v.cores), Since: v.born})
 	}
 	b.hear(0, func() { b.b.Listed(b.sim.now, decide.ListFull, list) })
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 		"three by key":  {Nodes: 4, Servers: 24, Load: 0.95, Planners: 3},
 		"three by site": {Nodes: 6, Servers: 24, Load: 0.95, SitePlanners: true},
 		"forwarders":    {Nodes: 6, Servers: 24, Load: 0.95, Forward: true},
+		"a small site":  {Nodes: 6, Servers: 24, Load: 0.8, Forward: true, SmallSite: 0.3},
 		"restarts":      {Nodes: 4, Servers: 24, Load: 0.6, Restart: 0.1, RestartEvery: 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -127,6 +127,14 @@
 	t.f.own.take(t.r, nil)
 }
 
+// handBack has the forwarder decide on a request that its planner has no room for:
+// the other sites, which the planner does not know, may have some.
+func (t *turn) handBack(r *request) {
+	t.given = true
+	t.f.sim.res.Alone++
+	t.f.own.take(r, nil)
+}
+
 // giveUp takes back all that a planner holds of this forwarder.
 func (f *forwarder) giveUp(n int) {
 	open := f.open
