--- a/internal/core/imports_test.go
+++ b/internal/core/imports_test.go
@@ -13,6 +13,7 @@
 		"jasperpin/internal/core":  {"net/http", "jasperpin/internal/httpfront", "jasperpin/internal/httpup"},
 		"jasperpin/internal/route": {"net", "os", "sync"},
 		"jasperpin/internal/limit": {"net", "os", "sync"},
+		"jasperpin/internal/plan":  {"net", "os", "sync"},
 		"jasperpin/decide":         {"net", "os", "sync"},
 	} {
 		format := "{{join .Imports \"\\n\"}}"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -624,13 +624,13 @@
 	}
 }
 
-// listed tells a brain of the servers: a planner of its own site's alone. Shown
+// listed tells a brain of the servers: a site's planner of its own site's alone. Shown
 // all, it spreads the work of a busy site over the others, where no server has met
 // its keys, and all sites together do less for it.
 func (b *brain) listed() {
 	var list []decide.Server
 	for _, v := range b.sim.servers {
-		if b.far && v.site != b.site {
+		if own := b.sim.set.SitePlanners || b.sim.set.Forward; own && b.far && v.site != b.site {
 			continue
 		}
 		list = append(list, decide.Server{ID: v.id, Zone: v.site, Condition: decide.Ready, Scale: float64(v.cores), Since: v.born})
