Keep who waits at a gate in one map; build and wake a service's line in one place

Read again: the gate held a list by arrival that nothing but a linear search used, a count beside it and a time that nobody read; a service was made in two places and its line woken in two; the check of framing stood in both forms of a request; Set.Pools was called by nobody. Behaviour is as before; all checks pass.

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -223,6 +223,13 @@
 	if !ok {
 		return nil, &complaint{http.StatusNotFound, "unknown class"}
 	}
+	if len(hr.TransferEncoding) > 0 {
+		// net/http takes a request with both framings for a chunked one and hides
+		// the length, so that what another reader would see as a second request
+		// passes as a body. Bodies are short and their senders know their length:
+		// none comes in chunks. It does harm to a client that streams its body.
+		return nil, &complaint{http.StatusLengthRequired, "a body wants a Content-Length and no other framing"}
+	}
 	class := &target.Classes()[number]
 	q := &core.Request{Class: number}
 	if _, rest, _ := strings.Cut(strings.TrimPrefix(hr.URL.EscapedPath(), "/"), "/"); rest != "" {
@@ -240,12 +247,6 @@
 		wantKeys = 1
 	}
 	switch ms, err := strconv.ParseInt(hr.Header.Get("Req-Deadline-Ms"), 10, 64); {
-	case len(hr.TransferEncoding) > 0:
-		// net/http takes a request with both framings for a chunked one and hides
-		// the length, so that what another reader would see as a second request
-		// passes as a body. Bodies are short and their senders know their length:
-		// none comes in chunks. It does harm to a client that streams its body.
-		return nil, &complaint{http.StatusLengthRequired, "a body wants a Content-Length and no other framing"}
 	case hr.Method != method:
 		return nil, &complaint{http.StatusMethodNotAllowed, "the class takes " + method}
 	case keys != wantKeys:
@@ -281,8 +282,6 @@
 func (f *Front) plain(hr *http.Request, class *decide.Class, q *core.Request) (*core.Request, *complaint) {
 	reads := hr.Method == http.MethodGet || hr.Method == http.MethodHead || hr.Method == http.MethodOptions
 	switch {
-	case len(hr.TransferEncoding) > 0: // as above
-		return nil, &complaint{http.StatusLengthRequired, "a body wants a Content-Length and no other framing"}
 	case hr.ContentLength > core.MaxBody:
 		return nil, &complaint{http.StatusRequestEntityTooLarge, "body too long"}
 	case hr.Method == http.MethodConnect || hr.Method == http.MethodTrace || hr.Header.Get("Upgrade") != "":
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -47,9 +47,8 @@
 	bucket  Bucket
 	tenants map[string]*tenant
 	held    int
-	waiting int
-	ticket  uint64
-	order   list.List // of *waiter, by arrival and so by when their time is up
+	ticket  uint64             // the last one
+	waiting map[uint64]*waiter // by ticket
 }
 
 type tenant struct {
@@ -62,11 +61,9 @@
 }
 
 type waiter struct {
-	id     uint64
-	t      *tenant
-	until  time.Duration
-	at     *list.Element // in the gate's order
-	inLine *list.Element // in the tenant's line
+	id uint64
+	t  *tenant
+	at *list.Element // in the tenant's line
 }
 
 // reserve is the part of the places that only tenants below their fair share get.
@@ -74,7 +71,7 @@
 
 // NewGate makes an empty gate.
 func NewGate(set GateSettings) *Gate {
-	g := &Gate{tenants: make(map[string]*tenant)}
+	g := &Gate{tenants: make(map[string]*tenant), waiting: make(map[uint64]*waiter)}
 	g.Configure(set)
 	return g
 }
@@ -137,19 +134,19 @@
 		g.let(t)
 		return Admitted, 0, 0
 	}
-	if !g.fits(t, t.waiters.Len(), g.waiting, g.set.Queue) {
+	if !g.fits(t, t.waiters.Len(), len(g.waiting), g.set.Queue) {
 		if t.Concurrent > 0 && t.held >= t.Concurrent {
 			return TooMany, 0, 0
 		}
 		return Crowded, 0, 0
 	}
 	g.ticket++
-	w := &waiter{id: g.ticket, t: t, until: now + g.set.QueueWait}
+	w := &waiter{id: g.ticket, t: t}
 	if t.waiters.Len() == 0 {
 		t.passed = max(t.passed, g.least()) // idling earns nothing
 	}
-	w.at, w.inLine = g.order.PushBack(w), t.waiters.PushBack(w)
-	g.waiting++
+	w.at = t.waiters.PushBack(w)
+	g.waiting[w.id] = w
 	return Queued, w.id, 0
 }
 
@@ -237,25 +234,23 @@
 }
 
 func (g *Gate) unlist(w *waiter) {
-	g.order.Remove(w.at)
-	w.t.waiters.Remove(w.inLine)
-	g.waiting--
+	w.t.waiters.Remove(w.at)
+	delete(g.waiting, w.id)
 }
 
 // Leave takes a ticket out of line. It says false where it is not in line any
 // more: it has been let in, and its place must be given back.
 func (g *Gate) Leave(ticket uint64) bool {
-	for e := g.order.Front(); e != nil; e = e.Next() {
-		if w := e.Value.(*waiter); w.id == ticket {
-			g.unlist(w)
-			return true
-		}
+	w := g.waiting[ticket]
+	if w == nil {
+		return false
 	}
-	return false
+	g.unlist(w)
+	return true
 }
 
 // Held counts the requests that are in.
 func (g *Gate) Held() int { return g.held }
 
 // Waiting counts the requests in line.
-func (g *Gate) Waiting() int { return g.waiting }
+func (g *Gate) Waiting() int { return len(g.waiting) }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -203,7 +203,12 @@
 func (s *Service) leave(tenant string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, ticket := range s.gate.Done(tenant) {
+	s.admit(s.gate.Done(tenant))
+}
+
+// admit wakes those that have been let in. Called under the lock.
+func (s *Service) admit(tickets []uint64) {
+	for _, ticket := range tickets {
 		close(s.lines[ticket])
 		delete(s.lines, ticket)
 	}
@@ -363,13 +368,7 @@
 	}
 	for i := range cfg.Services {
 		c := &cfg.Services[i]
-		sv := was.services[c.Name]
-		if sv == nil {
-			sv = &Service{Name: c.Name, TenantHeader: c.TenantHeader, gate: limit.NewGate(c.Gate), lines: make(map[uint64]chan struct{})}
-		} else {
-			sv = sv.configure(c)
-		}
-		next.services[c.Name] = sv
+		next.services[c.Name] = was.services[c.Name].configure(c)
 	}
 	if !cfg.Budgets && len(cfg.Pools) == 1 && len(cfg.Services) == 1 {
 		next.only = &Target{Service: next.services[cfg.Services[0].Name], Pool: next.pools[cfg.Pools[0].Name]}
@@ -384,17 +383,15 @@
 }
 
 // configure gives the service under a new configuration. Who is in and who waits
-// stay; a service whose tenants are told apart by another header begins anew.
+// stay; one that was not there, or whose tenants are told apart by another header,
+// begins anew.
 func (s *Service) configure(c *config.Service) *Service {
-	if s.TenantHeader != c.TenantHeader {
+	if s == nil || s.TenantHeader != c.TenantHeader {
 		return &Service{Name: c.Name, TenantHeader: c.TenantHeader, gate: limit.NewGate(c.Gate), lines: make(map[uint64]chan struct{})}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, ticket := range s.gate.Configure(c.Gate) {
-		close(s.lines[ticket])
-		delete(s.lines, ticket)
-	}
+	s.admit(s.gate.Configure(c.Gate))
 	return s
 }
 
@@ -416,15 +413,6 @@
 	}()
 }
 
-// Pools names the pools in force.
-func (s *Set) Pools() []string {
-	var names []string
-	for name := range s.now.Load().pools {
-		names = append(names, name)
-	}
-	return names
-}
-
 // DrainBy moves all later deadlines forward: the process ends by then.
 func (s *Set) DrainBy(t time.Time) {
 	s.mu.Lock()
