--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -35,8 +35,8 @@
 	Credit = standin.Kind{Class: "credit", Path: "/credit/", Method: "POST", Share: 1, Work: 16 * time.Millisecond, Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Body: 300}
 )
 
-// classes are the kinds in the file's words.
-const classes = `
+// Classes are the kinds in the file's words, for a pool.
+const Classes = `
 [[pool.class]]
 name = "look"
 repeat = "safe"
@@ -112,7 +112,7 @@
 [[pool]]
 name = "stock"
 servers = [%s]
-%s`, d.Addr, classes, strings.Join(addrs, ", "), classes)
+%s`, d.Addr, Classes, strings.Join(addrs, ", "), Classes)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("the demo's file: %w", err)
 	}
--- /dev/null
+++ b/internal/node/network_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+// TestFaultyNetwork puts a failing network between node and servers: a request
+// that must not run twice gets one answer within its time, and runs once at most.
+func TestFaultyNetwork(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{
+		"black hole": {BlackHole: true}, "half open": {HalfOpen: true}, "slow": {Delay: 50 * time.Millisecond}, "narrow": {Throttle: 2000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := box(t, standin.BoxSettings{Cores: 8})
+			p := check.Owned(t, func() (*standin.Proxy, error) { return standin.NewProxy(b.Addr) })
+			n := startServices(t, svc("orders", "")+pool("orders", "", p.Addr))
+			credit := func(id string) int {
+				began := time.Now()
+				status, _, _ := n.once(at("orders", strings.Replace(post("credit", id, "", "x"), "20000", "1500", 1)))
+				if took := time.Since(began); took > 5*time.Second {
+					t.Errorf("%s was answered after %v", id, took)
+				}
+				return status
+			}
+			if status := credit("before"); status != 200 {
+				t.Fatalf("before the fault: %d", status)
+			}
+			p.Set(fault)
+			for i := range 3 {
+				status := credit(fmt.Sprint("during", i))
+				if broken := fault.BlackHole || fault.HalfOpen; status == 200 && broken || status != 200 && status != http.StatusBadGateway && status != http.StatusServiceUnavailable {
+					t.Errorf("during the fault: %d", status)
+				}
+			}
+			p.Set(standin.Fault{})
+			p.Cut()
+			id := 0
+			check.Eventually(t, "it serves again", func() bool {
+				id++
+				return credit(fmt.Sprint("after", id)) == 200
+			})
+			ran := make(map[string]int)
+			b.Effects(ran)
+			for id, times := range ran {
+				if times != 1 {
+					t.Errorf("%s ran %d times", id, times)
+				}
+			}
+		})
+	}
+}
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -38,10 +38,13 @@
 	For     time.Duration
 	Seed    uint64
 	Kinds   []Kind
-	Keys    int            // how many distinct ones; 0 stands for 1,000
-	Retries int            // of a refused or failed try, as the kind allows
-	Tenants map[string]int // by weight; sent as Req-Owner
-	Prefix  string         // of ids, which are new with every try
+	Keys    int // how many distinct ones; 0 stands for 1,000
+	Retries int // of a refused or failed try, as the kind allows
+	// Patience is the part of the time left that a client gives one try; 0 stands
+	// for all of it.
+	Patience float64
+	Tenants  map[string]int // by weight; sent as Req-Owner
+	Prefix   string         // of ids, which are new with every try
 }
 
 // Result is how one request ended for its client.
@@ -256,6 +259,13 @@
 	}
 	req.GetBody = nil // what has gone out is never sent again unseen
 	left := time.Until(began.Add(o.kind.Deadline))
+	if r.l.Patience > 0 {
+		left = time.Duration(r.l.Patience * float64(left))
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, left)
+		defer cancel()
+		req = req.WithContext(ctx)
+	}
 	for k, v := range map[string]string{
 		"Req-Id": id, "Req-Owner": o.tenant, "Req-Deadline-Ms": strconv.FormatInt(max(left.Milliseconds(), 1), 10),
 		"Req-Cost": strconv.FormatInt(o.work.Microseconds(), 10),
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,294 @@
+package standin_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+func box(t *testing.T, set standin.BoxSettings) *standin.Box {
+	t.Helper()
+	return check.Owned(t, func() (*standin.Box, error) { return standin.NewBox(set) })
+}
+
+// send sends one request and gives its status, or 0 and the error.
+func send(addr, method, id, key string, cost time.Duration) (int, http.Header, error) {
+	req, err := http.NewRequest(method, "http://"+addr+"/work/1", nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Req-Id", id)
+	req.Header.Set("Req-Cost", fmt.Sprint(cost.Microseconds()))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	tr := &http.Transport{DisableKeepAlives: true}
+	resp, err := tr.RoundTrip(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, err
+}
+
+// TestBoxModes has a box behave in every way that the protocol knows.
+func TestBoxModes(t *testing.T) {
+	b := box(t, standin.BoxSettings{Cores: 1})
+	if status, _, err := send(b.Addr, "POST", "a", "", 0); status != 200 || err != nil {
+		t.Errorf("serving: %d, %v", status, err)
+	}
+	b.Turn(standin.Draining)
+	if status, h, err := send(b.Addr, "POST", "b", "", 0); status != 503 || h.Get("Srv-Declined") != "1" || err != nil {
+		t.Errorf("draining: %d, %v", status, err)
+	}
+	b.Turn(standin.Erring)
+	if status, _, err := send(b.Addr, "POST", "c", "", 0); status != 500 || err != nil {
+		t.Errorf("erring: %d, %v", status, err)
+	}
+	for _, m := range []standin.Mode{standin.Resetting, standin.Spoiling} {
+		b.Turn(m)
+		if status, _, err := send(b.Addr, "POST", fmt.Sprint("d", m), "", 0); err == nil {
+			t.Errorf("mode %d: %d", m, status)
+		}
+	}
+	b.Turn(standin.Silent)
+	silent := make(chan error, 1)
+	go func() {
+		_, _, err := send(b.Addr, "POST", "e", "", 0)
+		silent <- err
+	}()
+	check.Eventually(t, "the request is there", func() bool { return b.Counts().Asked == 6 })
+	b.Turn(standin.Serving)
+	if err := <-silent; err == nil {
+		t.Error("what came in silence was answered")
+	}
+	effects := make(map[string]int)
+	b.Effects(effects)
+	if effects["a"] != 1 || effects["c"] != 1 || effects["b"]+effects["e"] != 0 {
+		t.Errorf("took effect: %v", effects)
+	}
+	if c := b.Counts(); c.Declined != 1 || c.Class["work"] != 6 {
+		t.Errorf("counted %+v", c)
+	}
+}
+
+// TestBoxQueue fills a box: one works, one waits, the third is declined.
+func TestBoxQueue(t *testing.T) {
+	b := box(t, standin.BoxSettings{Cores: 1, Queue: 1})
+	var wg sync.WaitGroup
+	statuses := make(chan int, 3)
+	ask := func(id string) {
+		wg.Go(func() {
+			status, _, err := send(b.Addr, "POST", id, "", 200*time.Millisecond)
+			if err != nil {
+				t.Error(err)
+			}
+			statuses <- status
+		})
+	}
+	ask("1")
+	check.Eventually(t, "the first runs", func() bool { return b.Counts().Ran == 1 })
+	ask("2")
+	check.Eventually(t, "the second waits", func() bool { return b.Counts().Asked == 2 })
+	check.Eventually(t, "a third is declined", func() bool {
+		status, _, err := send(b.Addr, "GET", "3", "", 0)
+		return err == nil && status == 503 || b.Counts().Ran == 2
+	})
+	wg.Wait()
+	if a, b := <-statuses, <-statuses; a != 200 || b != 200 {
+		t.Errorf("answered %d and %d", a, b)
+	}
+}
+
+// TestBoxDropsRepeats answers a repeat of a key and does nothing for it.
+func TestBoxDropsRepeats(t *testing.T) {
+	b := box(t, standin.BoxSettings{Window: time.Hour})
+	for i := range 3 {
+		if status, _, err := send(b.Addr, "POST", fmt.Sprint(i), "key", 0); status != 200 || err != nil {
+			t.Fatalf("%d, %v", status, err)
+		}
+	}
+	effects := make(map[string]int)
+	b.Effects(effects)
+	if effects["key"] != 1 || b.Counts().Dropped != 2 {
+		t.Errorf("took effect %v, dropped %d", effects, b.Counts().Dropped)
+	}
+}
+
+// TestColdBox takes longer for the same work than a warm one of its kind.
+func TestColdBox(t *testing.T) {
+	cold := box(t, standin.BoxSettings{ColdFrom: 0.1, Warm: time.Hour})
+	began := time.Now()
+	if status, _, err := send(cold.Addr, "GET", "1", "", 20*time.Millisecond); status != 200 || err != nil {
+		t.Fatalf("%d, %v", status, err)
+	}
+	if took := time.Since(began); took < 150*time.Millisecond {
+		t.Errorf("took %v, a tenth of the speed makes 200ms", took)
+	}
+	if cold.Entry().BornMS == 0 {
+		t.Error("it does not say when it started")
+	}
+}
+
+// TestDiscovery answers with the whole list, waits for a change, and fails as told.
+func TestDiscovery(t *testing.T) {
+	d := check.Owned(t, func() (*standin.Discovery, error) { return standin.NewDiscovery(standin.Hosts("127.0.0.1:1")...) })
+	call := func(query string) (seq int, hosts int, status int) {
+		resp, err := http.Get("http://" + d.Addr + "/discovery/hosts" + query)
+		if err != nil {
+			t.Error(err)
+			return 0, 0, 0
+		}
+		defer resp.Body.Close()
+		var reply struct {
+			Seq   int
+			Hosts []standin.Entry
+		}
+		_ = json.NewDecoder(resp.Body).Decode(&reply)
+		return reply.Seq, len(reply.Hosts), resp.StatusCode
+	}
+	if seq, hosts, _ := call(""); seq != 5 || hosts != 1 {
+		t.Errorf("version %d, %d hosts", seq, hosts)
+	}
+	if seq, hosts, _ := call("?after=5&wait_ms=1"); seq != 5 || hosts != 0 {
+		t.Errorf("nothing new: version %d, %d hosts", seq, hosts)
+	}
+	news := make(chan int, 1)
+	go func() {
+		_, hosts, _ := call("?after=5&wait_ms=60000")
+		news <- hosts
+	}()
+	check.Eventually(t, "the watch is out", func() bool { return d.Calls.Load() == 3 })
+	d.Set(standin.Hosts("127.0.0.1:1", "127.0.0.1:2")...)
+	if hosts := <-news; hosts != 2 {
+		t.Errorf("the watch told of %d hosts", hosts)
+	}
+	d.Down(true)
+	if _, _, status := call(""); status != 503 {
+		t.Errorf("down: %d", status)
+	}
+}
+
+// echoLine answers each line with itself.
+func echoLine(t *testing.T) string {
+	t.Helper()
+	ln := check.Must[net.Listener](t)(net.Listen("tcp", "127.0.0.1:0"))
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestProxy passes bytes on, loses them, delays them and cuts.
+func TestProxy(t *testing.T) {
+	p := check.Owned(t, func() (*standin.Proxy, error) { return standin.NewProxy(echoLine(t)) })
+	c := check.Must[net.Conn](t)(net.Dial("tcp", p.Addr))
+	defer c.Close()
+	br := bufio.NewReader(c)
+	say := func(text string, within time.Duration) error {
+		if _, err := io.WriteString(c, text+"\n"); err != nil {
+			return err
+		}
+		_ = c.SetReadDeadline(time.Now().Add(within))
+		line, err := br.ReadString('\n')
+		if err == nil && strings.TrimSpace(line) != text {
+			return fmt.Errorf("%q came back as %q", text, line)
+		}
+		return err
+	}
+	if err := say("one", check.Soon); err != nil {
+		t.Fatal(err)
+	}
+	p.Set(standin.Fault{Delay: 50 * time.Millisecond})
+	began := time.Now()
+	if err := say("two", check.Soon); err != nil || time.Since(began) < 100*time.Millisecond {
+		t.Errorf("delayed both ways: %v after %v", err, time.Since(began))
+	}
+	p.Set(standin.Fault{Throttle: 100})
+	began = time.Now()
+	if err := say("ten bytes", check.Soon); err != nil || time.Since(began) < 150*time.Millisecond {
+		t.Errorf("throttled: %v after %v", err, time.Since(began))
+	}
+	for name, f := range map[string]standin.Fault{"black hole": {BlackHole: true}, "half open": {HalfOpen: true}} {
+		p.Set(f)
+		if err := say("lost", 100*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	p.Set(standin.Fault{})
+	p.Cut()
+	if err := say("cut", check.Soon); err == nil {
+		t.Error("it speaks after the cut")
+	}
+}
+
+// TestLoad draws the same requests from the same seed, and counts every end.
+func TestLoad(t *testing.T) {
+	got := make([]map[string]bool, 2)
+	for i := range got {
+		s := check.Raw(t, standin.Echo)
+		l := standin.Load{Addr: s.Addr, Rate: 300, For: 200 * time.Millisecond, Seed: 4, Kinds: []standin.Kind{
+			{Class: "a", Path: "/a/", Method: "GET", Share: 1, Aim: check.Soon, Deadline: check.Soon},
+			{Class: "b", Path: "/b/", Method: "POST", Share: 1, Aim: check.Soon, Deadline: check.Soon, Keyed: true, Body: 5},
+		}}
+		tallies := l.Start(t.Context()).Wait()
+		asked := tallies["a"].Asked + tallies["b"].Asked
+		if asked == 0 || tallies["a"].Ends[standin.InTime]+tallies["b"].Ends[standin.InTime] != asked || len(s.Heads) != asked {
+			t.Fatalf("asked %d, ended %v and %v, %d came", asked, tallies["a"].Ends, tallies["b"].Ends, len(s.Heads))
+		}
+		got[i] = make(map[string]bool)
+		for range asked {
+			r := <-s.Heads
+			got[i][r.Method+r.URL.Path+r.Header.Get("Req-Id")] = true
+		}
+	}
+	if fmt.Sprint(got[0]) != fmt.Sprint(got[1]) {
+		t.Error("one seed draws two loads")
+	}
+}
+
+// TestLoadJudges tells refused, failed, lost and wrong answers apart, and tries
+// again only what may be.
+func TestLoadJudges(t *testing.T) {
+	for want, answer := range map[standin.Result]standin.Reply{
+		standin.Refused: standin.Respond("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"),
+		standin.Failed:  standin.Respond("HTTP/1.1 502 No\r\nContent-Length: 0\r\n\r\n"),
+		standin.Wrong:   standin.Respond("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"),
+		standin.Lost:    func(net.Conn, *http.Request, []byte) bool { return false },
+	} {
+		s := check.Raw(t, answer)
+		l := standin.Load{Addr: s.Addr, Rate: 100, For: 50 * time.Millisecond, Seed: 1, Retries: 2, Kinds: []standin.Kind{
+			{Class: "a", Path: "/a/", Method: "POST", Share: 1, Aim: check.Soon, Deadline: check.Soon},
+		}}
+		tally := l.Start(t.Context()).Wait()["a"]
+		if tally.Asked == 0 || tally.Ends[want] != tally.Asked {
+			t.Errorf("%v: %d asked, ended %v", want, tally.Asked, tally.Ends)
+		}
+		if tries := tally.Tries / tally.Asked; tries != 1 && want != standin.Refused || want == standin.Refused && tries != 3 {
+			t.Errorf("%v: %d tries", want, tries)
+		}
+	}
+}
