Give each pool a line of its own and a budget of goroutines

Requests waited only in their service's line, and goroutines followed from other budgets. A pool now has concurrent, queue and queue_wait, first come, first served, behind its budgets, so that a waiting body is counted; places belong to the pool's name and outlive a reload. With a request are taken the goroutines of all its attempts. No line keeps a request for longer than half of its client's time: a long queue_wait could outlast the client before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,7 +47,8 @@
 	Name string
 	// Plain pools speak HTTP at large, others the platform's protocol.
 	Plain       bool
-	Share       float64 // guaranteed part of the limits, 0 to 1
+	Share       float64            // guaranteed part of the limits, 0 to 1
+	Gate        limit.GateSettings // places and the line for them
 	Servers     []core.Host
 	Discovery   string // its address; "" where the servers are listed
 	Known       discovery.List
@@ -134,6 +135,9 @@
 		Memory:      lim.size("memory", defaultMemory, limit.LeastMemory, 1<<44),
 		Descriptors: lim.count("descriptors", defaultSockets, limit.LeastDescriptors, 1<<24),
 	}
+	if want := c.Limits.Wants(); c.Limits.Memory < want {
+		lim.fail("memory", "is too little for %d descriptors: want %dMB at the least, or fewer descriptors", c.Limits.Descriptors, want>>20+1)
+	}
 	lim.done()
 
 	pools := make(map[string]*Pool)
@@ -195,6 +199,7 @@
 		Share:       t.number("share", -1, 0, 1),
 		Discovery:   t.text("discovery", "", "an address and port such as 127.0.0.1:8500", isAddr),
 		DialTimeout: t.time("connect_timeout", defaultDial, time.Millisecond, time.Minute),
+		Gate:        readPlaces(t),
 	}
 	for i, z := range t.texts("zones", "the name of a zone", isWord) {
 		p.Zones[z] = i
@@ -303,17 +308,24 @@
 	s.done()
 }
 
-func readService(t *table, pools map[string]*Pool) Service {
-	s := Service{Name: t.word("name", ""), TenantHeader: canonical(t.text("tenant_header", "", "the name of a header", isWord))}
-	s.Gate = limit.GateSettings{
-		Rate: t.number("rate", 0, 0, maxRate), Burst: t.number("burst", 0, 0, maxRate),
+// readPlaces reads how many requests a service or a pool holds at a time, and the
+// line for these places.
+func readPlaces(t *table) limit.GateSettings {
+	set := limit.GateSettings{
 		Concurrent: t.count("concurrent", 0, 0, maxHeld),
 		Queue:      t.count("queue", 0, 0, maxHeld), QueueWait: t.time("queue_wait", 100*time.Millisecond, 0, time.Minute),
-		Tenants: make(map[string]limit.TenantSettings),
 	}
-	if s.Gate.Queue > 0 && s.Gate.Concurrent == 0 {
+	if set.Queue > 0 && set.Concurrent == 0 {
 		t.fail("queue", "has nothing to wait for: want concurrent beside it")
 	}
+	return set
+}
+
+func readService(t *table, pools map[string]*Pool) Service {
+	s := Service{Name: t.word("name", ""), TenantHeader: canonical(t.text("tenant_header", "", "the name of a header", isWord))}
+	s.Gate = readPlaces(t)
+	s.Gate.Rate, s.Gate.Burst = t.number("rate", 0, 0, maxRate), t.number("burst", 0, 0, maxRate)
+	s.Gate.Tenants = make(map[string]limit.TenantSettings)
 	for _, n := range t.tables("tenant") {
 		name := n.text("name", "", "a tenant's name, or \"*\" for all others", func(s string) bool { return s == "*" || isWord(s) })
 		n.must("name")
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -135,7 +135,7 @@
 	if target.Plain {
 		forwarded(q.Header, hr.RemoteAddr)
 	}
-	pass, err := f.set.Enter(hr.Context(), target, tenant(hr, target), len(body))
+	pass, err := f.set.Enter(hr.Context(), target, service.Ask{Tenant: tenant(hr, target), Bytes: len(body), Due: q.At.Add(q.Wait)})
 	if err != nil {
 		if hr.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
--- a/internal/limit/machine.go
+++ b/internal/limit/machine.go
@@ -16,6 +16,10 @@
 	heapShare = 0.7
 	// heldShare of the memory may be held in bodies.
 	heldShare = 0.35
+	// stackShare of the memory may be stacks. A goroutine's takes stack bytes once
+	// a request or an answer has been read on it.
+	stackShare = 0.2
+	stack      = 8 << 10
 
 	// LeastMemory, in bytes, and LeastDescriptors are the least a node runs with.
 	LeastMemory      = 32 << 20
@@ -32,3 +36,15 @@
 
 // Held is how many bytes of bodies may be held at a time.
 func (m Machine) Held() int { return int(heldShare * float64(m.Memory)) }
+
+// Goroutines is how many there may be beyond the one of each client's connection:
+// a request has one that listens for its client, and one for each attempt.
+func (m Machine) Goroutines() int {
+	return max(0, int(stackShare*float64(m.Memory))/stack-m.Conns())
+}
+
+// Wants is the least memory, in bytes, that suits the descriptors: stacks for all
+// connections, and goroutines for half of them to hold a request.
+func (m Machine) Wants() int64 {
+	return int64(float64(m.Conns()*3/2*stack)/stackShare) + 1
+}
--- a/internal/node/services_test.go
+++ b/internal/node/services_test.go
@@ -154,38 +154,93 @@
 }
 
 // TestSlowReaders has a crowd ask one service for long answers and read none of
-// them: another service answers on.
+// them: another service answers on. The crowd has nearly all connections there are
+// and asks for more than the buffers on the way hold, so that each would be stuck
+// for as long as a client may take nothing, were it let in.
 func TestSlowReaders(t *testing.T) {
-	long := check.Raw(t, standin.Respond("HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n"+strings.Repeat("z", 65536)))
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("z", 65536)
+	var long []string
+	var got []*standin.Raw
+	for range 4 { // quick enough for the crowd, or overload would hold it back
+		s := check.Raw(t, standin.Respond(answer))
+		long, got = append(long, s.Addr), append(got, s)
+	}
 	quick := check.Raw(t, standin.Echo)
-	n := startServicesWithin(t, 128, svc("orders", "")+svc("stock", "")+pool("orders", "share = 0.2", long.Addr)+pool("stock", "share = 0.5", quick.Addr))
-	for i := range 250 {
+	// 128 descriptors are 32 connections of clients.
+	n := startServicesWithin(t, 128, svc("orders", "")+svc("stock", "")+pool("orders", "share = 0.2", long...)+pool("stock", "share = 0.5", quick.Addr))
+	const each = 200 // 13 MB
+	for i := range 31 {
 		c := n.dial()
 		if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
 			t.Fatal(err)
 		}
-		go func() {
-			for j := range 200 { // pipelined: the answers fill every buffer on the way
-				if _, err := io.WriteString(c, at("orders", look(fmt.Sprintf("s%d-%d", i, j)))); err != nil {
-					return
-				}
-			}
-		}()
+		var all strings.Builder
+		for j := range each {
+			all.WriteString(at("orders", look(fmt.Sprintf("s%d-%d", i, j))))
+		}
+		go func() { _, _ = io.WriteString(c, all.String()) }()
+	}
+	served := func() (sum int64) {
+		for _, s := range got {
+			sum += s.Got.Load()
+		}
+		return sum
 	}
 	last, since := int64(0), time.Now()
 	check.Eventually(t, "the crowd is stuck", func() bool {
-		if got := long.Got.Load(); got != last {
-			last, since = got, time.Now()
+		if now := served(); now != last {
+			last, since = now, time.Now()
 		}
 		return last > 0 && time.Since(since) > 500*time.Millisecond
 	})
-	for i := range 20 {
-		began := time.Now()
-		if status, _, _ := n.once(at("stock", look(fmt.Sprint("q", i)))); status != 200 {
-			t.Fatalf("beside the crowd: %d", status)
+	t.Logf("the crowd of 31 asked for %d answers and had %d", 31*each, last)
+	var calm sync.WaitGroup
+	for i := range 8 {
+		calm.Go(func() {
+			began := time.Now()
+			status, _, _ := n.once(at("stock", look(fmt.Sprint("q", i))))
+			if took := time.Since(began); status != 200 || took > 5*time.Second {
+				t.Errorf("beside the crowd: %d after %v", status, took)
+			}
+		})
+	}
+	calm.Wait()
+}
+
+// TestPoolsOwnLine has two services before one pool with a place and a line of one:
+// the second waits for the first, whichever service it came by, and a third is
+// refused at once.
+func TestPoolsOwnLine(t *testing.T) {
+	release := make(chan struct{})
+	s := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		<-release
+		return standin.Echo(c, r, body)
+	})
+	other := "[[service]]\nname = \"other\"\n[[service.route]]\nhosts = [\"other.example.org\"]\npool = \"orders\"\n"
+	n := startServices(t, svc("orders", "")+other+pool("orders", "concurrent = 1\nqueue = 1\nqueue_wait = \"30s\"", s.Addr))
+	ends := make(chan int, 3)
+	ask := func(service, id string) {
+		status := 0
+		defer func() { ends <- status }() // of one that is never answered, too
+		var h http.Header
+		if status, _, h = n.once(at(service, post("credit", id, "", "x"))); status == 503 && h.Get("Retry-After") == "" {
+			t.Errorf("%s is not told when to come back", id)
 		}
-		if took := time.Since(began); took > 5*time.Second {
-			t.Fatalf("beside the crowd: after %v", took)
+	}
+	go ask("orders", "first")
+	check.Eventually(t, "the first is out", func() bool { return s.Got.Load() == 1 })
+	go ask("other", "second")
+	go ask("orders", "third")
+	if status := <-ends; status != 503 {
+		t.Errorf("with the line full: %d", status)
+	}
+	if s.Got.Load() != 1 {
+		t.Errorf("%d requests at the server, there is one place", s.Got.Load())
+	}
+	close(release)
+	for range 2 {
+		if status := <-ends; status != 200 {
+			t.Errorf("in its turn: %d", status)
 		}
 	}
 }
--- a/internal/service/owned.go
+++ b/internal/service/owned.go
@@ -11,17 +11,19 @@
 	"jasperpin/internal/config"
 	"jasperpin/internal/core"
 	"jasperpin/internal/discovery"
+	"jasperpin/internal/limit"
 )
 
 // owned is what belongs to a pool beside its core: the configuration it was made
 // of and the watch on its discovery.
 type owned struct {
-	name    string
-	retry   time.Duration // the longest wait told to refused clients
-	cfg     *config.Pool  // guarded by the Set's lock
-	pool    *core.Pool
-	watcher *discovery.Watcher // nil where the servers are listed
-	health  health
+	name     string
+	retry    time.Duration // the longest wait told to refused clients
+	attempts int           // of a request, at the most
+	cfg      *config.Pool  // guarded by the Set's lock
+	pool     *core.Pool
+	watcher  *discovery.Watcher // nil where the servers are listed
+	health   health
 
 	once    sync.Once
 	stop    context.CancelFunc
@@ -34,7 +36,7 @@
 	if s.budgets != nil {
 		log = log.With("pool", c.Name)
 	}
-	o := &owned{name: c.Name, retry: c.Settings.RetryAfterMost, cfg: c}
+	o := &owned{name: c.Name, retry: c.Settings.RetryAfterMost, attempts: c.Settings.MaxAttempts, cfg: c}
 	set := core.Settings{Decide: c.Settings, Seed: seed ^ nameSeed(c.Name), Upstream: s.make(c), Log: log}
 	if c.Discovery != "" {
 		o.watcher = discovery.NewWatcher(c.Discovery, c.Known.Seq, c.Settings.Ask, c.Zones, log)
@@ -66,10 +68,11 @@
 }
 
 // update takes what may change in a pool that goes on: its guaranteed part, its
-// servers and the address of its discovery. It says false where more has changed.
+// line, its servers and the address of its discovery. It says false where more has changed.
 func (o *owned) update(c *config.Pool) bool {
 	was, is := *o.cfg, *c
 	was.Share, is.Share = 0, 0
+	was.Gate, is.Gate = limit.GateSettings{}, limit.GateSettings{}
 	was.Known, is.Known = discovery.List{}, discovery.List{}
 	same := was.Discovery == is.Discovery && reflect.DeepEqual(was.Servers, is.Servers)
 	if (was.Discovery == "") != (is.Discovery == "") {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -29,6 +29,7 @@
 	Plain   bool // speaks HTTP at large
 	classes map[string]int
 	own     *owned
+	line    *line // kept by the pool's name, as its budgets are
 }
 
 // Class gives a class's position by its name.
@@ -41,10 +42,7 @@
 type Service struct {
 	Name         string
 	TenantHeader string // canonical; "" where tenants are not told apart
-
-	mu    sync.Mutex
-	gate  *limit.Gate
-	lines map[uint64]chan struct{} // who waits, by ticket; closed when let in
+	line         *line
 }
 
 // Target is where a request goes.
@@ -101,32 +99,46 @@
 	return "the limit is reached"
 }
 
+// Ask is what a request wants to be let in with.
+type Ask struct {
+	Tenant string
+	Bytes  int       // of its body
+	Due    time.Time // when its client's time is up
+}
+
 // Pass lets one request in, from Enter to Leave.
 type Pass struct {
 	set    *Set
 	target Target
 	tenant string
-	bytes  int
+	need   need
 }
 
-// Enter lets a request in or refuses it with a *Refusal; it may wait in the
-// service's line for as long as that lets it, or until the context ends. Bytes is
-// what its body holds: room for an answer is taken with it, so that none fails
-// for want of it.
-func (s *Set) Enter(ctx context.Context, t Target, tenant string, bytes int) (*Pass, error) {
-	p := &Pass{set: s, target: t, bytes: bytes + core.MaxBody}
+// Enter lets a request in or refuses it with a *Refusal; it may wait in its
+// service's line and then in its pool's for as long as these let it, or until the
+// context ends. With the request are taken the goroutines of all its attempts and
+// room for an answer, so that none fails for want of them.
+func (s *Set) Enter(ctx context.Context, t Target, ask Ask) (*Pass, error) {
+	p := &Pass{set: s, target: t}
 	if s.budgets == nil {
 		return p, nil
 	}
-	name, err := t.Service.enter(ctx, s.clock(), tenant)
+	name, err := t.Service.line.enter(ctx, s.clock(), ask.Tenant, ask.Due)
 	if err != nil {
 		return nil, s.bound(t, err)
 	}
 	p.tenant = name
-	if !s.budgets.take(t.Pool.Name, p.bytes) {
-		t.Service.leave(name)
+	p.need = need{requests: 1, held: ask.Bytes + core.MaxBody, goroutines: 1 + t.Pool.own.attempts}
+	// The budgets come before the pool's line: who waits there holds a body.
+	if !s.budgets.take(t.Pool.Name, p.need) {
+		t.Service.line.leave(name)
 		return nil, s.bound(t, &Refusal{RetryAfter: t.Pool.own.retry})
 	}
+	if _, err := t.Pool.line.enter(ctx, s.clock(), limit.Others, ask.Due); err != nil {
+		s.budgets.give(t.Pool.Name, p.need)
+		t.Service.line.leave(name)
+		return nil, s.bound(t, err)
+	}
 	return p, nil
 }
 
@@ -153,109 +165,14 @@
 	if p.set.budgets == nil {
 		return
 	}
-	p.set.budgets.give(p.target.Pool.Name, p.bytes)
-	p.target.Service.leave(p.tenant)
+	p.target.Pool.line.leave(limit.Others)
+	p.set.budgets.give(p.target.Pool.Name, p.need)
+	p.target.Service.line.leave(p.tenant)
 	if end != Void {
 		p.set.ended(p.target.Pool.own, end == Served)
 	}
 }
 
-// enter passes the service's gate and returns the name that the tenant is counted
-// under.
-func (s *Service) enter(ctx context.Context, now time.Duration, tenant string) (string, error) {
-	s.mu.Lock()
-	tenant = s.gate.Tenant(tenant)
-	verdict, ticket, wait := s.gate.Arrive(now, tenant)
-	switch verdict {
-	case limit.Admitted:
-		s.mu.Unlock()
-		return tenant, nil
-	case limit.TooMany, limit.Crowded:
-		if wait == 0 {
-			wait = s.gate.QueueWait()
-		}
-		s.mu.Unlock()
-		return "", &Refusal{Tenant: verdict == limit.TooMany, RetryAfter: wait}
-	}
-	in := make(chan struct{})
-	s.lines[ticket] = in
-	t := time.NewTimer(s.gate.QueueWait())
-	s.mu.Unlock()
-	defer t.Stop()
-	var err error
-	select {
-	case <-in:
-		return tenant, nil
-	case <-t.C:
-		err = &Refusal{RetryAfter: s.gate.QueueWait()}
-	case <-ctx.Done():
-		err = context.Cause(ctx)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.gate.Leave(ticket) {
-		return tenant, nil // let in at the last moment
-	}
-	delete(s.lines, ticket)
-	return "", err
-}
-
-func (s *Service) leave(tenant string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.admit(s.gate.Done(tenant))
-}
-
-// admit wakes those that have been let in. Called under the lock.
-func (s *Service) admit(tickets []uint64) {
-	for _, ticket := range tickets {
-		close(s.lines[ticket])
-		delete(s.lines, ticket)
-	}
-}
-
-// budgets are what the pools share of requests and bytes. Requests bound the
-// goroutines as well: each has one, and one for each attempt that is out.
-type budgets struct {
-	mu              sync.Mutex
-	requests, bytes *limit.Budget
-}
-
-func (b *budgets) take(pool string, bytes int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.requests.Take(pool, 1) {
-		return false
-	}
-	if !b.bytes.Take(pool, bytes) {
-		b.requests.Give(pool, 1)
-		return false
-	}
-	return true
-}
-
-func (b *budgets) give(pool string, bytes int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.requests.Give(pool, 1)
-	b.bytes.Give(pool, bytes)
-}
-
-func (b *budgets) trouble(pool string, on bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.requests.Trouble(pool, on)
-	b.bytes.Trouble(pool, on)
-}
-
-// configure lays the limits out anew.
-func (b *budgets) configure(m limit.Machine, guarantees func(total int) map[string]int) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	conns, held := m.Conns(), m.Held()
-	return errors.Join(b.requests.Configure(conns, guarantees(conns)), b.bytes.Configure(held, guarantees(held)))
-}
-
 // health is how a pool's requests end.
 type health struct {
 	mu sync.Mutex
@@ -312,10 +229,7 @@
 func New(cfg *config.Config, room Room, upstream MakeUpstream, log *slog.Logger) (*Set, error) {
 	s := &Set{log: log, start: time.Now(), room: room, make: upstream, old: make(map[*owned]bool)}
 	if cfg.Budgets {
-		b := &budgets{}
-		b.requests, _ = limit.NewBudget(0, nil)
-		b.bytes, _ = limit.NewBudget(0, nil)
-		s.budgets = b
+		s.budgets = newBudgets()
 	}
 	s.now.Store(&table{})
 	if err := s.Apply(cfg); err != nil {
@@ -357,11 +271,19 @@
 	next := &table{routes: routes, services: make(map[string]*Service), pools: make(map[string]*Pool)}
 	for i := range cfg.Pools {
 		c := &cfg.Pools[i]
-		if p := was.pools[c.Name]; p != nil && p.own.update(c) {
-			next.pools[c.Name] = p
+		old := was.pools[c.Name]
+		if old != nil {
+			old.line.configure(c.Gate)
+		}
+		if old != nil && old.own.update(c) {
+			next.pools[c.Name] = old
 			continue
 		}
-		next.pools[c.Name] = s.begin(c, cfg.Seed)
+		p := s.begin(c, cfg.Seed)
+		if p.line = newLine(c.Gate); old != nil {
+			p.line = old.line // who is in the old one still counts
+		}
+		next.pools[c.Name] = p
 		if s.budgets != nil {
 			s.trouble(c.Name, false) // the one before may have been
 		}
@@ -387,11 +309,9 @@
 // begins anew.
 func (s *Service) configure(c *config.Service) *Service {
 	if s == nil || s.TenantHeader != c.TenantHeader {
-		return &Service{Name: c.Name, TenantHeader: c.TenantHeader, gate: limit.NewGate(c.Gate), lines: make(map[uint64]chan struct{})}
+		return &Service{Name: c.Name, TenantHeader: c.TenantHeader, line: newLine(c.Gate)}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.admit(s.gate.Configure(c.Gate))
+	s.line.configure(c.Gate)
 	return s
 }
 
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -43,11 +43,14 @@
 		return config.Service{Name: name, Routes: []route.Rule{{Service: name, Host: name + ".org", Targets: []route.Target{{Pool: name, Weight: 1}}}}}
 	}
 	return &config.Config{
-		Budgets: true, Limits: limit.Machine{Cores: 1, Memory: limit.LeastMemory, Descriptors: 4096},
+		Budgets: true, Limits: limit.Machine{Cores: 1, Memory: 64 << 20, Descriptors: 1024},
 		Services: []config.Service{svc("a"), svc("b")}, Pools: []config.Pool{pool("a", 0.25), pool("b", 0.5)},
 	}
 }
 
+// ask is a request whose client waits for long.
+func ask(bytes int) Ask { return Ask{Bytes: bytes, Due: time.Now().Add(time.Minute)} }
+
 func newSet(t *testing.T, cfg *config.Config) *Set {
 	t.Helper()
 	s, err := New(cfg, room{}, func(*config.Pool) core.Upstream { return idle{} }, slog.New(slog.DiscardHandler))
@@ -72,12 +75,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSet(t, two())
 		defer s.Close()
-		held := limit.Machine{Memory: limit.LeastMemory}.Held()
+		all := limit.Machine{Memory: 64 << 20}.Held()
 		a, b := find(t, s, "a.org"), find(t, s, "b.org")
 		var passes []*Pass
 		enter := func(target Target) (n int) {
 			for {
-				p, err := s.Enter(t.Context(), target, "", core.MaxBody)
+				p, err := s.Enter(t.Context(), target, ask(core.MaxBody))
 				if r := (*Refusal)(nil); errors.As(err, &r) {
 					if r.Tenant || r.RetryAfter != time.Second {
 						t.Errorf("refused with %+v", r)
@@ -90,7 +93,7 @@
 				n++
 			}
 		}
-		most := held / (2 * core.MaxBody)
+		most := all / (2 * core.MaxBody)
 		if n := enter(a); n < most*45/100 || n > most/2 {
 			t.Errorf("a holds %d of %d, half of which are b's", n, most)
 		}
@@ -100,8 +103,8 @@
 		for _, p := range passes {
 			p.Leave(Served)
 		}
-		if free := s.budgets.bytes.Free(); free != held {
-			t.Errorf("%d of %d bytes are free in the end", free, held)
+		if free := s.budgets.of[held].Free(); free != all {
+			t.Errorf("%d of %d bytes are free in the end", free, all)
 		}
 	})
 }
@@ -114,7 +117,7 @@
 		defer s.Close()
 		a := find(t, s, "a.org")
 		one := func(end End) {
-			p, err := s.Enter(t.Context(), a, "", 0)
+			p, err := s.Enter(t.Context(), a, ask(0))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -122,7 +125,7 @@
 		}
 		count := func() (n int) {
 			var passes []*Pass
-			for p, err := s.Enter(t.Context(), a, "", 0); err == nil; p, err = s.Enter(t.Context(), a, "", 0) {
+			for p, err := s.Enter(t.Context(), a, ask(0)); err == nil; p, err = s.Enter(t.Context(), a, ask(0)) {
 				passes = append(passes, p)
 			}
 			for _, p := range passes {
@@ -152,16 +155,27 @@
 	})
 }
 
-// TestLine has requests wait for a place: one is let in when a place is free, one
-// gives up, one leaves with its client.
-func TestLine(t *testing.T) {
+// TestLines has requests wait for a place, of their service's or of their pool's:
+// one is let in when a place is free, one gives up, one leaves with its client.
+func TestLines(t *testing.T) {
+	gate := limit.GateSettings{Concurrent: 1, Queue: 3, QueueWait: time.Second}
+	t.Run("service", func(t *testing.T) {
+		testLine(t, func(c *config.Config) { c.Services[0].Gate = gate }, func(a Target) *line { return a.Service.line })
+	})
+	t.Run("pool", func(t *testing.T) {
+		testLine(t, func(c *config.Config) { c.Pools[0].Gate = gate }, func(a Target) *line { return a.Pool.line })
+	})
+}
+
+func testLine(t *testing.T, limits func(*config.Config), at func(Target) *line) {
 	synctest.Test(t, func(t *testing.T) {
 		cfg := two()
-		cfg.Services[0].Gate = limit.GateSettings{Concurrent: 1, Queue: 3, QueueWait: time.Second}
+		limits(cfg)
 		s := newSet(t, cfg)
 		defer s.Close()
 		a := find(t, s, "a.org")
-		first, err := s.Enter(t.Context(), a, "", 0)
+		l := at(a)
+		first, err := s.Enter(t.Context(), a, ask(0))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -174,12 +188,12 @@
 		for i, ctx := range []context.Context{t.Context(), t.Context(), left} {
 			ends[i] = make(chan end, 1)
 			go func() {
-				p, err := s.Enter(ctx, a, "", 0)
+				p, err := s.Enter(ctx, a, ask(0))
 				ends[i] <- end{p, err}
 			}()
 			synctest.Wait()
 		}
-		if _, err := s.Enter(t.Context(), a, "", 0); err == nil {
+		if _, err := s.Enter(t.Context(), a, ask(0)); err == nil {
 			t.Error("a fourth is let into a line of three")
 		}
 		gone := errors.New("gone")
@@ -197,8 +211,8 @@
 			t.Errorf("the one that nobody made room for: %v after %v", e.err, time.Since(began))
 		}
 		e.p.Leave(Served)
-		if a.gate.Held() != 0 || a.gate.Waiting() != 0 || len(a.lines) != 0 {
-			t.Errorf("%d held, %d wait, %d lines", a.gate.Held(), a.gate.Waiting(), len(a.lines))
+		if l.gate.Held() != 0 || l.gate.Waiting() != 0 || len(l.waiting) != 0 {
+			t.Errorf("%d held, %d wait, %d are to be woken", l.gate.Held(), l.gate.Waiting(), len(l.waiting))
 		}
 	})
 }
@@ -212,6 +226,7 @@
 		}{
 			"nothing": {func(*config.Config) {}, true},
 			"share":   {func(c *config.Config) { c.Pools[0].Share = 0.3 }, true},
+			"places":  {func(c *config.Config) { c.Pools[0].Gate.Concurrent = 5 }, true},
 			"servers": {func(c *config.Config) { c.Pools[0].Servers = nil }, true},
 			"limits":  {func(c *config.Config) { c.Limits.Descriptors = 512 }, true},
 			"aim":     {func(c *config.Config) { c.Pools[0].Settings.Classes[0].Aim = time.Minute }, false},
@@ -248,3 +263,97 @@
 		}
 	})
 }
+
+// TestGoroutinesAtTheirCap has the attempts of one pool's requests take all that
+// the pool may have: the other pool has its part, and all comes back.
+func TestGoroutinesAtTheirCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := two()
+		cfg.Limits.Memory = cfg.Limits.Wants()
+		cfg.Pools[0].Settings.MaxAttempts = 9
+		s := newSet(t, cfg)
+		defer s.Close()
+		all := cfg.Limits.Goroutines()
+		var passes []*Pass
+		fill := func(host string) (n int) {
+			for p, err := s.Enter(t.Context(), find(t, s, host), ask(0)); err == nil; p, err = s.Enter(t.Context(), find(t, s, host), ask(0)) {
+				passes = append(passes, p)
+				n++
+			}
+			return n
+		}
+		if n := fill("a.org"); n != all/2/10 {
+			t.Errorf("a holds %d requests of 10 goroutines each, all are %d and half of them b's", n, all)
+		}
+		if n := fill("b.org"); n < all/4 {
+			t.Errorf("b holds %d requests of 2 goroutines each, half of %d are its", n, all)
+		}
+		for _, p := range passes {
+			p.Leave(Void)
+		}
+		if free := s.budgets.of[goroutines].Free(); free != all {
+			t.Errorf("%d of %d goroutines are free in the end", free, all)
+		}
+	})
+}
+
+// TestLineEndsBeforeItsClient has a request whose client waits less long than the
+// line would let it: it is refused while half of its time is left.
+func TestLineEndsBeforeItsClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := two()
+		cfg.Pools[0].Gate = limit.GateSettings{Concurrent: 1, Queue: 3, QueueWait: time.Minute}
+		s := newSet(t, cfg)
+		defer s.Close()
+		a := find(t, s, "a.org")
+		first, err := s.Enter(t.Context(), a, ask(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer first.Leave(Served)
+		began := time.Now()
+		_, err = s.Enter(t.Context(), a, Ask{Due: began.Add(400 * time.Millisecond)})
+		if r := (*Refusal)(nil); !errors.As(err, &r) || time.Since(began) != 200*time.Millisecond {
+			t.Errorf("%v after %v", err, time.Since(began))
+		}
+		if used := s.budgets.of[requests].Used("a"); used != 1 {
+			t.Errorf("%d requests are counted, one is in", used)
+		}
+	})
+}
+
+// TestPlacesOutliveTheirPool replaces a pool while its places are taken: they are
+// taken in the new one too, until who holds them leaves.
+func TestPlacesOutliveTheirPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := two()
+		cfg.Pools[0].Gate.Concurrent = 1
+		s := newSet(t, cfg)
+		defer s.Close()
+		was := find(t, s, "a.org")
+		first, err := s.Enter(t.Context(), was, ask(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		next := two()
+		next.Pools[0].Gate.Concurrent = 1
+		next.Pools[0].Plain = true
+		if err := s.Apply(next); err != nil {
+			t.Fatal(err)
+		}
+		is := find(t, s, "a.org")
+		if is.Pool == was.Pool {
+			t.Fatal("the pool is the same")
+		}
+		if _, err := s.Enter(t.Context(), is, ask(0)); err == nil {
+			t.Error("let into a place that is taken")
+		}
+		first.Leave(Served)
+		p, err := s.Enter(t.Context(), is, ask(0))
+		if err != nil {
+			t.Fatalf("the place is free: %v", err)
+		}
+		p.Leave(Served)
+		synctest.Wait()
+	})
+}
