--- a/decide/admit.go
+++ b/decide/admit.go
@@ -35,10 +35,8 @@
 	levelGain  = 0.3
 	levelFew   = 0.08
 	shedMost   = 0.95
-	// feelGain smooths the latency signal over some tens of answers.
-	feelGain = 1.0 / 16
-	// mixFade is how fast the observed mix of traffic is renewed.
-	mixFade = 1.0 / 512
+	feelGain   = 1.0 / 16  // smooths the latency signal over some tens of answers
+	mixFade    = 1.0 / 512 // how fast the observed mix of traffic is renewed
 )
 
 // Ranks of requests, the first to be shed first.
--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -9,10 +9,9 @@
 const (
 	// retryShare of the first tries may be repeated, retryBurst at once: in a
 	// storm retries stay a small part of the load.
-	retryShare = 0.15
-	retryBurst = 20.0
-	// windowMargin keeps repeats of guarded requests clear of the window's end.
-	windowMargin = 0.9
+	retryShare   = 0.15
+	retryBurst   = 20.0
+	windowMargin = 0.9 // keeps repeats of guarded requests clear of the window's end
 	// copyAfter latencies, and two thirds of the time to its aim, an attempt must have
 	// been out for a second copy: it is then lost rather than slow.
 	copyAfter = 4
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -13,10 +13,8 @@
 	// tickEvery is the pace of housekeeping (weights, shedding): short against
 	// every aim, long against the cost of walking the server list.
 	tickEvery = 100 * time.Millisecond
-	// classGain smooths what is learned about a class over ~64 answers.
-	classGain = 1.0 / 64
-	// baseGain lets the least latency recover from a chance low, over minutes.
-	baseGain = 1.0 / 4000
+	classGain = 1.0 / 64   // smooths what is learned about a class over ~64 answers
+	baseGain  = 1.0 / 4000 // lets the least latency recover from a chance low, over minutes
 	// ageSlack is what clients' clocks and the network may shift. A wait passes
 	// for the usual one from ageVotes on; each sight of it adds ageFirst, any other
 	// takes one away, as there may be three further tries for each first one.
@@ -127,7 +125,7 @@
 	if c := &b.classes[q.Class]; q.Hint > 0 {
 		c.hint += (float64(q.Hint) - c.hint) * classGain
 	}
-	if b.now < r.aimAt && b.shed(r) {
+	if b.now < r.aimAt && b.shed(r) && q.Planned == 0 {
 		b.finish(r)
 		return
 	}
--- a/decide/cases_test.go
+++ b/decide/cases_test.go
@@ -844,3 +844,46 @@
 		}
 	}
 }
+
+// A server that another planned is taken for the first attempt, past the node's own
+// shedding and its own part of a cold server's budget, and never against the list,
+// an ejection or the rules on repeats. What follows is the node's own choice.
+func TestPlannedServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Balancer, *server)
+		taken  bool
+	}{
+		"ready":    {func(*Balancer, *server) {}, true},
+		"shedding": {func(b *Balancer, _ *server) { b.window, b.steady, b.outNow = 1, shedMost, 1000 }, true},
+		"cold": {func(b *Balancer, s *server) {
+			s.Since, s.cold, s.tokens, s.tokensAt = b.now, true, -5, b.now
+		}, true},
+		"draining": {func(_ *Balancer, s *server) { s.Condition = Draining }, false},
+		"ejected":  {func(_ *Balancer, s *server) { s.ejected = true }, false},
+		"full":     {func(b *Balancer, s *server) { s.restUntil = b.now + second }, false},
+		"unknown":  {func(b *Balancer, s *server) { delete(b.byID, s.ID) }, false},
+	} {
+		for class := range 3 {
+			b, tape := start(testSettings(), 6)
+			s := b.byID[4]
+			c.change(b, s)
+			b.Arrive(b.now, Request{ID: 1, Class: class, Due: b.now + second, Planned: 4})
+			if len(tape.sends) == 0 {
+				t.Fatalf("%s, class %d: nothing was sent", name, class)
+			}
+			if taken := tape.sends[0].srv == 4; c.taken && !taken {
+				t.Errorf("%s, class %d: sent to %d", name, class, tape.sends[0].srv)
+			}
+			if !c.taken && name != "unknown" && tape.sends[0].srv == 4 {
+				t.Errorf("%s, class %d: the plan was taken", name, class)
+			}
+			if !c.taken {
+				continue
+			}
+			b.Finished(b.now, Outcome{ID: 1, Result: Full})
+			if len(tape.sends) != 2 || tape.sends[1].srv == 4 {
+				t.Errorf("%s, class %d: after it was full: %+v", name, class, tape.sends)
+			}
+		}
+	}
+}
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -135,6 +135,9 @@
 // pick chooses the server for the next attempt: of a few drawn by weight, the best
 // that is idle; where none is, the one that holds fewest of this node's calls.
 func (b *Balancer) pick(r *request) *server {
+	if s := b.byID[r.Planned]; s != nil && r.Planned != 0 && len(r.attempts) == 0 && s.Condition == Ready && !s.ejected && b.now >= s.restUntil {
+		return s // whoever planned it has seen to cold servers for all nodes
+	}
 	expect := b.expected(r)
 	var best *server
 	bestCost := math.Inf(1)
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -87,6 +87,7 @@
 	Key       uint64
 	Hint, Due time.Duration
 	Repeat    bool
+	Planned   ServerID // where another who sees more sends its first attempt; 0 for none
 }
 
 // Outcome is the end of an attempt.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,10 +6,12 @@
 import (
 	"cmp"
 	"fmt"
+	"log/slog"
 	"maps"
 	"math"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -32,6 +34,28 @@
 	Budgets  bool
 	Services []Service
 	Pools    []Pool
+	Role     Role
+	Planning Planning
+}
+
+// Role is a node's part in its tier.
+type Role string
+
+// A node decides by itself, a forwarder asks planners first, and a planner serves
+// forwarders alone.
+const (
+	Alone     Role = "node"
+	Forwarder Role = "forwarder"
+	Planner   Role = "planner"
+)
+
+// Planning is how forwarders and planners meet. A node of its own has none.
+type Planning struct {
+	Listen   []string // a planner's, for forwarders
+	Planners []string // a forwarder's, in the order in which it asks them
+	// Certificate, Key and Authorities are files in PEM: what this node shows the
+	// other end, and whose certificates it believes.
+	Certificate, Key, Authorities string
 }
 
 // Service is what clients ask for under some hosts and paths.
@@ -58,6 +82,34 @@
 	DialTimeout time.Duration
 }
 
+// Feed says where the pool's servers come from.
+func (p *Pool) Feed(log *slog.Logger) discovery.FeedOptions {
+	return discovery.FeedOptions{Servers: p.Servers, Discovery: p.Discovery, Known: p.Known, Zones: p.Zones, Ask: p.Settings.Ask, Log: log}
+}
+
+// Continues says whether a pool that was made of another configuration may go on
+// under this one: all that differs is its guaranteed part, its places and line, its
+// servers or the address of its discovery.
+func (p *Pool) Continues(old *Pool) bool {
+	if (old.Discovery == "") != (p.Discovery == "") {
+		return false
+	}
+	was, is := *old, *p
+	for _, c := range []*Pool{&was, &is} {
+		c.Share, c.Gate, c.Known, c.Discovery, c.Servers = 0, limit.GateSettings{}, discovery.List{}, "", nil
+	}
+	return reflect.DeepEqual(was, is)
+}
+
+// ClassNames are the names of the classes in the order of their positions.
+func (p *Pool) ClassNames() []string {
+	names := make([]string, len(p.Classes))
+	for name, i := range p.Classes {
+		names[i] = name
+	}
+	return names
+}
+
 // Guarantees gives each pool's part of a number of units.
 func (c *Config) Guarantees(total int) map[string]int {
 	g := make(map[string]int, len(c.Pools))
@@ -82,7 +134,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading the configuration: %w", err)
 	}
-	return Parse(filepath.Base(path), text)
+	c, err := Parse(filepath.Base(path), text)
+	if err != nil {
+		return nil, err
+	}
+	for _, file := range []*string{&c.Planning.Certificate, &c.Planning.Key, &c.Planning.Authorities} {
+		if *file != "" && !filepath.IsAbs(*file) {
+			*file = filepath.Join(filepath.Dir(path), *file)
+		}
+	}
+	return c, nil
 }
 
 // Bounds of what a file may ask for.
@@ -93,6 +154,8 @@
 	maxRate    = 1e9
 	maxHeld    = 1 << 24
 	maxClasses = 256
+	// maxPlanners bounds the planners of a forwarder: each is told of every attempt.
+	maxPlanners = 8
 )
 
 // What a file that does not say gets.
@@ -116,7 +179,11 @@
 	node := root.table("node")
 	c.Name = node.word("name", "node")
 	c.Listen = node.texts("listen", "an address and port such as 127.0.0.1:8080", isAddr)
-	if node.m != nil && len(c.Listen) == 0 {
+	c.Role = Role(node.choice("role", string(Alone), string(Alone), string(Forwarder), string(Planner)))
+	switch {
+	case c.Role == Planner && len(c.Listen) > 0:
+		node.fail("listen", "stands with a planner, which serves no clients: want planning.listen alone")
+	case node.m != nil && len(c.Listen) == 0 && c.Role != Planner:
 		node.fail("listen", "is missing: want one address and port or more, such as [\"127.0.0.1:8080\"]")
 	}
 	number, nodes := node.count("number", 0, 0, math.MaxUint16), node.count("nodes", 1, 1, math.MaxUint16)
@@ -140,6 +207,8 @@
 	}
 	lim.done()
 
+	c.readPlanning(root)
+
 	pools := make(map[string]*Pool)
 	for _, t := range root.tables("pool") {
 		p := readPool(t)
@@ -160,7 +229,10 @@
 		names[s.Name] = true
 		c.Services = append(c.Services, s)
 	}
-	if len(c.Services) == 0 {
+	switch {
+	case c.Role == Planner && len(c.Services) > 0:
+		root.fail("service", "stands with a planner, which serves no clients: want pools alone")
+	case len(c.Services) == 0 && c.Role != Planner:
 		root.fail("service", "is missing: want one [[service]] or more")
 	}
 	root.done()
@@ -172,6 +244,51 @@
 	return c, r.result()
 }
 
+// readPlanning reads how forwarders and planners meet.
+func (c *Config) readPlanning(root *table) {
+	if c.Role == Alone {
+		if root.m["planning"] != nil {
+			root.get("planning")
+			root.fail("planning", "stands with the role \"node\": want role = \"forwarder\" or \"planner\" under [node], or no [planning]")
+		}
+		return
+	}
+	t := root.table("planning")
+	some := func(s string) bool { return s != "" }
+	p := Planning{
+		Certificate: t.text("certificate", "", "the name of a file in PEM", some),
+		Key:         t.text("key", "", "the name of a file in PEM", some),
+		Authorities: t.text("authorities", "", "the name of a file in PEM", some),
+	}
+	const addr = "an address and port such as 127.0.0.1:7700"
+	list, other := "planners", "listen"
+	if c.Role == Planner {
+		list, other = other, list
+	}
+	found := t.texts(list, addr, isAddr)
+	if c.Role == Planner {
+		p.Listen = found
+	} else {
+		p.Planners = found
+	}
+	if root.m["planning"] == nil {
+		root.fail("planning", "is missing: a %s wants [planning] with %s, certificate, key and authorities", c.Role, list)
+	} else {
+		for _, key := range []string{list, "certificate", "key", "authorities"} {
+			t.must(key)
+		}
+	}
+	if len(found) > maxPlanners {
+		t.fail(list, "has %d entries: want %d at the most", len(found), maxPlanners)
+	}
+	if t.m[other] != nil {
+		t.get(other)
+		t.fail(other, "is not a %s's: want %s", c.Role, list)
+	}
+	t.done()
+	c.Planning = p
+}
+
 // share sets the guaranteed parts of the pools that name none.
 func (c *Config) share(root *table) {
 	sum, unnamed := 0.0, 0
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -122,11 +122,29 @@
 	BornMS     float64 // Unix time of its start, in ms; 0 for long ago
 }
 
+// Guide is asked where the first attempt of each request should go, and told of
+// all attempts. Calls come one at a time, under the pool's lock: they do not block
+// and do not call back.
+type Guide interface {
+	// Start says how Ask is answered: with a server, or 0 for none.
+	Start(answer func(decide.RequestID, decide.ServerID))
+	// Ask says whether to wait for the answer, which comes soon in any case.
+	Ask(q decide.Request, left time.Duration) (wait bool)
+	Sent(id decide.RequestID, attempt int, to decide.ServerID)
+	// Ended tells an attempt's outcome, and whether its request is refused for it.
+	Ended(id decide.RequestID, attempt int, result decide.Result, turnedAway bool)
+	// Closed says that a request is over: nothing is out and nothing is owed.
+	Closed(id decide.RequestID)
+	// Close ends the guide. The pool makes no call after it.
+	Close()
+}
+
 // Settings are what a pool is made of.
 type Settings struct {
 	Decide   decide.Settings
 	Seed     uint64
 	Upstream Upstream
+	Guide    Guide  // nil where the pool decides all alone
 	Watch    func() // the module's order to watch discovery; may be nil
 	Log      *slog.Logger
 }
@@ -139,6 +157,8 @@
 	attempts []*attempt
 	out      int        // attempts without an outcome
 	settled  bool       // answered, or its client is gone: nothing more is owed
+	refused  bool       // that was the answer
+	asking   bool       // the guide has yet to say where it should go
 	final    chan Final // holds one
 }
 
@@ -190,6 +210,9 @@
 		servers: make(map[string]*server), byID: make(map[decide.ServerID]*server),
 	}
 	p.do(func(now time.Duration) { p.b = decide.New(set.Decide, set.Seed, now, effects{p}) })
+	if set.Guide != nil {
+		set.Guide.Start(p.guided)
+	}
 	return p
 }
 
@@ -242,9 +265,12 @@
 		p.reqs[r.id] = r
 		// The module's clock never runs back, and a request that waited to be read
 		// has its true deadline all the same.
-		p.b.Arrive(p.since(time.Now()), decide.Request{
-			ID: r.id, Class: q.Class, Key: q.Key, Hint: q.Hint, Due: r.due, Repeat: q.Again,
-		})
+		now := p.since(time.Now())
+		if g := p.set.Guide; g != nil && g.Ask(r.decide(0), r.due-now) {
+			r.asking = true
+			return
+		}
+		p.b.Arrive(now, r.decide(0))
 	})
 	if err != nil {
 		return nil, err
@@ -252,6 +278,23 @@
 	return r, nil
 }
 
+// guided takes the guide's answer: the server to send a request to, or 0.
+func (p *Pool) guided(id decide.RequestID, server decide.ServerID) {
+	p.do(func(now time.Duration) {
+		r := p.reqs[id]
+		if r == nil || !r.asking {
+			return
+		}
+		r.asking = false
+		p.b.Arrive(now, r.decide(server))
+	})
+}
+
+// decide is the request as the module takes it.
+func (r *Exchange) decide(planned decide.ServerID) decide.Request {
+	return decide.Request{ID: r.id, Class: r.Class, Key: r.Key, Hint: r.Hint, Due: r.due, Repeat: r.Again, Planned: planned}
+}
+
 // Final brings the request's one answer.
 func (r *Exchange) Final() <-chan Final { return r.final }
 
@@ -282,6 +325,9 @@
 // Close ends a pool that is not used any more.
 func (p *Pool) Close() {
 	p.do(func(time.Duration) { p.retired, p.closed = true, true })
+	if p.set.Guide != nil {
+		p.set.Guide.Close()
+	}
 	p.set.Upstream.Close()
 }
 
@@ -300,6 +346,9 @@
 			r.final <- Final{Status: Served, Answer: ans}
 		}
 		p.b.Finished(now, decide.Outcome{ID: r.id, Attempt: a.n, Result: result, Settled: r.settled})
+		if p.set.Guide != nil {
+			p.set.Guide.Ended(r.id, a.n, result, r.refused)
+		}
 		p.release(r)
 	})
 	a.giveUp(nil)
@@ -311,6 +360,9 @@
 	if r.settled && r.out == 0 && p.reqs[r.id] == r {
 		delete(p.reqs, r.id)
 		delete(p.open, r.Name)
+		if p.set.Guide != nil {
+			p.set.Guide.Closed(r.id)
+		}
 		if p.retired && len(p.reqs) == 0 {
 			close(p.empty)
 		}
@@ -335,7 +387,8 @@
 				continue
 			}
 			if s == nil {
-				s = &server{id: p.newID(h.Name), addr: h.Addr, born: h.BornMS, up: p.set.Upstream.Server()}
+				id := ServerID(h.Name, func(id decide.ServerID) bool { return p.byID[id] != nil })
+				s = &server{id: id, addr: h.Addr, born: h.BornMS, up: p.set.Upstream.Server()}
 				p.servers[h.Name], p.byID[s.id] = s, s
 			}
 			if h.Condition != decide.Ready || h.BornMS != s.born || h.Addr != s.addr {
@@ -347,10 +400,7 @@
 			if h.Addr != "" {
 				s.addr = h.Addr
 			}
-			news = append(news, decide.Server{
-				ID: s.id, Zone: h.Zone, Cell: h.Cell, Condition: h.Condition, Scale: h.Share,
-				Since: time.Duration(h.BornMS * float64(time.Millisecond)),
-			})
+			news = append(news, h.Server(s.id))
 		}
 		p.b.Listed(now, kind, news)
 		for name, s := range p.servers {
@@ -373,18 +423,27 @@
 	p.later(s.up.Leave)
 }
 
-// newID names a server to the module: a hash, so that all nodes keep a key on
-// the same servers, and the next free number where two names meet.
-func (p *Pool) newID(host string) decide.ServerID {
+// ServerID names a server to the module: a hash, so that all nodes keep a key on
+// the same servers and planners mean the same ones, and the next free number above
+// 0 where two names meet.
+func ServerID(host string, taken func(decide.ServerID) bool) decide.ServerID {
 	h := fnv.New32a()
 	h.Write([]byte(host))
 	id := decide.ServerID(h.Sum32())
-	for p.byID[id] != nil {
+	for id == 0 || taken(id) {
 		id++
 	}
 	return id
 }
 
+// Server is the host as the module knows it.
+func (h *Host) Server(id decide.ServerID) decide.Server {
+	return decide.Server{
+		ID: id, Zone: h.Zone, Cell: h.Cell, Condition: h.Condition, Scale: h.Share,
+		Since: time.Duration(h.BornMS * float64(time.Millisecond)),
+	}
+}
+
 // effects is decide.Effects; each method is called under the lock.
 type effects struct{ *Pool }
 
@@ -402,6 +461,9 @@
 	a.timer = time.AfterFunc(max(wait, 0), func() { a.giveUp(ErrTimedOut) })
 	r.attempts = append(r.attempts, a)
 	r.out++
+	if p.set.Guide != nil {
+		p.set.Guide.Sent(id, a.n, to)
+	}
 	p.later(func() {
 		if a.srv == nil || wait <= 0 || r.settled {
 			p.end(a, decide.Moot, nil)
@@ -427,6 +489,9 @@
 }
 
 func (p effects) Refuse(id decide.RequestID, retryAfter time.Duration) {
+	if r := p.reqs[id]; r != nil {
+		r.refused = true
+	}
 	p.settle(id, Final{Status: Refused, RetryAfter: retryAfter})
 }
 
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -56,7 +56,7 @@
 // startNode runs a node in front of the servers; change may alter what it is told.
 func startNode(t *testing.T, change func(raw map[string]any), servers ...string) *testNode {
 	t.Helper()
-	d := discovery(t, servers...)
+	d := discoveryOf(t, servers...)
 	n := &testNode{
 		t: t, addr: check.Unused(t), file: filepath.Join(t.TempDir(), "config.json"),
 		hup: make(chan os.Signal, 1), ended: make(chan error, 1), logged: &check.Log{},
@@ -93,7 +93,7 @@
 	})
 }
 
-func discovery(t *testing.T, servers ...string) *standin.Discovery {
+func discoveryOf(t *testing.T, servers ...string) *standin.Discovery {
 	t.Helper()
 	return check.Owned(t, func() (*standin.Discovery, error) { return standin.NewDiscovery(standin.Hosts(servers...)...) })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,8 @@
 	set       *service.Set
 	front     *httpfront.Front
 	room      *httpup.Room
+	clients   *clients // of a forwarder
+	planner   *planner // which has nothing of what serves clients
 	listeners []net.Listener
 	served    chan error
 	process   bool // keep the process within the limits
@@ -67,6 +69,21 @@
 		return nil, err
 	}
 	n := &Node{cfg: cfg, source: source, log: log}
+	var guide service.MakeGuide
+	switch cfg.Role {
+	case config.Planner:
+		n.served = make(chan error, len(cfg.Planning.Listen))
+		if n.planner, err = newPlanner(cfg, log, n.served); err != nil {
+			return nil, err
+		}
+		log.Info("planning", "name", cfg.Name, "listen", n.Addrs())
+		return n, nil
+	case config.Forwarder:
+		if n.clients, err = newClients(cfg, log); err != nil {
+			return nil, err
+		}
+		guide = n.clients.guide
+	}
 	for _, addr := range cfg.Listen {
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
@@ -77,7 +94,7 @@
 	}
 	// Apply configures the room; until then there is none.
 	if n.room, err = httpup.NewRoom(0, nil); err == nil {
-		n.set, err = service.New(cfg, n.room, n.upstream, log)
+		n.set, err = service.New(cfg, n.room, n.upstream, guide, log)
 	}
 	if err != nil {
 		n.unlisten()
@@ -99,10 +116,14 @@
 }
 
 // Addrs are the addresses that the node listens at, in the order of its
-// configuration.
+// configuration: for clients, or a planner's for forwarders.
 func (n *Node) Addrs() []string {
 	var addrs []string
-	for _, ln := range n.listeners {
+	listeners := n.listeners
+	if n.planner != nil {
+		listeners = n.planner.listeners
+	}
+	for _, ln := range listeners {
 		addrs = append(addrs, ln.Addr().String())
 	}
 	return addrs
@@ -120,7 +141,7 @@
 // is answered. What comes on reload has the configuration read anew; one that
 // cannot be read or put in force leaves the old one as it is.
 func (n *Node) Run(ctx context.Context, reload <-chan os.Signal) error {
-	defer n.set.Close()
+	defer n.close()
 	for {
 		select {
 		case err := <-n.served:
@@ -128,22 +149,50 @@
 		case <-reload:
 			n.reload()
 		case <-ctx.Done():
+			if n.planner != nil {
+				return nil // it holds no request: forwarders go on without it
+			}
 			return n.drain()
 		}
 	}
 }
 
+func (n *Node) close() {
+	if n.planner != nil {
+		n.planner.close()
+		return
+	}
+	n.set.Close()
+}
+
+// apply puts a configuration in force.
+func (n *Node) apply(cfg *config.Config) error {
+	if n.planner != nil {
+		n.planner.apply(cfg)
+		return nil
+	}
+	if err := n.set.Apply(cfg); err != nil {
+		return err
+	}
+	if n.clients != nil {
+		n.clients.move(cfg.Planning.Planners)
+	}
+	return nil
+}
+
 func (n *Node) reload() {
 	next, restart, err := n.source.Reload(n.cfg)
 	if err == nil {
-		err = n.set.Apply(next)
+		err = n.apply(next)
 	}
 	if err != nil {
 		n.log.Error("reload failed, the old configuration stays", "err", err)
 		return
 	}
 	if next.Limits != n.cfg.Limits {
-		n.front.Limit(next.Limits.Conns())
+		if n.front != nil {
+			n.front.Limit(next.Limits.Conns())
+		}
 		if n.process {
 			keep(next.Limits)
 		}
@@ -201,10 +250,22 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if was.Role != next.Role {
+		return nil, nil, fmt.Errorf("node.role is %s and was %s: a node changes its role by a restart", next.Role, was.Role)
+	}
 	var restart []string
-	if !slices.Equal(was.Listen, next.Listen) {
-		next.Listen = was.Listen
-		restart = append(restart, "node.listen")
+	keep := func(key string, was, is *[]string) {
+		if !slices.Equal(*was, *is) {
+			*is = *was
+			restart = append(restart, key)
+		}
+	}
+	keep("node.listen", &was.Listen, &next.Listen)
+	keep("planning.listen", &was.Planning.Listen, &next.Planning.Listen)
+	w, is := was.Planning, &next.Planning
+	if w.Certificate != is.Certificate || w.Key != is.Key || w.Authorities != is.Authorities {
+		is.Certificate, is.Key, is.Authorities = w.Certificate, w.Key, w.Authorities
+		restart = append(restart, "planning.certificate, key and authorities")
 	}
 	return next, restart, nil
 }
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -20,7 +20,7 @@
 	if status, body, _ := n.once(look("r1")); status != 200 || body != "r1 " {
 		t.Fatalf("before the reload: %d %q", status, body)
 	}
-	d := discovery(t, b.Addr)
+	d := discoveryOf(t, b.Addr)
 	n.raw["discovery"] = d.Addr
 	n.write()
 	n.reload()
--- a/internal/node/services_test.go
+++ b/internal/node/services_test.go
@@ -483,7 +483,7 @@
 // refused at once, and the other pool follows its own discovery.
 func TestDeadDiscoveryOfOnePool(t *testing.T) {
 	s := check.Raw(t, standin.Echo)
-	d := discovery(t, s.Addr)
+	d := discoveryOf(t, s.Addr)
 	n := startServices(t, svc("orders", "")+svc("stock", "")+
 		pool("orders", fmt.Sprintf("discovery = %q", check.Unused(t)))+pool("stock", fmt.Sprintf("discovery = %q", d.Addr)))
 	id := 0
@@ -497,7 +497,7 @@
 		t.Errorf("without servers: %d, Retry-After %q", status, h.Get("Retry-After"))
 	}
 	// Its discovery comes up elsewhere: the same pool follows it.
-	d2 := discovery(t, s.Addr)
+	d2 := discoveryOf(t, s.Addr)
 	n.reloaded(svc("orders", "") + svc("stock", "") + pool("orders", fmt.Sprintf("discovery = %q", d2.Addr)) + pool("stock", fmt.Sprintf("discovery = %q", d.Addr)))
 	check.Eventually(t, "the pool is served by its new discovery", func() bool {
 		id++
--- /dev/null
+++ b/internal/node/tier.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+
+	"jasperpin/internal/config"
+	"jasperpin/internal/core"
+	"jasperpin/internal/discovery"
+	"jasperpin/internal/planlink"
+)
+
+// clients are the ends at which a forwarder's pools ask planners.
+type clients struct {
+	opt planlink.ClientOptions // what all have in common
+	mu  sync.Mutex
+	all map[*planlink.Client]bool
+}
+
+// newClients prepares a forwarder's ends.
+func newClients(cfg *config.Config, log *slog.Logger) (*clients, error) {
+	p := cfg.Planning
+	tls, err := planlink.Files{Certificate: p.Certificate, Key: p.Key, Authorities: p.Authorities}.Load()
+	if err != nil {
+		return nil, err
+	}
+	return &clients{
+		opt: planlink.ClientOptions{Name: cfg.Name, Planners: p.Planners, TLS: tls, Seed: cfg.Seed, Log: log},
+		all: make(map[*planlink.Client]bool),
+	}, nil
+}
+
+// guide makes a pool's end.
+func (c *clients) guide(p *config.Pool) core.Guide {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	opt := c.opt
+	opt.Pool, opt.Classes = p.Name, p.ClassNames()
+	opt.Left = func(left *planlink.Client) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.all, left)
+	}
+	client := planlink.NewClient(opt)
+	c.all[client] = true
+	return client
+}
+
+// move has all ends ask other planners.
+func (c *clients) move(planners []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Equal(planners, c.opt.Planners) {
+		return
+	}
+	c.opt.Planners = planners
+	for client := range c.all {
+		client.Move(planners)
+	}
+}
+
+// planner is a node that places other nodes' requests: a desk for each pool.
+type planner struct {
+	log       *slog.Logger
+	server    *planlink.Server
+	listeners []net.Listener
+	desks     map[string]*desk
+}
+
+// desk is a pool's desk with the feed of its servers.
+type desk struct {
+	*planlink.Desk
+	cfg  *config.Pool
+	feed *discovery.Feed
+}
+
+// newPlanner listens for forwarders and serves them until close; how that ends goes
+// to served.
+func newPlanner(cfg *config.Config, log *slog.Logger, served chan<- error) (*planner, error) {
+	p := &planner{log: log, desks: make(map[string]*desk)}
+	c := cfg.Planning
+	tls, err := planlink.Files{Certificate: c.Certificate, Key: c.Key, Authorities: c.Authorities}.Load()
+	if err != nil {
+		return nil, err
+	}
+	p.server = planlink.NewServer(tls, log)
+	p.apply(cfg)
+	for _, addr := range c.Listen {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			p.close()
+			return nil, fmt.Errorf("listening for forwarders: %w", err)
+		}
+		p.listeners = append(p.listeners, ln)
+	}
+	for _, ln := range p.listeners {
+		go func() {
+			if err := p.server.Serve(ln); err != nil {
+				served <- err
+			}
+		}()
+	}
+	return p, nil
+}
+
+// apply puts the pools of a configuration in force. A desk whose pool goes on keeps
+// what it knows; what others had with their forwarders ends.
+func (p *planner) apply(cfg *config.Config) {
+	named := make(map[string]bool)
+	for i := range cfg.Pools {
+		c := &cfg.Pools[i]
+		named[c.Name] = true
+		was := p.desks[c.Name]
+		if was != nil && c.Continues(was.cfg) {
+			was.cfg = c
+			was.feed.Move(c.Servers, c.Discovery)
+			continue
+		}
+		if was != nil {
+			was.feed.Close()
+		}
+		d := &desk{cfg: c, feed: discovery.NewFeed(c.Feed(p.log.With("pool", c.Name)))}
+		d.Desk = planlink.NewDesk(planlink.DeskOptions{
+			Pool: c.Name, Classes: c.ClassNames(), Decide: c.Settings, Seed: cfg.Seed, OneSite: len(c.Zones) > 0,
+			Watch: d.feed.Order, Log: p.log,
+		})
+		d.feed.Start(d.Listed)
+		p.desks[c.Name] = d
+		p.server.Open(d.Desk)
+	}
+	for name, d := range p.desks {
+		if !named[name] {
+			d.feed.Close()
+			p.server.Shut(name)
+			delete(p.desks, name)
+		}
+	}
+}
+
+// close ends the planner. Forwarders see their connections end and go on without.
+func (p *planner) close() {
+	for _, ln := range p.listeners {
+		ln.Close()
+	}
+	for _, d := range p.desks {
+		d.feed.Close()
+	}
+	p.server.Close()
+}
--- a/internal/plan/chooser.go
+++ b/internal/plan/chooser.go
@@ -66,11 +66,17 @@
 // They are asked in steps from the start: a forwarder that starts meets planners
 // that others use.
 func New(set Settings, planners int, seed uint64) *Chooser {
-	c := &Chooser{set: set, rng: rand.New(rand.NewPCG(seed, 3)), planners: make([]planner, planners)}
+	c := &Chooser{set: set, rng: rand.New(rand.NewPCG(seed, 3))}
+	c.move(planners)
+	return c
+}
+
+// move forgets all planners for others.
+func (c *Chooser) move(planners int) {
+	c.planners = make([]planner, planners)
 	for i := range c.planners {
-		c.planners[i] = planner{part: set.Step, rest: set.Rest}
+		c.planners[i] = planner{part: c.set.Step, rest: c.set.Rest}
 	}
-	return c
 }
 
 // Ask names the planner to ask for a request and how long to wait, or says that
--- /dev/null
+++ b/internal/plan/message_test.go
@@ -0,0 +1,166 @@
+package plan
+
+import (
+	"bytes"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jasperpin/decide"
+)
+
+func anyMessage(t *rapid.T) Message {
+	m := Message{Kind: Kind(rapid.IntRange(int(Ask), int(Back)).Draw(t, "kind"))}
+	if m.Kind == Synced {
+		return m
+	}
+	m.ID = decide.RequestID(rapid.Uint32().Draw(t, "id"))
+	if m.Kind == Sent || m.Kind == Ended {
+		m.Attempt = rapid.IntRange(0, maxAttempt).Draw(t, "attempt")
+	}
+	if m.Kind == Sent || m.Kind == Plan {
+		m.Server = decide.ServerID(rapid.Uint32().Draw(t, "server"))
+	}
+	if m.Kind == Ended {
+		m.Result = decide.Result(rapid.IntRange(0, int(decide.Moot)).Draw(t, "result"))
+		m.TurnedAway = rapid.Bool().Draw(t, "turned away")
+	}
+	if m.Kind == Sent || m.Kind == Ask {
+		m.Question = Question{
+			Class: rapid.IntRange(0, maxClass).Draw(t, "class"), Key: rapid.Uint64().Draw(t, "key"),
+			Hint:   time.Duration(rapid.IntRange(0, 1e6).Draw(t, "hint")) * time.Microsecond,
+			Left:   time.Duration(rapid.IntRange(0, 1e6).Draw(t, "left")) * time.Microsecond,
+			Repeat: rapid.Bool().Draw(t, "repeat"),
+		}
+	}
+	return m
+}
+
+func decoded(b []byte) (all []Message, err error) {
+	err = Decode(b, func(m Message) error {
+		all = append(all, m)
+		return nil
+	})
+	return all, err
+}
+
+// TestMessagesComeBack writes messages and reads them, whole and cut.
+func TestMessagesComeBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := rapid.SliceOfN(rapid.Custom(anyMessage), 1, 20).Draw(t, "messages")
+		var b []byte
+		for i := range sent {
+			b = sent[i].Append(b)
+		}
+		got, err := decoded(b)
+		if err != nil || !slices.Equal(got, sent) {
+			t.Fatalf("sent %+v, got %+v, %v", sent, got, err)
+		}
+		cut := rapid.IntRange(0, len(b)-1).Draw(t, "cut")
+		got, err = decoded(b[:cut])
+		if err != nil && !errors.Is(err, ErrFrame) {
+			t.Fatal(err)
+		}
+		if len(got) >= len(sent) || !slices.Equal(got, sent[:len(got)]) {
+			t.Fatalf("of a payload cut at %d of %d bytes came %+v", cut, len(b), got)
+		}
+	})
+}
+
+// TestWrongMessages reads what no end of this version sends.
+func TestWrongMessages(t *testing.T) {
+	for name, b := range map[string][]byte{
+		"kind 0":              {0, 1},
+		"a later kind":        {byte(Back) + 1, 1},
+		"an id too long":      {byte(Back), 0xff, 0xff, 0xff, 0xff, 0xff, 0x01},
+		"an endless number":   bytes.Repeat([]byte{0xff}, 20),
+		"an outcome too high": {byte(Ended), 1, 0, byte(decide.Moot) + 1, 0},
+		"an attempt too high": {byte(Ended), 1, maxAttempt + 1, 0, 0},
+		"a wait too long":     append([]byte{byte(Ask), 1, 0, 0, 0, 0}, bytes.Repeat([]byte{0xff}, 8)...),
+	} {
+		if got, err := decoded(b); !errors.Is(err, ErrFrame) || len(got) > 0 {
+			t.Errorf("%s: got %+v, %v", name, got, err)
+		}
+	}
+}
+
+// TestHello tells who may talk to whom.
+func TestHello(t *testing.T) {
+	good := Hello{Version: Version, Name: "f1", Pool: "orders", Classes: []string{"look", "credit"}}
+	for name, c := range map[string]struct {
+		change func(*Hello)
+		want   string
+	}{
+		"good":          {func(*Hello) {}, ""},
+		"later version": {func(h *Hello) { h.Version = 2 }, "version 2"},
+		"no name":       {func(h *Hello) { h.Name = "" }, "no name"},
+		"other classes": {func(h *Hello) { h.Classes = []string{"credit", "look"} }, "classes"},
+	} {
+		h := good
+		c.change(&h)
+		got, err := ParseHello(h.Append(nil))
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		err = got.Fits(good.Classes)
+		if (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	text := good.Append(nil)
+	for cut := range len(text) - 1 {
+		if h, err := ParseHello(text[:cut]); err == nil && h.Fits(good.Classes) == nil {
+			t.Errorf("a greeting cut at %d passes as %+v", cut, h)
+		}
+	}
+}
+
+// FuzzDecode reads any payload, and whatever it takes comes out the same when
+// written and read again.
+func FuzzDecode(f *testing.F) {
+	for _, m := range []Message{
+		{Kind: Synced}, {Kind: Plan, ID: 7, Server: 1 << 31}, {Kind: Back, ID: 1}, {Kind: Ended, ID: 9, Attempt: 2, Result: decide.Full, TurnedAway: true},
+		{Kind: Ask, ID: 3, Question: Question{Class: 2, Key: 1 << 60, Hint: time.Millisecond, Left: time.Second, Repeat: true}},
+		{Kind: Sent, ID: 3, Attempt: 1, Server: 5, Question: Question{Class: 1, Left: time.Minute}},
+	} {
+		f.Add(m.Append(nil))
+	}
+	f.Add([]byte{0xff, 0, 1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		got, err := decoded(b)
+		if err != nil && !errors.Is(err, ErrFrame) {
+			t.Fatal(err)
+		}
+		var again []byte
+		for i := range got {
+			again = got[i].Append(again)
+		}
+		same, err := decoded(again)
+		if err != nil || !slices.Equal(same, got) {
+			t.Fatalf("read %+v, then %+v, %v", got, same, err)
+		}
+	})
+}
+
+// FuzzParseHello reads any greeting.
+func FuzzParseHello(f *testing.F) {
+	h := Hello{Version: Version, Name: "f1", Pool: "orders", Classes: []string{"look", "credit"}}
+	f.Add(h.Append(nil))
+	h.Version = 9
+	f.Add(h.Append(nil))
+	f.Add([]byte{1, 0xff, 0xff, 3})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		h, err := ParseHello(b)
+		if err != nil || h.Version != Version {
+			return
+		}
+		again, err := ParseHello(h.Append(nil))
+		if err != nil || again.Name != h.Name || again.Pool != h.Pool || !slices.Equal(again.Classes, h.Classes) {
+			t.Fatalf("read %+v, then %+v, %v", h, again, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/planlink/link.go
@@ -0,0 +1,172 @@
+// Package planlink joins forwarders and planners: frames on lasting connections
+// under mutual TLS. Client is a forwarder's end for one pool, Server a planner's for
+// all its pools. What is said, and what follows from it, package plan decides.
+package planlink
+
+import (
+	"bufio"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"jasperpin/internal/plan"
+)
+
+// PlannerName is the DNS name that a planner's certificate must hold: forwarders
+// take no other certificate of their authority for a planner's.
+const PlannerName = "jasperpin-planner"
+
+const (
+	// greetWithin bounds dialling, the handshake and the greetings, each.
+	greetWithin = 2 * time.Second
+	// writeWithin bounds how long the other end may take nothing.
+	writeWithin = 2 * time.Second
+)
+
+// keepAlive finds ends that have vanished without a word.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
+// Errors of a connection.
+var (
+	errFull   = errors.New("the other end takes messages more slowly than they come")
+	errClosed = errors.New("closed")
+)
+
+// Files name what an end shows and what it believes, in PEM.
+type Files struct {
+	Certificate, Key string // of this node
+	Authorities      string // whose certificates are believed
+}
+
+// Load reads the files into what both ends use.
+func (f Files) Load() (*tls.Config, error) {
+	cert, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, fmt.Errorf("planning: certificate %s with key %s: %w", f.Certificate, f.Key, err)
+	}
+	text, err := os.ReadFile(f.Authorities)
+	if err != nil {
+		return nil, fmt.Errorf("planning: authorities: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, fmt.Errorf("planning: authorities: %s holds no certificate in PEM", f.Authorities)
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert},
+		RootCAs: pool, ServerName: PlannerName,
+		ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+	}, nil
+}
+
+// A frame is its payload's length, in four bytes, and the payload.
+const headLen = 4
+
+// readFrame reads one frame into buf, which it grows within most.
+func readFrame(r *bufio.Reader, buf []byte, most int) ([]byte, error) {
+	var head [headLen]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, fmt.Errorf("reading a frame: %w", err)
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > uint32(most) {
+		return nil, fmt.Errorf("%w: a frame of %d bytes, %d are the most", plan.ErrFrame, n, most)
+	}
+	if cap(buf) < int(n) {
+		buf = make([]byte, n)
+	}
+	if _, err := io.ReadFull(r, buf[:n]); err != nil {
+		return nil, fmt.Errorf("reading a frame: %w", err)
+	}
+	return buf[:n], nil
+}
+
+// frame begins a frame, whose payload is appended to what it returns.
+func frame(buf []byte) []byte { return append(buf[:0], make([]byte, headLen)...) }
+
+// send writes a frame begun by frame.
+func send(c net.Conn, b []byte) error {
+	binary.BigEndian.PutUint32(b, uint32(len(b)-headLen))
+	_ = c.SetWriteDeadline(time.Now().Add(writeWithin))
+	if _, err := c.Write(b); err != nil {
+		return fmt.Errorf("sending a frame: %w", err)
+	}
+	return nil
+}
+
+// outbox holds what is to be sent, up to a frame. Whoever adds never waits: an end
+// that takes too little loses its connection, and with it nothing but advice.
+type outbox struct {
+	mu     sync.Mutex
+	buf    []byte
+	failed error
+	some   chan struct{}
+}
+
+func newOutbox() *outbox { return &outbox{buf: frame(nil), some: make(chan struct{}, 1)} }
+
+// longestMessage is room for any message.
+const longestMessage = 64
+
+func (o *outbox) add(m plan.Message) {
+	o.mu.Lock()
+	switch {
+	case o.failed != nil:
+	case len(o.buf)+longestMessage > headLen+plan.MaxFrame:
+		o.failed = errFull
+	default:
+		o.buf = m.Append(o.buf)
+	}
+	o.mu.Unlock()
+	select {
+	case o.some <- struct{}{}:
+	default:
+	}
+}
+
+// fail has run end.
+func (o *outbox) fail(err error) {
+	o.mu.Lock()
+	if o.failed == nil {
+		o.failed = err
+	}
+	o.mu.Unlock()
+	select {
+	case o.some <- struct{}{}:
+	default:
+	}
+}
+
+// run sends what is added, all that there is at a time, until that fails, and
+// closes the connection then.
+func (o *outbox) run(c net.Conn) {
+	defer c.Close()
+	spare := frame(nil)
+	for range o.some {
+		o.mu.Lock()
+		b, err := o.buf, o.failed
+		o.buf = spare
+		o.mu.Unlock()
+		if err != nil || len(b) > headLen && send(c, b) != nil {
+			return
+		}
+		spare = frame(b)
+	}
+}
+
+// cause is why an outbox failed, or another error.
+func (o *outbox) cause(err error) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.failed != nil {
+		return o.failed
+	}
+	return err
+}
--- a/internal/service/owned.go
+++ b/internal/service/owned.go
@@ -1,33 +1,26 @@
 package service
 
 import (
-	"context"
 	"hash/fnv"
-	"reflect"
 	"sync"
 	"time"
 
-	"jasperpin/decide"
 	"jasperpin/internal/config"
 	"jasperpin/internal/core"
 	"jasperpin/internal/discovery"
-	"jasperpin/internal/limit"
 )
 
 // owned is what belongs to a pool beside its core: the configuration it was made
-// of and the watch on its discovery.
+// of and the feed of its servers.
 type owned struct {
 	name     string
 	retry    time.Duration // the longest wait told to refused clients
 	attempts int           // of a request, at the most
 	cfg      *config.Pool  // guarded by the Set's lock
 	pool     *core.Pool
-	watcher  *discovery.Watcher // nil where the servers are listed
+	feed     *discovery.Feed
 	health   health
-
-	once    sync.Once
-	stop    context.CancelFunc
-	watched sync.WaitGroup
+	once     sync.Once
 }
 
 // begin makes a pool and starts what belongs to it.
@@ -36,23 +29,13 @@
 	if s.budgets != nil {
 		log = log.With("pool", c.Name)
 	}
-	o := &owned{name: c.Name, retry: c.Settings.RetryAfterMost, attempts: c.Settings.MaxAttempts, cfg: c}
-	set := core.Settings{Decide: c.Settings, Seed: seed ^ nameSeed(c.Name), Upstream: s.make(c), Log: log}
-	if c.Discovery != "" {
-		o.watcher = discovery.NewWatcher(c.Discovery, c.Known.Seq, c.Settings.Ask, c.Zones, log)
-		set.Watch = o.watcher.Order
+	o := &owned{name: c.Name, retry: c.Settings.RetryAfterMost, attempts: c.Settings.MaxAttempts, cfg: c, feed: discovery.NewFeed(c.Feed(log))}
+	set := core.Settings{Decide: c.Settings, Seed: seed ^ nameSeed(c.Name), Upstream: s.make(c), Watch: o.feed.Order, Log: log}
+	if s.guide != nil {
+		set.Guide = s.guide(c)
 	}
 	o.pool = core.NewPool(set)
-	hosts := c.Servers
-	if c.Discovery != "" {
-		hosts = c.Known.Hosts
-	}
-	o.pool.Listed(decide.ListCached, hosts)
-	ctx, stop := context.WithCancel(context.Background())
-	o.stop = stop
-	if o.watcher != nil {
-		o.watched.Go(func() { o.watcher.Run(ctx, o.pool.Listed) })
-	}
+	o.feed.Start(o.pool.Listed)
 	return &Pool{Pool: o.pool, Name: c.Name, Plain: c.Plain, classes: c.Classes, own: o}
 }
 
@@ -67,37 +50,21 @@
 	return h.Sum64()
 }
 
-// update takes what may change in a pool that goes on: its guaranteed part, its
-// line, its servers and the address of its discovery. It says false where more has changed.
+// update takes what may change in a pool that goes on. It says false where more
+// has changed.
 func (o *owned) update(c *config.Pool) bool {
-	was, is := *o.cfg, *c
-	was.Share, is.Share = 0, 0
-	was.Gate, is.Gate = limit.GateSettings{}, limit.GateSettings{}
-	was.Known, is.Known = discovery.List{}, discovery.List{}
-	same := was.Discovery == is.Discovery && reflect.DeepEqual(was.Servers, is.Servers)
-	if (was.Discovery == "") != (is.Discovery == "") {
-		return false
-	}
-	was.Discovery, is.Discovery, was.Servers, is.Servers = "", "", nil, nil
-	if !reflect.DeepEqual(was, is) {
+	if !c.Continues(o.cfg) {
 		return false
 	}
 	o.cfg = c
-	switch {
-	case same:
-	case o.watcher != nil:
-		o.watcher.Move(c.Discovery)
-	default:
-		o.pool.Listed(decide.ListFull, c.Servers)
-	}
+	o.feed.Move(c.Servers, c.Discovery)
 	return true
 }
 
-// end ends a pool: the watch first, so that nothing is told to what is closed.
+// end ends a pool: the feed first, so that nothing is told to what is closed.
 func (o *owned) end() {
 	o.once.Do(func() {
-		o.stop()
-		o.watched.Wait()
+		o.feed.Close()
 		o.pool.Close()
 	})
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -210,6 +210,7 @@
 	room    Room
 	budgets *budgets // nil where one pool has all to itself
 	make    MakeUpstream
+	guide   MakeGuide // nil where pools decide alone
 
 	mu    sync.Mutex // one configuration at a time
 	endBy time.Time
@@ -225,9 +226,12 @@
 // MakeUpstream makes a pool's upstream.
 type MakeUpstream func(p *config.Pool) core.Upstream
 
-// New makes a set of what a configuration names.
-func New(cfg *config.Config, room Room, upstream MakeUpstream, log *slog.Logger) (*Set, error) {
-	s := &Set{log: log, start: time.Now(), room: room, make: upstream, old: make(map[*owned]bool)}
+// MakeGuide makes a pool's guide.
+type MakeGuide func(p *config.Pool) core.Guide
+
+// New makes a set of what a configuration names. Guide may be nil.
+func New(cfg *config.Config, room Room, upstream MakeUpstream, guide MakeGuide, log *slog.Logger) (*Set, error) {
+	s := &Set{log: log, start: time.Now(), room: room, make: upstream, guide: guide, old: make(map[*owned]bool)}
 	if cfg.Budgets {
 		s.budgets = newBudgets()
 	}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -53,7 +53,7 @@
 
 func newSet(t *testing.T, cfg *config.Config) *Set {
 	t.Helper()
-	s, err := New(cfg, room{}, func(*config.Pool) core.Upstream { return idle{} }, slog.New(slog.DiscardHandler))
+	s, err := New(cfg, room{}, func(*config.Pool) core.Upstream { return idle{} }, nil, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
