Test forwarders and planners over loopback: deaths, silence, strangers, reloads

Planners die in turn, are cut off, silent, deaf or slow under load: every request has its one answer, nothing runs twice, and plans come back. Strangers, other releases and other classes are turned away with the reason; a forwarder that vanishes counts until its clients have given up.

--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -83,6 +83,9 @@
 	ctx, n.term = context.WithCancel(context.Background())
 	go func() { n.ended <- running.Run(ctx, n.hup) }()
 	n.t.Cleanup(n.stop)
+	if running.planner != nil {
+		return // it serves no clients
+	}
 	check.Eventually(n.t, "the node is up", func() bool {
 		resp, err := http.Get("http://" + n.addr + "/up")
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,8 @@
 	"jasperpin/internal/httpfront"
 	"jasperpin/internal/httpup"
 	"jasperpin/internal/limit"
+	"jasperpin/internal/plan"
+	"jasperpin/internal/planlink"
 	"jasperpin/internal/platform"
 	"jasperpin/internal/route"
 	"jasperpin/internal/service"
@@ -132,6 +134,13 @@
 // Room tells of the connections to servers.
 func (n *Node) Room() *httpup.Room { return n.room }
 
+// Planned counts a forwarder's requests, by who chose the server of their first
+// attempt.
+func (n *Node) Planned() plan.Counts { return n.clients.counts() }
+
+// Desk is a planner's desk of a pool, or nil.
+func (n *Node) Desk(pool string) *planlink.Desk { return n.planner.desk(pool) }
+
 // upstream makes a pool's upstream.
 func (n *Node) upstream(p *config.Pool) core.Upstream {
 	return httpup.New(httpup.Options{Name: p.Name, DialTimeout: p.DialTimeout, KeepAlive: p.Settings.KeepAlive, Plain: p.Plain}, n.room)
--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -10,6 +10,7 @@
 	"jasperpin/internal/config"
 	"jasperpin/internal/core"
 	"jasperpin/internal/discovery"
+	"jasperpin/internal/plan"
 	"jasperpin/internal/planlink"
 )
 
@@ -62,12 +63,26 @@
 	}
 }
 
+// counts sums what all ends have counted.
+func (c *clients) counts() (sum plan.Counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for client := range c.all {
+		n := client.Counts()
+		sum.Planned += n.Planned
+		sum.Alone += n.Alone
+	}
+	return sum
+}
+
 // planner is a node that places other nodes' requests: a desk for each pool.
 type planner struct {
 	log       *slog.Logger
 	server    *planlink.Server
 	listeners []net.Listener
-	desks     map[string]*desk
+
+	mu    sync.Mutex
+	desks map[string]*desk
 }
 
 // desk is a pool's desk with the feed of its servers.
@@ -109,6 +124,8 @@
 // apply puts the pools of a configuration in force. A desk whose pool goes on keeps
 // what it knows; what others had with their forwarders ends.
 func (p *planner) apply(cfg *config.Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	named := make(map[string]bool)
 	for i := range cfg.Pools {
 		c := &cfg.Pools[i]
@@ -140,6 +157,15 @@
 	}
 }
 
+func (p *planner) desk(pool string) *planlink.Desk {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d := p.desks[pool]; d != nil {
+		return d.Desk
+	}
+	return nil
+}
+
 // close ends the planner. Forwarders see their connections end and go on without.
 func (p *planner) close() {
 	for _, ln := range p.listeners {
--- /dev/null
+++ b/internal/node/tier_test.go
@@ -0,0 +1,428 @@
+package node
+
+import (
+	"bytes"
+	"crypto/tls"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"jasperpin/decide"
+	"jasperpin/internal/plan"
+	"jasperpin/internal/planlink"
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+// tier is a tier's authority and the pools that its ends share.
+type tier struct {
+	t     *testing.T
+	auth  *standin.Authority
+	pools string
+}
+
+func newTier(t *testing.T, pools string) *tier {
+	t.Helper()
+	return &tier{t, check.Must[*standin.Authority](t)(standin.NewAuthority(t.TempDir())), pools}
+}
+
+// files are the lines of [planning] that name the files of an end.
+func (x *tier) files(name string) string {
+	x.t.Helper()
+	cert, key, err := x.auth.Issue(name)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	return fmt.Sprintf("certificate = %q\nkey = %q\nauthorities = %q\n", cert, key, x.auth.File)
+}
+
+// start runs an end by its file.
+func (x *tier) start(text string) *testNode {
+	x.t.Helper()
+	n := &testNode{t: x.t, file: filepath.Join(x.t.TempDir(), "node.toml"), hup: make(chan os.Signal, 1), ended: make(chan error, 1), logged: &check.Log{}}
+	n.writeText(text)
+	return n
+}
+
+// planner starts a planner at an address, or at any with port 0.
+func (x *tier) planner(addr string) *testNode {
+	x.t.Helper()
+	n := x.start("[node]\nrole = \"planner\"\n[planning]\nlisten = [\"" + addr + "\"]\n" + x.files(planlink.PlannerName) + x.pools)
+	n.begin(File(n.file))
+	return n
+}
+
+// forwarderText is the file of a forwarder.
+func (x *tier) forwarderText(name, files, rest string, planners ...string) string {
+	return "[node]\nname = \"" + name + "\"\nrole = \"forwarder\"\nlisten = [\"127.0.0.1:0\"]\n[limits]\nmemory = \"64MB\"\ndescriptors = 512\n" +
+		"[planning]\nplanners = [\"" + strings.Join(planners, "\", \"") + "\"]\n" + files + rest + x.pools
+}
+
+func (x *tier) forwarder(name string, planners ...string) *testNode {
+	x.t.Helper()
+	n := x.start(x.forwarderText(name, x.files(name), svc("orders", ""), planners...))
+	n.begin(File(n.file))
+	return n
+}
+
+// planned waits until plans are carried out, one request after another.
+func (n *testNode) planned(prefix string) {
+	n.t.Helper()
+	was, id := n.node.Planned().Planned, 0
+	check.Eventually(n.t, "requests go by plans", func() bool {
+		id++
+		if status, _, _ := n.once(at("orders", look(fmt.Sprint(prefix, id)))); status != 200 {
+			n.t.Fatalf("request %d: %d", id, status)
+		}
+		return n.node.Planned().Planned > was+5
+	})
+}
+
+// connected waits until a planner has so many forwarders.
+func connected(p *testNode, forwarders int) {
+	p.t.Helper()
+	check.Eventually(p.t, "the forwarders are connected", func() bool { return p.node.Desk("orders").Forwarders() == forwarders })
+}
+
+// boxes are some servers, and the pool before them.
+func boxes(t *testing.T, n int) ([]*standin.Box, string) {
+	var all []*standin.Box
+	var addrs []string
+	for range n {
+		b := box(t, standin.BoxSettings{Cores: 8, Queue: 8, Work: 2 * time.Millisecond})
+		all, addrs = append(all, b), append(addrs, b.Addr)
+	}
+	return all, pool("orders", "", addrs...)
+}
+
+// steady is a load of all effects on a forwarder's service.
+func steady(n *testNode, seed uint64, span time.Duration) *standin.Load {
+	return &standin.Load{
+		Addr: n.addr, Host: "orders.example.org", Rate: 150, For: span, Seed: seed, Prefix: fmt.Sprint("l", seed, "-"),
+		Kinds: []standin.Kind{
+			{Class: "credit", Path: "/credit/", Method: "POST", Share: 1, Work: 2 * time.Millisecond, Aim: 10 * time.Second, Deadline: 20 * time.Second},
+			{Class: "look", Path: "/look/", Method: "GET", Share: 1, Work: 2 * time.Millisecond, Aim: 10 * time.Second, Deadline: 20 * time.Second},
+		},
+	}
+}
+
+// served checks that a load has all been answered, and that nothing ran twice.
+func served(t *testing.T, tallies map[string]*standin.Tally, servers []*standin.Box) {
+	t.Helper()
+	for class, tally := range tallies {
+		if tally.Asked == 0 || tally.Ends[standin.InTime] != tally.Asked {
+			t.Errorf("%s: of %d: %v", class, tally.Asked, tally.Ends)
+		}
+	}
+	ran := make(map[string]int)
+	for _, b := range servers {
+		b.Effects(ran)
+	}
+	for id, n := range ran {
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
+
+// TestPlansAreCarriedOut has two forwarders ask one planner, which knows of all they
+// have out, until all is quiet.
+func TestPlansAreCarriedOut(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	s := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Header.Get("Req-Owner") == "slow" {
+			<-release
+		}
+		return standin.Echo(c, r, body)
+	})
+	x := newTier(t, pool("orders", "", s.Addr))
+	p := x.planner("127.0.0.1:0")
+	a, b := x.forwarder("a", p.addr), x.forwarder("b", p.addr)
+	connected(p, 2)
+	a.planned("a")
+	b.planned("b")
+	const held = 5
+	done := make(chan int, 2*held)
+	for _, f := range []*testNode{a, b} {
+		for i := range held {
+			go func() {
+				status := 0
+				defer func() { done <- status }()
+				status, _, _ = f.once(at("orders", strings.Replace(post("credit", fmt.Sprint("h", i), "", "x"), "Req-Id", "Req-Owner: slow\r\nReq-Id", 1)))
+			}()
+		}
+	}
+	check.Eventually(t, "the planner knows what both have out", func() bool { return p.node.Desk("orders").Out() == 2*held })
+	close(release)
+	for range 2 * held {
+		if status := <-done; status != 200 {
+			t.Errorf("answered %d", status)
+		}
+	}
+	check.Eventually(t, "the planner knows that nothing is out", func() bool { return p.node.Desk("orders").Out() == 0 })
+}
+
+// TestPlannersFail has planners die, fall silent, slow down and be cut off under
+// load: each request has its one answer, nothing runs twice, and plans come back.
+func TestPlannersFail(t *testing.T) {
+	t.Parallel()
+	servers, pools := boxes(t, 3)
+	x := newTier(t, pools)
+	p := x.planner("127.0.0.1:0")
+	for name, fail := range map[string]func(*standin.Proxy) (end func()){
+		"cut": func(px *standin.Proxy) func() {
+			px.Cut()
+			return func() {}
+		},
+		"silent": func(px *standin.Proxy) func() {
+			px.Set(standin.Fault{BlackHole: true})
+			return func() {
+				px.Set(standin.Fault{}) // bytes are missing: what stands is no stream any more
+				px.Cut()
+			}
+		},
+		"deaf": func(px *standin.Proxy) func() {
+			px.Set(standin.Fault{HalfOpen: true})
+			return func() {
+				px.Set(standin.Fault{})
+				px.Cut()
+			}
+		},
+		"slow": func(px *standin.Proxy) func() {
+			px.Set(standin.Fault{Delay: 60 * time.Millisecond})
+			return func() { px.Set(standin.Fault{}) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			px := check.Owned(t, func() (*standin.Proxy, error) { return standin.NewProxy(p.addr) })
+			x := &tier{t, x.auth, x.pools}
+			f := x.forwarder(name, px.Addr)
+			f.planned("before")
+			load := steady(f, 3, 1500*time.Millisecond)
+			load.Prefix = name + "-"
+			running := load.Start(t.Context())
+			check.Eventually(t, "the load runs", func() bool { return running.Ended.Load() > 50 })
+			end := fail(px)
+			at := running.Ended.Load()
+			check.Eventually(t, "the load runs on", func() bool { return running.Ended.Load() > at+50 })
+			end()
+			served(t, running.Wait(), servers)
+			f.planned("after")
+		})
+	}
+}
+
+// TestPlannersDieInTurn ends the first of two planners under load, starts it again
+// and ends both: the second takes over, and the forwarders alone at last.
+func TestPlannersDieInTurn(t *testing.T) {
+	t.Parallel()
+	servers, pools := boxes(t, 3)
+	x := newTier(t, pools)
+	first, second := x.planner("127.0.0.1:0"), x.planner("127.0.0.1:0")
+	a, b := x.forwarder("a", first.addr, second.addr), x.forwarder("b", first.addr, second.addr)
+	a.planned("a")
+	b.planned("b")
+	load := []*standin.Running{steady(a, 1, 4*time.Second).Start(t.Context()), steady(b, 2, 4*time.Second).Start(t.Context())}
+	check.Eventually(t, "the load runs", func() bool { return load[0].Ended.Load() > 50 })
+	first.stop()
+	was := a.node.Planned().Planned
+	check.Eventually(t, "the second plans", func() bool { return a.node.Planned().Planned > was+50 })
+	again := x.planner(first.addr)
+	connected(again, 2)
+	again.stop()
+	second.stop()
+	wasAlone := a.node.Planned().Alone
+	check.Eventually(t, "the forwarder goes on alone", func() bool { return a.node.Planned().Alone > wasAlone+20 })
+	for _, l := range load {
+		served(t, l.Wait(), servers)
+	}
+}
+
+// TestStrangers has some connect that are no forwarders of this tier, or not of this
+// release: the planner believes none and serves its own.
+func TestStrangers(t *testing.T) {
+	t.Parallel()
+	_, pools := boxes(t, 1)
+	x := newTier(t, pools)
+	p := x.planner("127.0.0.1:0")
+	f := x.forwarder("a", p.addr)
+	f.planned("before")
+	mine := func(name string) *tls.Config {
+		cert, key, err := x.auth.Issue(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return check.Must[*tls.Config](t)(planlink.Files{Certificate: cert, Key: key, Authorities: x.auth.File}.Load())
+	}
+	other := newTier(t, pools)
+	cert, key, err := other.auth.Issue("stranger")
+	if err != nil {
+		t.Fatal(err)
+	}
+	foreign := check.Must[*tls.Config](t)(planlink.Files{Certificate: cert, Key: key, Authorities: x.auth.File}.Load())
+	nameless := mine("nobody")
+	nameless.Certificates = nil
+	hello := func(change func(*plan.Hello)) []byte {
+		h := plan.Hello{Version: plan.Version, Name: "x", Pool: "orders", Classes: []string{"look", "order", "credit"}}
+		change(&h)
+		return framed(h.Append(nil))
+	}
+	good := func(*plan.Hello) {}
+	sent := plan.Message{Kind: plan.Sent, ID: 1, Server: 1, Question: plan.Question{Class: 200, Left: time.Minute}}
+	for name, c := range map[string]struct {
+		tls  *tls.Config
+		say  []byte
+		want string // of what the planner answers; "" for an end without a word
+	}{
+		"another authority": {foreign, hello(good), ""},
+		"no certificate":    {nameless, hello(good), ""},
+		"noise":             {mine("x"), bytes.Repeat([]byte{0xff}, 100), "a frame of 4294967295 bytes"},
+		"a greeting cut":    {mine("x"), framed([]byte{1, 200}), "greeting"},
+		"a later version":   {mine("x"), hello(func(h *plan.Hello) { h.Version = 9 }), "version 9"},
+		"another pool":      {mine("x"), hello(func(h *plan.Hello) { h.Pool = "stock" }), `no pool \"stock\"`},
+		"other classes":     {mine("x"), hello(func(h *plan.Hello) { h.Classes = []string{"look"} }), "classes"},
+		"an endless frame":  {mine("x"), append(hello(good), 0x7f, 0xff, 0xff, 0xff, 1), ""},
+		"a bad message":     {mine("x"), append(hello(good), framed([]byte{99})...), ""},
+		"a planner's word":  {mine("x"), append(hello(good), framed((&plan.Message{Kind: plan.Plan, ID: 1, Server: 1}).Append(nil))...), ""},
+	} {
+		conn, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(check.Soon))
+		tc := tls.Client(conn, c.tls)
+		_, _ = tc.Write(c.say)
+		got, _ := io.ReadAll(tc) // to its end: the planner closes
+		conn.Close()
+		if text := fmt.Sprintf("%q", got); !strings.Contains(text, c.want) || c.want == "" && len(got) > 4 {
+			t.Errorf("%s: the planner answered %s", name, text)
+		}
+	}
+	// A class that the pool has not is passed over, and no reason to part.
+	conn := check.Must[net.Conn](t)(net.Dial("tcp", p.addr))
+	defer conn.Close()
+	tc := tls.Client(conn, mine("x"))
+	if _, err := tc.Write(append(hello(good), framed(sent.Append(nil))...)); err != nil {
+		t.Fatal(err)
+	}
+	connected(p, 2)
+	if out := p.node.Desk("orders").Out(); out != 0 {
+		t.Errorf("%d attempts are believed to be out for a stranger's words", out)
+	}
+	f.planned("after")
+}
+
+func framed(payload []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(payload))), payload...)
+}
+
+// TestForwarderDiesWithAttemptsOut has a forwarder tell of attempts and vanish: they
+// count until their clients have given up, and then no more.
+func TestForwarderDiesWithAttemptsOut(t *testing.T) {
+	t.Parallel()
+	s := check.Raw(t, standin.Echo)
+	x := newTier(t, pool("orders", "", s.Addr))
+	p := x.planner("127.0.0.1:0")
+	f := x.forwarder("a", p.addr)
+	f.planned("a") // so that the server's number is known to be right: it is planned
+	cert, key, err := x.auth.Issue("b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var server decide.ServerID
+	client := planlink.NewClient(planlink.ClientOptions{
+		Name: "b", Pool: "orders", Classes: []string{"look", "order", "credit"}, Planners: []string{p.addr},
+		TLS: check.Must[*tls.Config](t)(planlink.Files{Certificate: cert, Key: key, Authorities: x.auth.File}.Load()), Log: slog.New(slog.DiscardHandler),
+	})
+	answers := make(chan decide.ServerID, 1000)
+	client.Start(func(_ decide.RequestID, s decide.ServerID) { answers <- s })
+	id := decide.RequestID(0)
+	check.Eventually(t, "a plan names the server", func() bool {
+		id++
+		if client.Ask(decide.Request{ID: id}, time.Second) {
+			server = <-answers
+			client.Closed(id)
+		}
+		return server != 0
+	})
+	const left = 300 * time.Millisecond
+	for n := range 10 {
+		id := decide.RequestID(5000 + n)
+		if client.Ask(decide.Request{ID: id}, left) {
+			<-answers
+		}
+		client.Sent(id, 0, server)
+	}
+	began := time.Now()
+	check.Eventually(t, "the planner believes it", func() bool { return p.node.Desk("orders").Out() == 10 })
+	client.Close()
+	check.Eventually(t, "they count no more", func() bool { return p.node.Desk("orders").Out() == 0 })
+	if took := time.Since(began); took < left-50*time.Millisecond {
+		t.Errorf("they counted for %v only", took)
+	}
+}
+
+// TestTierReloads gives a forwarder other planners and a planner other pools.
+func TestTierReloads(t *testing.T) {
+	t.Parallel()
+	_, pools := boxes(t, 2)
+	x := newTier(t, pools)
+	first, second := x.planner("127.0.0.1:0"), x.planner("127.0.0.1:0")
+	files := x.files("a")
+	f := x.start(x.forwarderText("a", files, svc("orders", ""), first.addr))
+	f.begin(File(f.file))
+	f.planned("first")
+	reload := func(n *testNode, text string) {
+		t.Helper()
+		was := strings.Count(n.logged.String(), "msg=reloaded")
+		n.writeText(text)
+		n.reload()
+		check.Eventually(t, "the file is in force", func() bool { return strings.Count(n.logged.String(), "msg=reloaded") > was })
+	}
+	reload(f, x.forwarderText("a", files, svc("orders", ""), second.addr))
+	connected(second, 1)
+	connected(first, 0)
+	f.planned("second")
+	// The planner's pool is gone, then back: the forwarder serves on and is planned for.
+	text := check.Must[[]byte](t)(os.ReadFile(second.file))
+	reload(second, strings.Replace(string(text), "name = \"orders\"", "name = \"other\"", 1))
+	if second.node.Desk("orders") != nil {
+		t.Error("a pool that is gone has a desk")
+	}
+	if status, _, _ := f.once(at("orders", look("without"))); status != 200 {
+		t.Errorf("without a desk: %d", status)
+	}
+	check.Eventually(t, "the log says why nobody plans", func() bool { return strings.Contains(f.logged.String(), "no pool") })
+	reload(second, string(text))
+	f.planned("again")
+	// A role is changed by a restart.
+	f.writeText(nodeText + svc("orders", "") + pools)
+	f.reload()
+	check.Eventually(t, "the log says that it was not done", func() bool { return strings.Contains(f.logged.String(), "node.role is node and was forwarder") })
+	f.planned("still")
+}
+
+// TestPlannerEnds ends the only planner: its forwarder notices at once and serves on.
+func TestPlannerEnds(t *testing.T) {
+	t.Parallel()
+	_, pools := boxes(t, 1)
+	x := newTier(t, pools)
+	p := x.planner("127.0.0.1:0")
+	f := x.forwarder("a", p.addr)
+	f.planned("a")
+	p.stop()
+	check.Eventually(t, "the log says that there is no planner", func() bool { return strings.Contains(f.logged.String(), "no planner") })
+	if status, _, _ := f.once(at("orders", look("after"))); status != 200 {
+		t.Errorf("without a planner: %d", status)
+	}
+}
--- a/internal/plan/forwarder.go
+++ b/internal/plan/forwarder.go
@@ -27,8 +27,12 @@
 	up      []bool
 	turns   map[decide.RequestID]*turn
 	out     ForwarderEffects
+	counts  Counts
 }
 
+// Counts are requests by who chose the server of their first attempt.
+type Counts struct{ Planned, Alone int }
+
 // turn is a request from its arrival until the pool has forgotten it.
 type turn struct {
 	Question
@@ -144,9 +148,13 @@
 	m := f.word(Sent, now, id, t)
 	m.Attempt, m.Server = attempt, server
 	knows := nobody // whoever planned it counts it already
+	if attempt == 0 && (t.by == nobody || server != t.server) {
+		f.counts.Alone++
+	}
 	if attempt == 0 && t.by != nobody {
 		if server == t.server {
 			knows = t.by
+			f.counts.Planned++
 		} else {
 			f.withdraw(t.by, id)
 		}
@@ -235,13 +243,8 @@
 	}
 }
 
-// Part is the part of the requests that a planner is asked for now, from 0 to 1.
-func (f *Forwarder) Part(now time.Duration, planner int) float64 {
-	if planner >= len(f.up) || !f.up[planner] {
-		return 0
-	}
-	return f.chooser.Part(now, planner)
-}
+// Counts are the requests so far.
+func (f *Forwarder) Counts() Counts { return f.counts }
 
 // Open counts the requests held.
 func (f *Forwarder) Open() int { return len(f.turns) }
--- a/internal/planlink/client.go
+++ b/internal/planlink/client.go
@@ -157,11 +157,11 @@
 	c.f.Closed(id)
 }
 
-// Part is the part of the requests that a planner is asked for now, from 0 to 1.
-func (c *Client) Part(planner int) float64 {
+// Counts are the requests so far, by who chose the server of their first attempt.
+func (c *Client) Counts() plan.Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.f.Part(c.now(), planner)
+	return c.f.Counts()
 }
 
 // clientEffects is plan.ForwarderEffects, under the client's lock.
