Add proof planners: forwarders beside one level, calm, in a burst and failing

Boxes may share a memory of keys, as a group that drops repeats does: without it keyed repeats at another box counted as a second effect. What nobody waits for goes to planners in batches.

--- a/cmd/proof/child.go
+++ b/cmd/proof/child.go
@@ -122,6 +122,9 @@
 	p.log.Close()
 }
 
+// kill ends the child without a word to it.
+func (p *process) kill() { _ = p.cmd.Process.Kill() }
+
 // reload has a node read its file anew and waits until the log tells of it.
 func (p *process) reload() error {
 	was := strings.Count(p.logged(), "reload")
--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -25,6 +25,7 @@
 
 var scenarios = map[string]scenario{
 	"services":     {"a calm service beside an overloaded and a silent one, and reloads under load", services},
+	"planners":     {"forwarders with planners beside one level, calm, in a burst and failing", planners},
 	"planners-sim": {"one level beside shared views of a tier, in virtual time", plannersSim},
 	"overhead":     {"processor time and p99 beside httputil.ReverseProxy", overhead},
 }
--- a/cmd/proof/planners.go
+++ b/cmd/proof/planners.go
@@ -4,144 +4,431 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
-	"runtime"
+	"math"
+	"os"
+	"path/filepath"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
 
-	"jasperpin/internal/fleet"
+	"jasperpin/internal/planlink"
+	"jasperpin/internal/standin"
 )
 
-// plannersSim compares one level with ways to share a view, over sizes of a tier,
-// loads and troubles, in virtual time with the same seeds.
-func plannersSim(ctx context.Context, out io.Writer) (figures, error) {
-	type row struct {
-		nodes   int
-		load    float64
-		world   string
-		mode    string
-		trouble string
+// The tier: boxes of mixed speed at one site, before them forwarders or nodes of one
+// level, and planners that all forwarders ask in one order. 24 boxes have 46.8 cores
+// of the yardstick, which the mean work of 44.6 ms fills at 1,049 requests a second.
+const (
+	tierBoxes    = 24
+	tierNodes    = 4
+	tierPlanners = 3
+	tierCapacity = 1049.0
+	tierWarmUp   = 2500 * time.Millisecond
+	tierSpan     = 4 * time.Second
+	burstAt      = time.Second
+	burstFor     = 2 * time.Second
+	failAt       = 1500 * time.Millisecond // within the burst
+)
+
+var tierKinds = []standin.Kind{
+	{Class: "look", Path: "/look/", Method: "GET", Share: 0.45, Work: 30 * time.Millisecond, Aim: 300 * time.Millisecond, Deadline: time.Second},
+	{Class: "find", Path: "/find/", Method: "GET", Share: 0.27, Work: 40 * time.Millisecond, Aim: 320 * time.Millisecond, Deadline: 1200 * time.Millisecond},
+	{Class: "order", Path: "/order/", Method: "POST", Share: 0.18, Work: 68 * time.Millisecond, Aim: 800 * time.Millisecond, Deadline: 2400 * time.Millisecond, Keyed: true},
+	{Class: "credit", Path: "/credit/", Method: "POST", Share: 0.10, Work: 80 * time.Millisecond, Aim: time.Second, Deadline: 2400 * time.Millisecond},
+}
+
+const tierClasses = `
+[pool.cold]
+start = 0.13
+warm = "5s"
+multiple = 2.5
+[[pool.class]]
+name = "look"
+repeat = "safe"
+aim = "300ms"
+deadline = "1s"
+[[pool.class]]
+name = "find"
+repeat = "safe"
+aim = "320ms"
+deadline = "1200ms"
+[[pool.class]]
+name = "order"
+repeat = "keyed"
+remember = "10s"
+aim = "800ms"
+deadline = "2400ms"
+worth = 5
+[[pool.class]]
+name = "credit"
+repeat = "never"
+aim = "1s"
+deadline = "2400ms"
+worth = 3
+`
+
+// tierCase is one run of a tier.
+type tierCase struct {
+	name     string
+	load     float64 // of capacity
+	burst    float64 // more of it, for a time
+	planners bool
+	killed   int // planners that die within the burst
+	restarts bool
+}
+
+// tierResult is what became of it.
+type tierResult struct {
+	standin.Tally
+	runs, twice      int
+	nodeCPU, planCPU time.Duration
+	bytes            int64 // between the levels
+	sent             int64 // requests in all, the warm-up among them
+}
+
+// mostWorse is by how many standard errors of the difference, over the seeds, a killed
+// planner, or none left, may push misses above one level's: what is within the noise.
+const mostWorse = 2
+
+func planners(ctx context.Context, out io.Writer) (figures, error) {
+	dir, err := os.MkdirTemp("", "jasperpin-proof")
+	if err != nil {
+		return nil, fmt.Errorf("a place for files: %w", err)
 	}
-	const seeds = 5
-	var rows []row
-	for _, nodes := range []int{4, 10, 30, 100} {
-		modes := []string{"one level", "forwarders"}
-		if nodes == 30 {
-			modes = []string{"one level", "1 planner", "3 by key", "3 by site", "forwarders"}
-		}
-		// Keys that servers have met save work: the servers are full at 1.5 or so.
-		for _, load := range []float64{0.75, 0.95, 1.3, 1.6} {
-			for _, mode := range modes {
-				rows = append(rows, row{nodes, load, "", mode, ""})
-			}
+	defer os.RemoveAll(dir)
+	var cases []tierCase
+	for _, with := range []bool{false, true} {
+		for _, load := range []float64{0.5, 0.75, 0.95} {
+			cases = append(cases, tierCase{name: fmt.Sprint("calm ", load), load: load, planners: with})
 		}
-		for _, mode := range modes {
-			rows = append(rows, row{nodes, 0.95, "restarts", mode, ""})
-		}
-		for _, mode := range modes {
-			rows = append(rows, row{nodes, 0.8, "small site", mode, ""})
-		}
-	}
-	at, span := 5*time.Second, 4*time.Second
-	faults := map[string]fleet.Fault{
-		"one planner killed": {Planner: 0, Kind: fleet.Killed, At: at, For: span},
-		"all killed":         {Planner: fleet.All, Kind: fleet.Killed, At: at, For: span},
-		"all paused":         {Planner: fleet.All, Kind: fleet.Paused, At: at, For: span},
-		"all slow":           {Planner: fleet.All, Kind: fleet.Slow, At: at, For: span},
-	}
-	for _, name := range slices.Sorted(maps.Keys(faults)) {
-		rows = append(rows, row{30, 0.95, "restarts", "forwarders", name})
-	}
-	type job struct{ row, seed int }
-	jobs := make(chan job)
-	results := make([][seeds]*fleet.Result, len(rows))
-	var mu sync.Mutex
-	var first error
-	var wg sync.WaitGroup
-	for range runtime.NumCPU() {
-		wg.Go(func() {
-			for j := range jobs {
-				r := rows[j.row]
-				set := fleet.Settings{Nodes: r.nodes, Servers: r.nodes * 20 / 3, Load: r.load, For: 15 * time.Second, Seed: uint64(j.seed + 1)}
-				switch r.mode {
-				case "1 planner":
-					set.Planners = 1
-				case "3 by key":
-					set.Planners = 3
-				case "3 by site":
-					set.SitePlanners = true
-				case "forwarders":
-					set.Forward = true
-				}
-				if f, ok := faults[r.trouble]; ok {
-					set.Faults = []fleet.Fault{f}
-				}
-				switch r.world {
-				case "restarts":
-					set.Restart, set.RestartEvery = 0.08, 3*time.Second
-				case "small site":
-					set.SmallSite = 0.3
-				}
-				res, err := fleet.Run(set)
-				mu.Lock()
-				if err != nil && first == nil {
-					first = err
-				}
-				results[j.row][j.seed] = res
-				mu.Unlock()
-			}
-		})
+		cases = append(cases, tierCase{name: "burst", load: 0.75, burst: 0.25, planners: with}, tierCase{name: "restarts", load: 0.75, restarts: true, planners: with})
 	}
-	for i := range rows {
-		for seed := range seeds {
-			if ctx.Err() == nil {
-				jobs <- job{i, seed}
+	cases = append(cases, tierCase{name: "burst", load: 0.75, burst: 0.25, planners: true, killed: 1}, tierCase{name: "burst", load: 0.75, burst: 0.25, planners: true, killed: tierPlanners})
+	const seeds = 5
+	results := make([][]*tierResult, len(cases))
+	bad := 0
+	for seed := uint64(31); seed < 31+seeds; seed++ {
+		for i, c := range cases { // side by side in time, so that the machine's moods meet all
+			r, err := playTier(ctx, dir, seed, c)
+			if err != nil {
+				return nil, fmt.Errorf("%s, seed %d: %w", c.label(), seed, err)
 			}
+			results[i] = append(results[i], r)
+			bad += r.twice + r.Ends[standin.Lost] + r.Ends[standin.Wrong]
 		}
 	}
-	close(jobs)
-	wg.Wait()
-	if first != nil || ctx.Err() != nil {
-		return nil, fmt.Errorf("the simulation did not end: %w %w", first, ctx.Err())
-	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "nodes\tservers\tload\tmode\tmissed %\tby seed, least\tmost\tworth missed %\tp50 ms\tp99 ms\tattempts a request\tcrossed %\t")
+	fmt.Fprintln(w, "case\tasked\tmissed %\tleast\tmost\tp50 ms\tp99 ms\truns a request\tforwarders us\tplanners us\tbytes between\tlost, wrong or twice\t")
 	var f figures
-	bad := 0
-	for i, r := range rows {
-		var missed, worth, attempts, crossed, p50, p99 float64
-		least, most := 100.0, 0.0
-		for _, res := range results[i] {
-			m := 100 * res.MissedShare()
-			least, most = min(least, m), max(most, m)
-			missed += m / seeds
-			worth += 100 * res.WorthMissed / res.Worth / seeds
-			attempts += float64(res.Attempts) / float64(res.Asked) / seeds
-			crossed += 100 * float64(res.Crossed) / float64(res.Attempts) / seeds
-			p50 += ms(res.Quantile(0.5)) / seeds
-			p99 += ms(res.Quantile(0.99)) / seeds
-			bad += res.Open + res.Twice
-		}
-		load := fmt.Sprint(r.load)
-		for _, what := range []string{r.world, r.trouble} {
-			if what != "" {
-				load += ", " + what
-			}
-		}
-		fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%.3f\t%.1f\t\n", r.nodes, r.nodes*20/3, load, r.mode, missed, least, most, worth, p50, p99, attempts, crossed)
-		if r.nodes == 30 && (r.mode == "one level" || r.mode == "forwarders") {
-			name := strings.Join(strings.Fields(strings.Join([]string{"missed", r.mode, fmt.Sprint(r.load), r.world, r.trouble}, " ")), "_")
-			f.add(name, "%.2f", missed)
+	missed := make(map[string]perSeed)
+	for i, c := range cases {
+		var all tierResult
+		var per perSeed
+		for _, r := range results[i] {
+			all.Add(&r.Tally)
+			all.runs, all.twice = all.runs+r.runs, all.twice+r.twice
+			all.nodeCPU, all.planCPU = all.nodeCPU+r.nodeCPU, all.planCPU+r.planCPU
+			all.bytes, all.sent = all.bytes+r.bytes, all.sent+r.sent
+			per = append(per, 100*r.Missed())
 		}
+		us := func(d time.Duration) float64 { return float64(d.Microseconds()) / float64(max(all.sent, 1)) }
+		missed[c.label()] = per
+		fmt.Fprintf(w, "%s\t%d\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t%.3f\t%.0f\t%.0f\t%.0f\t%d\t\n", c.label(), all.Asked, 100*all.Missed(), slices.Min(per), slices.Max(per),
+			ms(all.Quantile(0.5)), ms(all.Quantile(0.99)), float64(all.runs)/float64(max(all.sent, 1)), us(all.nodeCPU), us(all.planCPU),
+			float64(all.bytes)/float64(max(all.sent, 1)), all.twice+all.Ends[standin.Lost]+all.Ends[standin.Wrong])
+		f.add(strings.NewReplacer(" ", "_", ",", "").Replace(c.label())+"_missed_pct", "%.3f", 100*all.Missed())
 	}
 	if err := w.Flush(); err != nil {
 		return nil, fmt.Errorf("printing the table: %w", err)
 	}
+	one := missed["burst, one level"]
+	for _, label := range []string{"burst, planners, 1 killed", fmt.Sprintf("burst, planners, %d killed", tierPlanners)} {
+		worse, noise := one.against(missed[label])
+		f.add(strings.NewReplacer(" ", "_", ",", "").Replace(label)+"_worse_points", "%.2f", worse)
+		f.add("noise_points", "%.2f", noise)
+		if worse > mostWorse*noise {
+			return f, fmt.Errorf("%w: %s: %.2f points more missed than at one level, with a standard error of %.2f", errBound, label, worse, noise)
+		}
+	}
 	if bad > 0 {
-		return f, fmt.Errorf("%w: %d requests never ended or ran twice", errBound, bad)
+		return f, fmt.Errorf("%w: %d answers lost or wrong, or requests that ran twice", errBound, bad)
 	}
 	return f, nil
 }
+
+// perSeed is a figure for each seed.
+type perSeed []float64
+
+// against says by how much another's figures lie higher on average, seed by seed, and
+// the standard error of that.
+func (p perSeed) against(o perSeed) (diff, err float64) {
+	n := float64(len(p))
+	for i := range p {
+		diff += (o[i] - p[i]) / n
+	}
+	for i := range p {
+		d := o[i] - p[i] - diff
+		err += d * d / (n - 1)
+	}
+	return diff, math.Sqrt(err / n)
+}
+
+func (c tierCase) label() string {
+	label := c.name + ", one level"
+	if c.planners {
+		label = c.name + ", planners"
+	}
+	if c.killed > 0 {
+		label += fmt.Sprintf(", %d killed", c.killed)
+	}
+	return label
+}
+
+// tierFiles are the parts of the ends' files.
+type tierFiles struct {
+	dir, pool, security string
+}
+
+func (t *tierFiles) write(name, text string) (string, error) {
+	file := filepath.Join(t.dir, name+".toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return "", fmt.Errorf("the file of %s: %w", name, err)
+	}
+	return file, nil
+}
+
+// playTier plays one case with one seed.
+func playTier(ctx context.Context, dir string, seed uint64, c tierCase) (*tierResult, error) {
+	rack := &rack{memory: standin.NewMemory()}
+	defer rack.close()
+	if err := rack.fill(); err != nil {
+		return nil, err
+	}
+	t := &tierFiles{dir: dir, pool: fmt.Sprintf("[[pool]]\nname = \"app\"\nprotocol = \"platform\"\nshare = 1.0\ndiscovery = %q\n%s", rack.discovery.Addr, tierClasses)}
+	auth, err := standin.NewAuthority(dir)
+	if err != nil {
+		return nil, err
+	}
+	cert, key, err := auth.Issue(planlink.PlannerName)
+	if err != nil {
+		return nil, err
+	}
+	t.security = fmt.Sprintf("certificate = %q\nkey = %q\nauthorities = %q\n", cert, key, auth.File)
+	var plan, nodes []*process
+	defer func() {
+		for _, p := range slices.Concat(nodes, plan) {
+			p.end()
+		}
+	}()
+	var addrs []string
+	for n := 0; c.planners && n < tierPlanners; n++ {
+		file, err := t.write(fmt.Sprint("planner", n), fmt.Sprintf("[node]\nname = \"p%d\"\nrole = \"planner\"\nseed = %d\n[planning]\nlisten = [\"127.0.0.1:0\"]\n", n, seed)+t.security+t.pool)
+		if err != nil {
+			return nil, err
+		}
+		p, err := start(dir, "node", file)
+		if err != nil {
+			return nil, err
+		}
+		plan, addrs = append(plan, p), append(addrs, p.addr)
+	}
+	for n := range tierNodes {
+		text := fmt.Sprintf("[node]\nname = \"n%d\"\nlisten = [\"127.0.0.1:0\"]\nnumber = %d\nnodes = %d\nseed = %d\n", n, n, tierNodes, seed*10+uint64(n))
+		if c.planners {
+			text += "role = \"forwarder\"\n[planning]\nplanners = [\"" + strings.Join(addrs, "\", \"") + "\"]\n" + t.security
+		}
+		file, err := t.write(fmt.Sprint("node", n), text+"[limits]\nmemory = \"128MB\"\ndescriptors = 1024\n[[service]]\nname = \"app\"\n[[service.route]]\npool = \"app\"\n"+t.pool)
+		if err != nil {
+			return nil, err
+		}
+		p, err := start(dir, "node", file)
+		if err != nil {
+			return nil, err
+		}
+		nodes = append(nodes, p)
+	}
+	r := &tierResult{}
+	if err := r.play(ctx, seed, c, rack, nodes, plan); err != nil {
+		return nil, err
+	}
+	for _, p := range nodes {
+		d, err := p.cpu()
+		if err != nil {
+			return nil, err
+		}
+		r.nodeCPU += d
+	}
+	for i, p := range plan {
+		if i < c.killed {
+			continue // its figures died with it
+		}
+		d, err := p.cpu()
+		if err != nil {
+			return nil, err
+		}
+		r.planCPU += d
+	}
+	for _, p := range slices.Concat(nodes, plan) {
+		p.end()
+	}
+	for _, p := range plan {
+		r.bytes += between(p.logged())
+	}
+	nodes, plan = nil, nil
+	ran := make(map[string]int)
+	for _, b := range rack.all {
+		b.Effects(ran)
+		r.runs += b.Counts().Ran
+	}
+	for _, n := range ran {
+		if n > 1 {
+			r.twice++
+		}
+	}
+	return r, ctx.Err()
+}
+
+// play sends the load: a warm-up that counts for nothing, then what counts, with a
+// burst on top and its troubles.
+func (r *tierResult) play(ctx context.Context, seed uint64, c tierCase, rack *rack, nodes, plan []*process) error {
+	each := func(rate float64, span time.Duration, seed uint64, prefix string) (all []*standin.Running) {
+		for n, p := range nodes {
+			l := &standin.Load{
+				Addr: p.addr, Host: "app", Rate: rate * tierCapacity / tierNodes, For: span, Seed: seed*100 + uint64(n),
+				Kinds: tierKinds, Prefix: fmt.Sprintf("%s%d-", prefix, n), Retries: 1,
+			}
+			all = append(all, l.Start(ctx))
+		}
+		return all
+	}
+	count := func(all []*standin.Running, into *standin.Tally) {
+		for _, l := range all {
+			tally := sum(l.Wait())
+			into.Add(&tally)
+			r.sent += int64(tally.Tries)
+		}
+	}
+	var unused standin.Tally
+	count(each(c.load, tierWarmUp, seed+50, "w"), &unused)
+	began := time.Now()
+	at := func(d time.Duration, do func()) {
+		t := time.NewTimer(time.Until(began.Add(d)))
+		defer t.Stop()
+		select {
+		case <-t.C:
+			do()
+		case <-ctx.Done():
+		}
+	}
+	var beside sync.WaitGroup
+	var burst []*standin.Running
+	var failed error
+	if c.burst > 0 {
+		beside.Go(func() { at(burstAt, func() { burst = each(c.burst, burstFor, seed+70, "b") }) })
+	}
+	if c.killed > 0 {
+		beside.Go(func() {
+			at(failAt, func() {
+				for _, p := range plan[:c.killed] {
+					p.kill()
+				}
+			})
+		})
+	}
+	if c.restarts {
+		beside.Go(func() {
+			for n := range 5 {
+				at(time.Duration(n)*700*time.Millisecond, func() {
+					if err := rack.restart((n*7 + int(seed)) % tierBoxes); err != nil {
+						failed = err
+					}
+				})
+			}
+		})
+	}
+	main := each(c.load, tierSpan, seed, "m")
+	beside.Wait()
+	count(main, &r.Tally)
+	count(burst, &r.Tally)
+	return failed
+}
+
+var leftLine = regexp.MustCompile(`bytes_heard=(\d+) bytes_said=(\d+)`)
+
+// between sums the bytes that a planner's log tells of.
+func between(log string) (sum int64) {
+	for _, m := range leftLine.FindAllStringSubmatch(log, -1) {
+		for _, text := range m[1:] {
+			n, _ := strconv.ParseInt(text, 10, 64) // digits, as matched
+			sum += n
+		}
+	}
+	return sum
+}
+
+// rack is the boxes and the discovery that lists them.
+type rack struct {
+	discovery *standin.Discovery
+	memory    *standin.Memory // the pool drops repeats as one group
+	boxes     []*standin.Box  // in use
+	all       []*standin.Box  // that ever were
+}
+
+func (r *rack) box(n int, cold bool) (*standin.Box, error) {
+	set := standin.BoxSettings{Name: fmt.Sprint("box", n), Speed: []float64{1.3, 1, 0.9, 0.7}[n%4], Cores: 2, Queue: 16, Window: 10 * time.Second, Memory: r.memory, Stops: true}
+	if cold {
+		set.ColdFrom, set.Warm = 0.13, 5*time.Second
+	}
+	b, err := standin.NewBox(set)
+	if err == nil {
+		r.all = append(r.all, b)
+	}
+	return b, err
+}
+
+func (r *rack) list() (list []standin.Entry) {
+	for _, b := range r.boxes {
+		e := b.Entry()
+		e.Share = 2 * b.Speed
+		list = append(list, e)
+	}
+	return list
+}
+
+func (r *rack) fill() error {
+	for n := range tierBoxes {
+		b, err := r.box(n, false)
+		if err != nil {
+			return err
+		}
+		r.boxes = append(r.boxes, b)
+	}
+	var err error
+	r.discovery, err = standin.NewDiscovery(r.list()...)
+	return err
+}
+
+// restart has a box's process end, and another begin in its place, cold.
+func (r *rack) restart(n int) error {
+	b, err := r.box(n, true)
+	if err != nil {
+		return err
+	}
+	was := r.boxes[n]
+	r.boxes[n] = b
+	r.discovery.Set(r.list()...)
+	return was.Close()
+}
+
+func (r *rack) close() {
+	for _, b := range r.all {
+		_ = b.Close()
+	}
+	if r.discovery != nil {
+		_ = r.discovery.Close()
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -114,6 +115,60 @@
 	}
 }
 
+// TestTier reads the documented files of a tier, whose ends must fit together.
+func TestTier(t *testing.T) {
+	forwarder, err := Load("../../deploy/tier/forwarder.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	planner, err := Load("../../deploy/tier/planner.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if forwarder.Role != Forwarder || len(forwarder.Planning.Planners) != 2 || forwarder.Planning.Key != "../../deploy/tier/forwarder.key" {
+		t.Errorf("forwarder: %+v", forwarder.Planning)
+	}
+	if planner.Role != Planner || !slices.Contains(forwarder.Planning.Planners, planner.Planning.Listen[0]) || len(planner.Listen) > 0 {
+		t.Errorf("planner: %+v", planner.Planning)
+	}
+	a, b := forwarder.Pools[0].ClassNames(), planner.Pools[0].ClassNames()
+	if !slices.Equal(a, b) || !slices.Equal(a, []string{"look", "credit"}) {
+		t.Errorf("classes %q and %q", a, b)
+	}
+}
+
+// TestWrongTier names what does not go with a role.
+func TestWrongTier(t *testing.T) {
+	read := func(name string) string {
+		text, err := os.ReadFile("../../deploy/tier/" + name + ".toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	for _, c := range []struct{ file, was, is, want string }{
+		{"planner", "role = \"planner\"", "role = \"node\"", "planning stands with the role \"node\""},
+		{"planner", "role = \"planner\"", "role = \"boss\"", "role is \"boss\": want one of node, forwarder, planner"},
+		{"planner", "role = \"planner\"", "role = \"planner\"\nlisten = [\"127.0.0.1:1\"]", "listen stands with a planner"},
+		{"planner", "role = \"planner\"", "role = \"forwarder\"\nlisten = [\"127.0.0.1:1\"]", "listen is not a forwarder's: want planners"},
+		{"planner", "key = \"planner.key\"", "", "key is missing"},
+		{"planner", "listen = [\"127.0.0.1:7700\"]", "listen = [\"nowhere\"]", "listen is \"nowhere\""},
+		{"planner", "[[pool]]", "[[service]]\nname = \"s\"\n[[service.route]]\npool = \"orders\"\n[[pool]]", "service stands with a planner"},
+		{"forwarder", "[planning]", "[plans]", "planning is missing: a forwarder wants [planning]"},
+		{"forwarder", "planners = [", "listen = [\"127.0.0.1:1\"]\nplanners = [", "listen is not a forwarder's"},
+		{"forwarder", "planners = [", "planners = [\"127.0.0.1:1\", \"127.0.0.1:2\", \"127.0.0.1:3\", \"127.0.0.1:4\", \"127.0.0.1:5\", \"127.0.0.1:6\", \"127.0.0.1:8\", ", "planners has 9 entries: want 8"},
+	} {
+		text := read(c.file)
+		if !strings.Contains(text, c.was) {
+			t.Fatalf("%s has no %q", c.file, c.was)
+		}
+		_, err := Parse("f", []byte(strings.Replace(text, c.was, c.is, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s with %s:\n got %v\nwant %s", c.file, c.is, err, c.want)
+		}
+	}
+}
+
 // TestAllAtOnce tells every mistake of a file, in the order of its lines.
 func TestAllAtOnce(t *testing.T) {
 	text := strings.NewReplacer(`"127.0.0.1:0"`, `7`, `pool = "p"`, `pool = "q"`, `"127.0.0.1:1"`, `"x"`, `"safe"`, `"maybe"`).Replace(small)
@@ -159,6 +214,13 @@
 	f.Add(small)
 	f.Add(example(f))
 	f.Add("[node]\nlisten = 3\n[[pool]]\n[[pool.class]]\n[service]\n")
+	for _, name := range []string{"forwarder", "planner"} {
+		text, err := os.ReadFile("../../deploy/tier/" + name + ".toml")
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(string(text))
+	}
 	f.Add("a.b = 1\n[a.b.c]\n[[x]]\n[[x.y]]\n[x.y.z]\nq = [{r = [1, {s = 2}]}]")
 	f.Fuzz(func(t *testing.T, text string) {
 		c, err := Parse("f", []byte(text))
--- a/internal/planlink/client.go
+++ b/internal/planlink/client.go
@@ -217,7 +217,11 @@
 		})
 		return err
 	}
-	out := newOutbox()
+	lazy := lazyFor
+	if l.n > 0 {
+		lazy = idleFor
+	}
+	out := newOutbox(lazy)
 	defer context.AfterFunc(l.ctx, func() { out.fail(errClosed) })()
 	l.c.do(func(now time.Duration) {
 		if l.ctx.Err() == nil {
--- a/internal/planlink/link.go
+++ b/internal/planlink/link.go
@@ -28,6 +28,11 @@
 	greetWithin = 2 * time.Second
 	// writeWithin bounds how long the other end may take nothing.
 	writeWithin = 2 * time.Second
+	// lazyFor is how long what nobody waits for may lie, so that it goes with more:
+	// a write for each word cost as much as the request that it told of. Planners
+	// that are not asked need it less soon: idleFor.
+	lazyFor = 5 * time.Millisecond
+	idleFor = 25 * time.Millisecond
 )
 
 // keepAlive finds ends that have vanished without a word.
@@ -107,27 +112,35 @@
 	mu     sync.Mutex
 	buf    []byte
 	failed error
+	urgent bool  // somebody waits for what is held
+	sent   int64 // bytes, before encryption
 	some   chan struct{}
+	lazy   time.Duration
 }
 
-func newOutbox() *outbox { return &outbox{buf: frame(nil), some: make(chan struct{}, 1)} }
+// newOutbox makes an empty one, in which words that can wait do so for a time.
+func newOutbox(lazy time.Duration) *outbox {
+	return &outbox{buf: frame(nil), some: make(chan struct{}, 1), lazy: lazy}
+}
 
 // longestMessage is room for any message.
 const longestMessage = 64
 
 func (o *outbox) add(m plan.Message) {
+	urgent := m.Kind == plan.Ask || m.Kind == plan.Plan || m.Kind == plan.Back
 	o.mu.Lock()
+	first := len(o.buf) == headLen
 	switch {
 	case o.failed != nil:
 	case len(o.buf)+longestMessage > headLen+plan.MaxFrame:
-		o.failed = errFull
+		o.failed, urgent = errFull, true
 	default:
 		o.buf = m.Append(o.buf)
+		o.urgent = o.urgent || urgent
 	}
 	o.mu.Unlock()
-	select {
-	case o.some <- struct{}{}:
-	default:
+	if first || urgent { // of more that can wait run knows already
+		o.wake()
 	}
 }
 
@@ -138,6 +151,10 @@
 		o.failed = err
 	}
 	o.mu.Unlock()
+	o.wake()
+}
+
+func (o *outbox) wake() {
 	select {
 	case o.some <- struct{}{}:
 	default:
@@ -150,9 +167,11 @@
 	defer c.Close()
 	spare := frame(nil)
 	for range o.some {
+		o.linger()
 		o.mu.Lock()
 		b, err := o.buf, o.failed
-		o.buf = spare
+		o.buf, o.urgent = spare, false
+		o.sent += int64(len(b))
 		o.mu.Unlock()
 		if err != nil || len(b) > headLen && send(c, b) != nil {
 			return
@@ -161,6 +180,32 @@
 	}
 }
 
+// linger waits a while for more, unless somebody waits.
+func (o *outbox) linger() {
+	t := time.NewTimer(o.lazy)
+	defer t.Stop()
+	for {
+		o.mu.Lock()
+		now := o.urgent || o.failed != nil || len(o.buf) == headLen
+		o.mu.Unlock()
+		if now {
+			return
+		}
+		select {
+		case <-t.C:
+			return
+		case <-o.some:
+		}
+	}
+}
+
+// bytes is how many have been sent.
+func (o *outbox) bytes() int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sent
+}
+
 // cause is why an outbox failed, or another error.
 func (o *outbox) cause(err error) error {
 	o.mu.Lock()
--- a/internal/planlink/server.go
+++ b/internal/planlink/server.go
@@ -141,8 +141,8 @@
 	if err := send(c, frame(nil)); err != nil {
 		return
 	}
-	err = d.serve(c, br, name)
-	s.log.Info("forwarder left", "forwarder", name, "pool", d.pool, "why", err)
+	heard, said, err := d.serve(c, br, name)
+	s.log.Info("forwarder left", "forwarder", name, "pool", d.pool, "bytes_heard", heard, "bytes_said", said, "why", err)
 }
 
 // greet reads a greeting and finds the desk that it asks for.
@@ -273,25 +273,26 @@
 	return d.p.Forwarders()
 }
 
-// serve hears a forwarder until its connection ends, and says why it did.
-func (d *Desk) serve(c net.Conn, br *bufio.Reader, name string) error {
-	out := newOutbox()
+// serve hears a forwarder until its connection ends, and says why it did and how
+// many bytes went each way.
+func (d *Desk) serve(c net.Conn, br *bufio.Reader, name string) (heard, said int64, err error) {
+	out := newOutbox(lazyFor)
 	var me plan.Source
 	d.do(func(now time.Duration) {
 		me = d.p.Join(now, name)
 		d.peers[me] = out
 	})
 	if me == 0 {
-		return errClosed
+		return 0, 0, errClosed
 	}
 	var writer sync.WaitGroup
 	writer.Go(func() { out.run(c) })
 	var buf []byte
-	var err error
 	for err == nil {
 		if buf, err = readFrame(br, buf, plan.MaxFrame); err != nil {
 			break
 		}
+		heard += int64(headLen + len(buf))
 		d.do(func(now time.Duration) {
 			err = plan.Decode(buf, func(m plan.Message) error {
 				if m.Kind == plan.Plan || m.Kind == plan.Back {
@@ -308,7 +309,7 @@
 		d.p.Leave(now, me)
 		delete(d.peers, me)
 	})
-	return out.cause(err)
+	return heard, out.bytes(), out.cause(err)
 }
 
 // close ends the desk and its connections.
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -40,6 +40,29 @@
 	Work time.Duration
 	// Window is how long repeats of an Idempotency-Key are dropped; 0 for never.
 	Window time.Duration
+	// Memory holds the keys. Boxes that share one drop each other's repeats; nil
+	// stands for one of its own.
+	Memory *Memory
+}
+
+// Memory is what a group of boxes remembers of keys.
+type Memory struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+// NewMemory makes an empty memory.
+func NewMemory() *Memory { return &Memory{until: make(map[string]time.Time)} }
+
+// repeat says whether a key is remembered; otherwise it is from now on.
+func (m *Memory) repeat(key string, now time.Time, window time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Before(m.until[key]) {
+		return true
+	}
+	m.until[key] = now.Add(window)
+	return false
 }
 
 // Box is a server of stated speed, cores and queue. It takes its time asleep, so
@@ -58,7 +81,6 @@
 	waiting int
 	turned  chan struct{}  // closed at the next change of mode
 	effects map[string]int // by key, where there is one, or else by id
-	until   map[string]time.Time
 	counts  Counts
 }
 
@@ -82,9 +104,12 @@
 		set.Speed = 1
 	}
 	set.Cores = max(set.Cores, 1)
+	if set.Memory == nil {
+		set.Memory = NewMemory()
+	}
 	b := &Box{
 		BoxSettings: set, Addr: ln.Addr().String(), ln: ln, cores: make(chan struct{}, set.Cores), born: time.Now(),
-		turned: make(chan struct{}), effects: make(map[string]int), until: make(map[string]time.Time),
+		turned: make(chan struct{}), effects: make(map[string]int),
 		counts: Counts{Class: make(map[string]int)},
 	}
 	b.srv = &http.Server{Handler: b}
@@ -224,11 +249,10 @@
 		switch {
 		case key == "":
 			b.effects[id]++
-		case now.Before(b.until[key]):
+		case b.Memory.repeat(key, now, b.Window):
 			b.counts.Dropped++
 		default:
 			b.effects[key]++
-			b.until[key] = now.Add(b.Window)
 		}
 	}
 	b.mu.Unlock()
