Tell a guide of an attempt's end before what follows from it; test guide and outbox

The end of a request's last attempt was told after the request was closed, and so never: planners believed refused requests to be out until they faded. A guide is now told first. The sign that a request was turned away everywhere goes: a planner whose servers are all full finds none and hands back.

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -131,8 +131,7 @@
 	// Ask says whether to wait for the answer, which comes soon in any case.
 	Ask(q decide.Request, left time.Duration) (wait bool)
 	Sent(id decide.RequestID, attempt int, to decide.ServerID)
-	// Ended tells an attempt's outcome, and whether its request is refused for it.
-	Ended(id decide.RequestID, attempt int, result decide.Result, turnedAway bool)
+	Ended(id decide.RequestID, attempt int, result decide.Result)
 	// Closed says that a request is over: nothing is out and nothing is owed.
 	Closed(id decide.RequestID)
 	// Close ends the guide. The pool makes no call after it.
@@ -157,7 +156,6 @@
 	attempts []*attempt
 	out      int        // attempts without an outcome
 	settled  bool       // answered, or its client is gone: nothing more is owed
-	refused  bool       // that was the answer
 	asking   bool       // the guide has yet to say where it should go
 	final    chan Final // holds one
 }
@@ -345,10 +343,10 @@
 			r.settled = true
 			r.final <- Final{Status: Served, Answer: ans}
 		}
-		p.b.Finished(now, decide.Outcome{ID: r.id, Attempt: a.n, Result: result, Settled: r.settled})
-		if p.set.Guide != nil {
-			p.set.Guide.Ended(r.id, a.n, result, r.refused)
+		if p.set.Guide != nil { // before the module may send the next, or end all
+			p.set.Guide.Ended(r.id, a.n, result)
 		}
+		p.b.Finished(now, decide.Outcome{ID: r.id, Attempt: a.n, Result: result, Settled: r.settled})
 		p.release(r)
 	})
 	a.giveUp(nil)
@@ -489,9 +487,6 @@
 }
 
 func (p effects) Refuse(id decide.RequestID, retryAfter time.Duration) {
-	if r := p.reqs[id]; r != nil {
-		r.refused = true
-	}
 	p.settle(id, Final{Status: Refused, RetryAfter: retryAfter})
 }
 
--- a/internal/plan/forwarder.go
+++ b/internal/plan/forwarder.go
@@ -167,8 +167,8 @@
 	}
 }
 
-// Ended notes the end of an attempt; turnedAway, that its request is refused for it.
-func (f *Forwarder) Ended(id decide.RequestID, attempt int, result decide.Result, turnedAway bool) {
+// Ended notes the end of an attempt.
+func (f *Forwarder) Ended(id decide.RequestID, attempt int, result decide.Result) {
 	t := f.turns[id]
 	if t == nil {
 		return
@@ -180,7 +180,7 @@
 	t.out = slices.Delete(t.out, at, at+1)
 	for n := range f.up {
 		if f.up[n] {
-			f.out.Tell(n, Message{Kind: Ended, ID: id, Attempt: attempt, Result: result, TurnedAway: turnedAway})
+			f.out.Tell(n, Message{Kind: Ended, ID: id, Attempt: attempt, Result: result})
 		}
 	}
 }
--- a/internal/plan/forwarder_test.go
+++ b/internal/plan/forwarder_test.go
@@ -66,10 +66,10 @@
 	f.Late(50*ms, 1)
 	w.expect(t, "0: ask 1", "go 1 to 7")
 	f.Sent(50*ms, 1, 0, 7)
-	f.Ended(1, 0, decide.Reset, false)
+	f.Ended(1, 0, decide.Reset)
 	f.Sent(60*ms, 1, 1, 9)
-	f.Ended(1, 1, decide.OK, false)
-	f.Ended(1, 1, decide.OK, false)
+	f.Ended(1, 1, decide.OK)
+	f.Ended(1, 1, decide.OK)
 	f.Closed(1)
 	f.Closed(1)
 	w.expect(t, "1: sent 1.0 to 7", "0: ended 1.0 5", "1: ended 1.0 5",
--- a/internal/plan/message.go
+++ b/internal/plan/message.go
@@ -46,14 +46,12 @@
 
 // Message is one word between a forwarder and a planner.
 type Message struct {
-	Kind    Kind
-	ID      decide.RequestID // the forwarder's; not of Synced
-	Attempt int              // of Sent and Ended
-	Server  decide.ServerID  // of Sent and Plan
-	Result  decide.Result    // of Ended
-	// TurnedAway says with Ended that the request is refused, as no server took it.
-	TurnedAway bool
-	Question   // of Ask and Sent
+	Kind     Kind
+	ID       decide.RequestID // the forwarder's; not of Synced
+	Attempt  int              // of Sent and Ended
+	Server   decide.ServerID  // of Sent and Plan
+	Result   decide.Result    // of Ended
+	Question                  // of Ask and Sent
 }
 
 // Question is what a planner is told of a request.
@@ -65,10 +63,7 @@
 	Repeat bool
 }
 
-const (
-	flagRepeat = 1 << iota
-	flagTurnedAway
-)
+const flagRepeat = 1
 
 // Append adds a message to a frame's payload.
 func (m *Message) Append(b []byte) []byte {
@@ -81,11 +76,7 @@
 	case Plan:
 		return binary.AppendUvarint(b, uint64(m.Server))
 	case Ended:
-		flags := byte(0)
-		if m.TurnedAway {
-			flags = flagTurnedAway
-		}
-		return append(b, byte(m.Attempt), byte(m.Result), flags)
+		return append(b, byte(m.Attempt), byte(m.Result))
 	case Sent:
 		b = append(b, byte(m.Attempt))
 		b = binary.AppendUvarint(b, uint64(m.Server))
@@ -139,7 +130,6 @@
 	case Ended:
 		m.Attempt = int(d.byte(maxAttempt))
 		m.Result = decide.Result(d.byte(byte(decide.Moot)))
-		m.TurnedAway = d.byte(flagTurnedAway) == flagTurnedAway
 	case Sent:
 		m.Attempt = int(d.byte(maxAttempt))
 		m.Server = decide.ServerID(d.uint(1<<32 - 1))
--- a/internal/plan/model_test.go
+++ b/internal/plan/model_test.go
@@ -170,8 +170,8 @@
 		r.settled = true
 		r.answers++
 	}
+	f.f.Ended(r.id, n, result)
 	f.b.Finished(f.w.now, decide.Outcome{ID: r.id, Attempt: n, Result: result, Settled: r.settled})
-	f.f.Ended(r.id, n, result, r.settled && r.mayRun == 0)
 	f.release(r)
 }
 
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -127,7 +127,7 @@
 	}
 	for len(p.overdue) > 0 && p.overdue[0].at <= p.now {
 		if e := p.byID[p.overdue[0].id]; e != nil {
-			p.end(e, decide.Cancelled, false)
+			p.end(e, decide.Cancelled)
 		}
 		p.overdue = p.overdue[1:]
 	}
@@ -172,7 +172,7 @@
 			continue
 		}
 		for _, e := range s.out {
-			p.end(e, decide.Cancelled, false)
+			p.end(e, decide.Cancelled)
 		}
 		delete(p.sources, id)
 	}
@@ -221,7 +221,7 @@
 		}
 	case Ended:
 		if e := s.out[place{m.ID, m.Attempt}]; e != nil {
-			p.end(e, m.Result, m.TurnedAway)
+			p.end(e, m.Result)
 		}
 	}
 }
@@ -250,16 +250,15 @@
 	case !e.sent:
 		p.forget(e) // at a server that is not known here, or not in use
 	case to != 0 && to != e.to: // the same, and another was chosen for it
-		p.end(e, decide.Moot, false)
+		p.end(e, decide.Moot)
 	}
 }
 
-// end ends an attempt.
-func (p *Planner) end(e *belief, r decide.Result, turnedAway bool) {
+// end ends an attempt, and with it what the balancer takes for a request. Where all
+// servers are full it finds none for the next, and hands that back.
+func (p *Planner) end(e *belief, r decide.Result) {
 	p.forget(e)
-	// A balancer whose request is not settled tries again, finds that it may not,
-	// and takes a request that was turned away for the sign of overload that it is.
-	p.b.Finished(p.now, decide.Outcome{ID: e.id, Result: r, Settled: !turnedAway || r != decide.Full})
+	p.b.Finished(p.now, decide.Outcome{ID: e.id, Result: r, Settled: true})
 }
 
 func (p *Planner) forget(e *belief) {
--- a/internal/planlink/client.go
+++ b/internal/planlink/client.go
@@ -144,10 +144,10 @@
 }
 
 // Ended tells of its end.
-func (c *Client) Ended(id decide.RequestID, attempt int, result decide.Result, turnedAway bool) {
+func (c *Client) Ended(id decide.RequestID, attempt int, result decide.Result) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.f.Ended(id, attempt, result, turnedAway)
+	c.f.Ended(id, attempt, result)
 }
 
 // Closed says that a request is over.
--- /dev/null
+++ b/internal/planlink/link_test.go
@@ -0,0 +1,117 @@
+package planlink
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"jasperpin/decide"
+	"jasperpin/internal/plan"
+)
+
+// reader hears an outbox's other end.
+func reader(c net.Conn) <-chan []plan.Message {
+	heard := make(chan []plan.Message, 100)
+	go func() {
+		defer close(heard)
+		br := bufio.NewReader(c)
+		for {
+			b, err := readFrame(br, nil, plan.MaxFrame)
+			if err != nil {
+				return
+			}
+			var all []plan.Message
+			if err := plan.Decode(b, func(m plan.Message) error {
+				all = append(all, m)
+				return nil
+			}); err != nil {
+				return
+			}
+			heard <- all
+		}
+	}()
+	return heard
+}
+
+// TestOutboxBatches has words that can wait go together, and one that cannot take
+// them along at once.
+func TestOutboxBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		o := newOutbox(lazyFor)
+		go o.run(near)
+		heard := reader(far)
+		began := time.Now()
+		for id := range 3 {
+			o.add(plan.Message{Kind: plan.Ended, ID: decide.RequestID(id)})
+		}
+		if got := <-heard; len(got) != 3 || time.Since(began) != lazyFor {
+			t.Errorf("%d words after %v", len(got), time.Since(began))
+		}
+		began = time.Now()
+		o.add(plan.Message{Kind: plan.Ended, ID: 7})
+		synctest.Wait()
+		o.add(plan.Message{Kind: plan.Ask, ID: 8})
+		if got := <-heard; len(got) != 2 || time.Since(began) != 0 {
+			t.Errorf("%d words after %v", len(got), time.Since(began))
+		}
+		o.fail(errClosed)
+		if _, more := <-heard; more || !errors.Is(o.cause(nil), errClosed) {
+			t.Errorf("after its end: %v", o.cause(nil))
+		}
+	})
+}
+
+// TestOutboxIsBounded adds for an end that takes nothing: nobody waits for it, and
+// its connection ends.
+func TestOutboxIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		o := newOutbox(lazyFor)
+		done := make(chan struct{})
+		go func() {
+			o.run(near)
+			close(done)
+		}()
+		for range plan.MaxFrame {
+			o.add(plan.Message{Kind: plan.Ask, Question: plan.Question{Key: 1 << 63}})
+		}
+		if len(o.buf) > headLen+plan.MaxFrame || !errors.Is(o.cause(nil), errFull) {
+			t.Errorf("%d bytes are held: %v", len(o.buf), o.cause(nil))
+		}
+		<-done // the write that was under way is given up, too
+		if _, err := far.Read(make([]byte, 1)); err == nil {
+			t.Error("the connection still stands")
+		}
+	})
+}
+
+// FuzzReadFrame takes any bytes for frames: what it gives is within the bound, and
+// is what the head said.
+func FuzzReadFrame(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 2, 1, 2, 0, 0, 0, 0})
+	f.Add([]byte{0, 0, 0, 9, 1})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0, 0})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		const most = 64
+		br := bufio.NewReader(bytes.NewReader(text))
+		var buf []byte
+		for {
+			b, err := readFrame(br, buf, most)
+			if err != nil {
+				return
+			}
+			n := int(binary.BigEndian.Uint32(text))
+			if len(b) != n || n > most || !bytes.Equal(b, text[headLen:headLen+n]) {
+				t.Fatalf("read %x of %x", b, text)
+			}
+			text, buf = text[headLen+n:], b
+		}
+	})
+}
