--- a/internal/node/tier_test.go
+++ b/internal/node/tier_test.go
@@ -44,7 +44,17 @@
 	return fmt.Sprintf("certificate = %q\nkey = %q\nauthorities = %q\n", cert, key, x.auth.File)
 }
 
-// start runs an end by its file.
+// tls is what an end uses that believes the tier, with a certificate of some authority.
+func (x *tier) tls(name string, by *standin.Authority) *tls.Config {
+	x.t.Helper()
+	cert, key, err := by.Issue(name)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	return check.Must[*tls.Config](x.t)(planlink.Files{Certificate: cert, Key: key, Authorities: x.auth.File}.Load())
+}
+
+// start makes an end of a file, which begin runs.
 func (x *tier) start(text string) *testNode {
 	x.t.Helper()
 	n := &testNode{t: x.t, file: filepath.Join(x.t.TempDir(), "node.toml"), hup: make(chan os.Signal, 1), ended: make(chan error, 1), logged: &check.Log{}}
@@ -257,19 +267,8 @@
 	p := x.planner("127.0.0.1:0")
 	f := x.forwarder("a", p.addr)
 	f.planned("before")
-	mine := func(name string) *tls.Config {
-		cert, key, err := x.auth.Issue(name)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return check.Must[*tls.Config](t)(planlink.Files{Certificate: cert, Key: key, Authorities: x.auth.File}.Load())
-	}
-	other := newTier(t, pools)
-	cert, key, err := other.auth.Issue("stranger")
-	if err != nil {
-		t.Fatal(err)
-	}
-	foreign := check.Must[*tls.Config](t)(planlink.Files{Certificate: cert, Key: key, Authorities: x.auth.File}.Load())
+	mine := func(name string) *tls.Config { return x.tls(name, x.auth) }
+	foreign := x.tls("stranger", newTier(t, pools).auth)
 	nameless := mine("nobody")
 	nameless.Certificates = nil
 	hello := func(change func(*plan.Hello)) []byte {
@@ -335,14 +334,10 @@
 	p := x.planner("127.0.0.1:0")
 	f := x.forwarder("a", p.addr)
 	f.planned("a") // so that the server's number is known to be right: it is planned
-	cert, key, err := x.auth.Issue("b")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var server decide.ServerID
 	client := planlink.NewClient(planlink.ClientOptions{
 		Name: "b", Pool: "orders", Classes: []string{"look", "order", "credit"}, Planners: []string{p.addr},
-		TLS: check.Must[*tls.Config](t)(planlink.Files{Certificate: cert, Key: key, Authorities: x.auth.File}.Load()), Log: slog.New(slog.DiscardHandler),
+		TLS: x.tls("b", x.auth), Log: slog.New(slog.DiscardHandler),
 	})
 	answers := make(chan decide.ServerID, 1000)
 	client.Start(func(_ decide.RequestID, s decide.ServerID) { answers <- s })
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -51,6 +51,29 @@
 // ask is a request whose client waits for long.
 func ask(bytes int) Ask { return Ask{Bytes: bytes, Due: time.Now().Add(time.Minute)} }
 
+// fill lets requests in until one is refused, with when to come back.
+func fill(t *testing.T, s *Set, target Target, bytes int) (passes []*Pass) {
+	t.Helper()
+	for {
+		p, err := s.Enter(t.Context(), target, ask(bytes))
+		if r := (*Refusal)(nil); errors.As(err, &r) {
+			if r.Tenant || r.RetryAfter != time.Second {
+				t.Errorf("refused with %+v", r)
+			}
+			return passes
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		passes = append(passes, p)
+	}
+}
+
+func leave(passes []*Pass, end End) {
+	for _, p := range passes {
+		p.Leave(end)
+	}
+}
+
 func newSet(t *testing.T, cfg *config.Config) *Set {
 	t.Helper()
 	s, err := New(cfg, room{}, func(*config.Pool) core.Upstream { return idle{} }, nil, slog.New(slog.DiscardHandler))
@@ -77,32 +100,16 @@
 		defer s.Close()
 		all := limit.Machine{Memory: 64 << 20}.Held()
 		a, b := find(t, s, "a.org"), find(t, s, "b.org")
-		var passes []*Pass
-		enter := func(target Target) (n int) {
-			for {
-				p, err := s.Enter(t.Context(), target, ask(core.MaxBody))
-				if r := (*Refusal)(nil); errors.As(err, &r) {
-					if r.Tenant || r.RetryAfter != time.Second {
-						t.Errorf("refused with %+v", r)
-					}
-					return n
-				} else if err != nil {
-					t.Fatal(err)
-				}
-				passes = append(passes, p)
-				n++
-			}
-		}
 		most := all / (2 * core.MaxBody)
-		if n := enter(a); n < most*45/100 || n > most/2 {
+		inA := fill(t, s, a, core.MaxBody)
+		if n := len(inA); n < most*45/100 || n > most/2 {
 			t.Errorf("a holds %d of %d, half of which are b's", n, most)
 		}
-		if n := enter(b); n < most*45/100 {
+		inB := fill(t, s, b, core.MaxBody)
+		if n := len(inB); n < most*45/100 {
 			t.Errorf("b holds %d of its half of %d", n, most)
 		}
-		for _, p := range passes {
-			p.Leave(Served)
-		}
+		leave(append(inA, inB...), Served)
 		if free := s.budgets.of[held].Free(); free != all {
 			t.Errorf("%d of %d bytes are free in the end", free, all)
 		}
@@ -123,14 +130,9 @@
 			}
 			p.Leave(end)
 		}
-		count := func() (n int) {
-			var passes []*Pass
-			for p, err := s.Enter(t.Context(), a, ask(0)); err == nil; p, err = s.Enter(t.Context(), a, ask(0)) {
-				passes = append(passes, p)
-			}
-			for _, p := range passes {
-				p.Leave(Void)
-			}
+		count := func() int {
+			passes := fill(t, s, a, 0)
+			leave(passes, Void)
 			return len(passes)
 		}
 		well := count()
@@ -274,23 +276,15 @@
 		s := newSet(t, cfg)
 		defer s.Close()
 		all := cfg.Limits.Goroutines()
-		var passes []*Pass
-		fill := func(host string) (n int) {
-			for p, err := s.Enter(t.Context(), find(t, s, host), ask(0)); err == nil; p, err = s.Enter(t.Context(), find(t, s, host), ask(0)) {
-				passes = append(passes, p)
-				n++
-			}
-			return n
-		}
-		if n := fill("a.org"); n != all/2/10 {
+		inA := fill(t, s, find(t, s, "a.org"), 0)
+		if n := len(inA); n != all/2/10 {
 			t.Errorf("a holds %d requests of 10 goroutines each, all are %d and half of them b's", n, all)
 		}
-		if n := fill("b.org"); n < all/4 {
+		inB := fill(t, s, find(t, s, "b.org"), 0)
+		if n := len(inB); n < all/4 {
 			t.Errorf("b holds %d requests of 2 goroutines each, half of %d are its", n, all)
 		}
-		for _, p := range passes {
-			p.Leave(Void)
-		}
+		leave(append(inA, inB...), Void)
 		if free := s.budgets.of[goroutines].Free(); free != all {
 			t.Errorf("%d of %d goroutines are free in the end", free, all)
 		}
