Have the simulated tier run the forwarder's and planner's own modules

The simulation had a design of its own, in which planners decided on retries too. It now drives plan.Forwarder and plan.Planner, with one or more planners a site, so that its figures are those of what is built. All faults still leave one end for each request.

--- a/cmd/proof/plannerssim.go
+++ b/cmd/proof/plannerssim.go
@@ -74,7 +74,7 @@
 				case "3 by site":
 					set.SitePlanners = true
 				case "forwarders":
-					set.Forward = true
+					set.Forward = 1
 				}
 				if f, ok := faults[r.trouble]; ok {
 					set.Faults = []fleet.Fault{f}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,9 +25,9 @@
 	// each node decides for itself. With SitePlanners each site has one of its own.
 	Planners     int
 	SitePlanners bool
-	// Forward has the nodes be forwarders of site planners: each waits for a plan
-	// no longer than it costs, and then decides alone.
-	Forward bool
+	// Forward is how many planners each site has, whose forwarders the nodes are, as
+	// package plan has both; 0 for none.
+	Forward int
 	Faults  []Fault
 	// Trouble has servers restart, and so be cold: Restart of them at a time,
 	// each RestartEvery.
@@ -102,7 +102,7 @@
 type Result struct {
 	Asked, Missed, Refused, Failed int
 	Attempts, Crossed              int // crossed between sites
-	Planned, Alone                 int // tries decided by a planner, and by a forwarder itself
+	Planned, Alone                 int // first attempts by a plan, and by a forwarder's own choice
 	Twice                          int // unsafe requests that ran twice
 	Open                           int // requests or attempts that never ended
 	Worth, WorthMissed             float64
@@ -151,10 +151,14 @@
 	queue   events
 	servers []*server
 	brains  []*brain // who decides: nodes, or planners
-	forward []*forwarder
-	res     Result
-	open    int
-	last    bool // no more arrivals
+
+	forward  []*forwarder
+	planners []*planner // of forwarders
+	conns    int        // between these so far
+
+	res  Result
+	open int
+	last bool // no more arrivals
 }
 
 func (s *sim) after(d time.Duration, do func()) {
@@ -258,43 +262,18 @@
 	began time.Duration
 	tries int
 	ran   int
-
-	mayHaveRun bool // an attempt of this try ended without proof that it did not
 }
 
-// brain is one decide.Balancer: a node's own, or a planner's for many nodes.
+// brain is one decide.Balancer: a node's own, or a planner's that decides all for
+// many nodes.
 type brain struct {
 	sim  *sim
 	b    *decide.Balancer
+	f    *forwarder // its planners, if it has any
 	site int
 	far  bool // a planner: each word to or from it takes a way
 	last decide.RequestID
 	reqs map[decide.RequestID]*exchange
-
-	dead   bool // a killed planner: nothing that is said to it or that it set arrives
-	paused time.Duration
-	slow   bool
-}
-
-// hear has something reach a brain after a time: not at all if it is dead then,
-// and once its pause is over if it is paused.
-func (b *brain) hear(after time.Duration, do func()) {
-	if b.slow {
-		after += slowBy
-	}
-	b.arrive(after, do)
-}
-
-func (b *brain) arrive(after time.Duration, do func()) {
-	b.sim.after(after, func() {
-		switch {
-		case b.dead:
-		case b.sim.now < b.paused:
-			b.arrive(b.paused-b.sim.now, do)
-		default:
-			do()
-		}
-	})
 }
 
 // exchange is one try at the brain that decides on it.
@@ -304,7 +283,8 @@
 	attempts []*attempt
 	settled  bool
 	out      int
-	turn     *turn // the question that it answers, where a planner decides
+	hint     time.Duration
+	due      time.Duration
 }
 
 type attempt struct {
@@ -325,29 +305,24 @@
 // ask brings a client's try to who decides on it.
 func (s *sim) ask(r *request) {
 	r.tries++
-	r.mayHaveRun = false // a new request to those who decide
-	if s.set.Forward {
-		s.forwarderOf(r).ask(r, -1)
-		return
-	}
-	s.brainOf(r).take(r, nil)
-}
-
-// take hands a try to the brain.
-func (b *brain) take(r *request, t *turn) {
-	arrived := b.sim.now
-	b.hear(b.way(r), func() {
+	b := s.brainOf(r)
+	arrived := s.now
+	s.after(b.way(r), func() {
 		for b.last++; b.reqs[b.last] != nil; b.last++ {
 		}
-		x := &exchange{request: r, id: b.last, turn: t}
+		x := &exchange{request: r, id: b.last, due: min(arrived, r.began) + classes[r.class].Deadline}
+		x.hint = time.Duration(float64(r.work) * math.Exp(0.3*s.rng.NormFloat64()))
 		b.reqs[x.id] = x
-		if t != nil {
-			t.x = x
+		if b.f == nil || !b.f.ask(x) {
+			b.decide(x, 0)
 		}
-		hint := time.Duration(float64(r.work) * math.Exp(0.3*b.sim.rng.NormFloat64()))
-		b.b.Arrive(b.sim.now, decide.Request{
-			ID: x.id, Class: r.class, Key: r.key, Hint: hint, Repeat: r.tries > 1, Due: min(arrived, r.began) + classes[r.class].Deadline,
-		})
+	})
+}
+
+// decide has the module decide on a request, with a server planned for it or 0.
+func (b *brain) decide(x *exchange, planned decide.ServerID) {
+	b.b.Arrive(b.sim.now, decide.Request{
+		ID: x.id, Class: x.class, Key: x.key, Hint: x.hint, Repeat: x.tries > 1, Due: x.due, Planned: planned,
 	})
 }
 
@@ -368,19 +343,19 @@
 // Send, with the methods that follow, is decide.Effects.
 func (b *brain) Send(id decide.RequestID, to decide.ServerID, timeout time.Duration) {
 	x := b.reqs[id]
-	v := b.sim.servers[to]
+	v := b.sim.servers[to-1]
 	a := &attempt{n: len(x.attempts), srv: v}
 	x.attempts = append(x.attempts, a)
 	x.out++
+	if b.f != nil {
+		b.f.plan.Sent(b.sim.now, id, a.n, to)
+	}
 	b.sim.after(b.way(x.request), func() { b.carry(x, a, timeout) })
 }
 
-// carry carries an attempt out at the node, unless the plan for it comes too late.
+// carry carries an attempt out at the node.
 func (b *brain) carry(x *exchange, a *attempt, timeout time.Duration) {
-	if !x.turn.accept() || x.settled {
-		if !x.turn.waits() {
-			x.settled = true
-		}
+	if x.settled {
 		b.end(x, a, decide.Moot)
 		return
 	}
@@ -413,13 +388,12 @@
 		x.settled = true
 		b.sim.answered(x.request)
 	}
-	if r != decide.Moot && r != decide.Full && r != decide.NoConnection && r != decide.OK {
-		x.mayHaveRun = true
-	}
 	settled := x.settled
-	x.turn.ended()
-	b.hear(b.way(x.request), func() {
+	b.sim.after(b.way(x.request), func() {
 		x.out--
+		if b.f != nil {
+			b.f.plan.Ended(x.id, a.n, r)
+		}
 		b.b.Finished(b.sim.now, decide.Outcome{ID: x.id, Attempt: a.n, Result: r, Settled: settled})
 		b.release(x)
 	})
@@ -435,6 +409,9 @@
 func (b *brain) release(x *exchange) {
 	if x.settled && x.out == 0 && b.reqs[x.id] == x {
 		delete(b.reqs, x.id)
+		if b.f != nil {
+			b.f.plan.Closed(x.id)
+		}
 	}
 }
 
@@ -449,10 +426,6 @@
 }
 
 func (b *brain) Refuse(id decide.RequestID, retryAfter time.Duration) {
-	if x := b.reqs[id]; x != nil && x.turn != nil && len(x.attempts) == 0 && b.sim.now < x.began+classes[x.class].Aim {
-		b.final(id, x.turn.handBack)
-		return
-	}
 	b.final(id, func(r *request) { b.sim.turnedAway(r, &b.sim.res.Refused, retryAfter) })
 }
 
@@ -466,19 +439,16 @@
 		return
 	}
 	b.sim.after(b.way(x.request), func() {
-		if x.turn.accept() && !x.settled {
+		if !x.settled {
 			x.settled = true
 			tell(x.request)
 		}
-		if !x.turn.waits() {
-			x.settled = true
-		}
 		b.release(x)
 	})
 }
 
 func (b *brain) Wake(token uint64, at time.Duration) {
-	b.hear(max(at-b.sim.now, 0), func() {
+	b.sim.after(max(at-b.sim.now, 0), func() {
 		if !b.sim.last || b.sim.open > 0 {
 			b.b.Timer(b.sim.now, token)
 		}
@@ -541,11 +511,10 @@
 		e.do()
 	}
 	s.res.Open = s.open
-	for _, b := range s.all() {
-		if !b.dead {
-			s.res.Open += len(b.reqs)
-		}
+	for _, b := range s.brains {
+		s.res.Open += len(b.reqs)
 	}
+	s.planned()
 	slices.Sort(s.res.Latencies)
 	return &s.res, nil
 }
@@ -562,7 +531,7 @@
 			}
 		}
 		v := &server{
-			sim: s, id: decide.ServerID(i), site: i % sites, cores: k.cores,
+			sim: s, id: decide.ServerID(i + 1), site: i % sites, cores: k.cores,
 			speed: k.slow + (k.fast-k.slow)*s.rng.Float64(), keys: make(map[uint64]time.Duration),
 		}
 		if n := i / sites; s.set.SmallSite > 0 && v.site == 0 && float64(n) >= s.set.SmallSite*float64(s.set.Servers)/sites {
@@ -578,7 +547,7 @@
 func (s *sim) think() {
 	n, far := s.set.Nodes, false
 	switch {
-	case s.set.SitePlanners || s.set.Forward:
+	case s.set.SitePlanners:
 		n, far = sites, true
 	case s.set.Planners > 0:
 		n, far = s.set.Planners, true
@@ -586,17 +555,29 @@
 	for i := range n {
 		s.brains = append(s.brains, s.brain(i, n, i%sites, far))
 	}
-	if s.set.Forward {
-		for i := range s.set.Nodes {
-			s.forward = append(s.forward, s.forwarder(i))
-		}
+	for i := range s.set.Forward * sites {
+		p := &planner{sim: s, i: i}
+		s.planners = append(s.planners, p)
+		p.begin()
 	}
 	s.list()
+	for i, b := range s.brains {
+		if s.set.Forward > 0 {
+			s.forwarder(i, b)
+			s.forward = append(s.forward, b.f)
+		}
+	}
 }
 
 // brain makes one of n that decide, at a site.
 func (s *sim) brain(i, n, site int, far bool) *brain {
 	b := &brain{sim: s, site: site, far: far, reqs: make(map[decide.RequestID]*exchange)}
+	b.b = decide.New(s.settings(i, n, site), s.set.Seed+uint64(i), s.now, b)
+	return b
+}
+
+// settings are what the module is told of one of n at a site.
+func (s *sim) settings(i, n, site int) decide.Settings {
 	set := decide.Settings{
 		Self: i, Nodes: n, Zone: site, MaxAttempts: 3, SecondCopies: true, Cancel: true, WorthByWork: true, WarmKeys: true,
 		FallMultiple: 2.5, StartShare: coldFrom, WarmWithin: coldFor, CrossCost: 0.12, KeepAlive: 15 * time.Second, RetryAfterMost: 2 * time.Second,
@@ -604,38 +585,30 @@
 	for _, c := range classes {
 		set.Classes = append(set.Classes, c.Class)
 	}
-	b.b = decide.New(set, s.set.Seed+uint64(i), s.now, b)
-	return b
+	return set
 }
 
-// all are the brains of all levels.
-func (s *sim) all() []*brain {
-	all := slices.Clone(s.brains)
-	for _, f := range s.forward {
-		all = append(all, f.own)
+// entries is the list of servers.
+func (s *sim) entries() (list []decide.Server) {
+	for _, v := range s.servers {
+		list = append(list, decide.Server{ID: v.id, Zone: v.site, Condition: decide.Ready, Scale: float64(v.cores), Since: v.born})
 	}
-	return all
+	return list
 }
 
-// list tells every brain of every server.
+// list tells all who decide of every server.
 func (s *sim) list() {
-	for _, b := range s.all() {
-		b.listed()
-	}
-}
-
-// listed tells a brain of the servers: a site's planner of its own site's alone. Shown
-// all, it spreads the work of a busy site over the others, where no server has met
-// its keys, and all sites together do less for it.
-func (b *brain) listed() {
-	var list []decide.Server
-	for _, v := range b.sim.servers {
-		if own := b.sim.set.SitePlanners || b.sim.set.Forward; own && b.far && v.site != b.site {
-			continue
+	all := s.entries()
+	for _, b := range s.brains {
+		list := all
+		if s.set.SitePlanners { // as forwarders' planners; see planner.listed
+			list = slices.DeleteFunc(slices.Clone(all), func(e decide.Server) bool { return e.Zone != b.site })
 		}
-		list = append(list, decide.Server{ID: v.id, Zone: v.site, Condition: decide.Ready, Scale: float64(v.cores), Since: v.born})
+		s.after(0, func() { b.b.Listed(s.now, decide.ListFull, list) })
+	}
+	for _, p := range s.planners {
+		p.listed()
 	}
-	b.hear(0, func() { b.b.Listed(b.sim.now, decide.ListFull, list) })
 }
 
 // restarts has the next part of the servers restart, and the list tell of it a
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -16,8 +16,9 @@
 		"one planner":   {Nodes: 4, Servers: 24, Load: 0.75, Planners: 1},
 		"three by key":  {Nodes: 4, Servers: 24, Load: 0.95, Planners: 3},
 		"three by site": {Nodes: 6, Servers: 24, Load: 0.95, SitePlanners: true},
-		"forwarders":    {Nodes: 6, Servers: 24, Load: 0.95, Forward: true},
-		"a small site":  {Nodes: 6, Servers: 24, Load: 0.8, Forward: true, SmallSite: 0.3},
+		"forwarders":    {Nodes: 6, Servers: 24, Load: 0.95, Forward: 1},
+		"two at a site": {Nodes: 6, Servers: 24, Load: 0.95, Forward: 2},
+		"a small site":  {Nodes: 6, Servers: 24, Load: 0.8, Forward: 1, SmallSite: 0.3},
 		"restarts":      {Nodes: 4, Servers: 24, Load: 0.6, Restart: 0.1, RestartEvery: 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -57,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	base.Forward = true
+	base.Forward = 1
 	well, err := Run(base)
 	if err != nil {
 		t.Fatal(err)
@@ -104,14 +105,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		set := Settings{
 			Nodes: 3, Servers: 9, Load: rapid.Float64Range(0.3, 1.8).Draw(t, "load"), For: 2 * time.Second,
-			Seed: rapid.Uint64().Draw(t, "seed"), Forward: true,
+			Seed: rapid.Uint64().Draw(t, "seed"), Forward: rapid.IntRange(1, 2).Draw(t, "planners"),
 		}
 		ms := func(name string, most int) time.Duration {
 			return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
 		}
 		for range rapid.IntRange(0, 6).Draw(t, "faults") {
 			set.Faults = append(set.Faults, Fault{
-				Planner: rapid.IntRange(All, sites-1).Draw(t, "planner"), Kind: FaultKind(rapid.IntRange(0, 2).Draw(t, "kind")),
+				Planner: rapid.IntRange(All, 2*sites-1).Draw(t, "planner"), Kind: FaultKind(rapid.IntRange(0, 2).Draw(t, "kind")),
 				At: ms("at", 2000), For: ms("for", 3000),
 			})
 		}
--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -1,212 +1,242 @@
 package fleet
 
 import (
+	"fmt"
 	"time"
 
 	"jasperpin/decide"
 	"jasperpin/internal/plan"
 )
 
-// forwarder is a node that asks its site's planner, and no other: the module knows
-// one site as its own, and a planner with the work of three would send all of it
-// to a third of the servers.
+// reconnect is how long a forwarder takes to connect to a planner again.
+const reconnect = 100 * time.Millisecond
+
+// forwarder is a node's side of planning. It asks its site's planners, and no others:
+// the module knows one site as its own, and a planner with the work of three would
+// send all of it to a third of the servers.
 type forwarder struct {
-	sim     *sim
-	site    int
-	own     *brain // decides where no planner does
-	chooser *plan.Chooser
-	open    []*turn // questions and what they became, oldest first
+	*brain
+	name     string
+	plan     *plan.Forwarder
+	planners []*planner
+	conn     []int // of each: the number of the connection, 0 for none
 }
 
-func (s *sim) forwarder(i int) *forwarder {
-	return &forwarder{
-		sim: s, site: i % sites, own: s.brain(i, s.set.Nodes, i%sites, false),
-		chooser: plan.New(plan.Defaults, 1, s.set.Seed+uint64(i)),
+// forwarder gives a brain the planners of its site.
+func (s *sim) forwarder(i int, b *brain) {
+	f := &forwarder{brain: b, name: fmt.Sprint("f", i)}
+	for n := b.site; n < len(s.planners); n += sites {
+		f.planners = append(f.planners, s.planners[n])
+	}
+	f.conn = make([]int, len(f.planners))
+	f.plan = plan.NewForwarder(plan.Defaults, len(f.planners), s.set.Seed+uint64(i), forwarderEffects{f})
+	b.f = f
+	for n := range f.planners {
+		f.connect(n)
 	}
 }
 
-// forwarderOf deals a site's requests out among its forwarders.
-func (s *sim) forwarderOf(r *request) *forwarder {
-	own := (len(s.forward) - r.site + sites - 1) / sites
-	return s.forward[r.site+sites*s.rng.IntN(own)]
+// connect joins a planner, and tries again for as long as it cannot.
+func (f *forwarder) connect(n int) {
+	s, p := f.sim, f.planners[n]
+	if p.dead || s.now < p.paused {
+		if !s.last || s.open > 0 {
+			s.after(reconnect, func() { f.connect(n) })
+		}
+		return
+	}
+	s.conns++
+	conn := s.conns
+	p.peers[p.p.Join(s.now, f.name)] = peer{f, n, conn}
+	f.conn[n] = conn
+	f.plan.Up(s.now, n)
 }
 
-// turn is one question to a planner and, once answered, the request in its hands.
-type turn struct {
-	f        *forwarder
-	r        *request
-	n        int // of the planner, in the forwarder's order
-	asked    time.Duration
-	x        *exchange // at the planner, once it has heard
-	answered bool
-	given    bool // taken back: whatever the planner still says changes nothing
+// broke says that a connection has ended.
+func (f *forwarder) broke(n int) {
+	if f.conn[n] != 0 {
+		f.conn[n] = 0
+		f.plan.Broke(f.sim.now, n)
+		f.sim.after(reconnect, func() { f.connect(n) })
+	}
 }
 
-// ask asks a planner behind the one named, or decides alone.
-func (f *forwarder) ask(r *request, after int) {
-	s := f.sim
-	n, wait, ok := f.chooser.Ask(s.now, after)
-	if !ok {
-		s.res.Alone++
-		f.own.take(r, nil)
-		return
-	}
-	t := &turn{f: f, r: r, n: n, asked: s.now}
-	b := s.brains[f.site]
-	if b.dead { // the connection is refused
-		s.after(b.way(r), func() {
-			f.chooser.Broke(s.now, n)
-			f.ask(r, n)
-		})
-		return
-	}
-	f.open = append(f.open, t)
-	b.take(r, t)
-	s.after(wait, func() {
-		if t.answered || t.given {
-			return
-		}
-		t.given = true
-		f.chooser.Late(s.now, n)
-		if f.chooser.Part(s.now, n) == 0 {
-			f.giveUp(n)
+// ask says whether to wait for a plan.
+func (f *forwarder) ask(x *exchange) bool {
+	return f.plan.Ask(f.sim.now, x.id, plan.Question{Class: x.class, Key: x.key, Hint: x.hint, Left: x.due - f.sim.now, Repeat: x.tries > 1})
+}
+
+// forwarderEffects is plan.ForwarderEffects.
+type forwarderEffects struct{ *forwarder }
+
+func (f forwarderEffects) Tell(n int, m plan.Message) {
+	p, conn := f.planners[n], f.conn[n]
+	p.hear(sameSite, func() {
+		for src, peer := range p.peers {
+			if peer.conn == conn {
+				p.p.Take(p.sim.now, src, m)
+				return
+			}
 		}
-		f.ask(r, n)
 	})
-	s.after(r.began+classes[r.class].Deadline-s.now, func() { // the forwarder owes the answer
-		if t.answered && !t.given && !t.x.settled {
-			t.given, t.x.settled = true, true
-			s.turnedAway(r, &s.res.Failed, 0)
+}
+
+func (f forwarderEffects) Go(id decide.RequestID, server decide.ServerID) {
+	f.sim.after(0, func() {
+		if x := f.reqs[id]; x != nil {
+			f.decide(x, server)
 		}
 	})
 }
 
-// accept says whether what a planner says on a turn still counts, and notes that
-// it has spoken. No turn at all is a brain of one level, which always counts.
-func (t *turn) accept() bool {
-	if t == nil {
-		return true
-	}
-	if t.given {
-		return false
-	}
-	if !t.answered {
-		t.answered = true
-		t.f.chooser.Answered(t.f.sim.now, t.n, t.f.sim.now-t.asked)
-		t.f.sim.res.Planned++
-	}
-	return true
+func (f forwarderEffects) Wake(id decide.RequestID, at time.Duration) {
+	f.sim.after(at-f.sim.now, func() { f.plan.Late(f.sim.now, id) })
 }
 
-// waits says whether a turn that was taken back still has attempts out, whose ends
-// the forwarder waits for.
-func (t *turn) waits() bool { return t != nil && t.given && t.answered && !t.x.settled }
+// planner is a site's planner. Each word to or from it takes a way.
+type planner struct {
+	sim    *sim
+	i      int // of the site and, by sites, of its place there
+	p      *plan.Planner
+	life   int
+	peers  map[plan.Source]peer
+	last   time.Duration // when the last word reaches it: they keep their order
+	dead   bool          // nothing that is said to it or that it set arrives
+	paused time.Duration
+	slow   bool
+}
 
-// ended notes the end of an attempt. A turn that was taken back from its planner
-// with attempts out is decided by the forwarder once the last has ended.
-func (t *turn) ended() {
-	if t.waits() {
-		t.resolve()
-	}
+// peer is a forwarder's connection at a planner.
+type peer struct {
+	f       *forwarder
+	n, conn int
+}
+
+// begin starts a planner that knows the servers and nothing else.
+func (p *planner) begin() {
+	p.dead, p.life, p.peers = false, p.life+1, make(map[plan.Source]peer)
+	p.p = plan.NewPlanner(p.sim.settings(p.i, sites, p.i%sites), p.sim.set.Seed+uint64(p.i), p.sim.now, plannerEffects{p, p.life})
+	p.listed()
 }
 
-// resolve ends a request taken back from its planner, or has the forwarder decide
-// on it alone: never where it must not run twice and may have run.
-func (t *turn) resolve() {
-	for _, a := range t.x.attempts {
-		if a.job != nil && !a.ended {
-			return
+// listed tells a planner of its own site's servers. Shown all, it spreads the work of
+// a busy site over the others, where no server has met its keys, and all sites
+// together do less for it.
+func (p *planner) listed() {
+	var list []decide.Server
+	for _, e := range p.sim.entries() {
+		if e.Zone == p.i%sites {
+			list = append(list, e)
 		}
 	}
-	t.x.settled = true
-	if t.r.mayHaveRun && classes[t.r.class].Effect == decide.SingleShot {
-		t.f.sim.turnedAway(t.r, &t.f.sim.res.Failed, 0)
-		return
-	}
-	t.f.sim.res.Alone++
-	t.f.own.take(t.r, nil)
+	p.hear(0, func() { p.p.Listed(p.sim.now, decide.ListFull, list) })
 }
 
-// handBack has the forwarder decide on a request that its planner has no room for:
-// the other sites, which the planner does not know, may have some.
-func (t *turn) handBack(r *request) {
-	t.given = true
-	t.f.sim.res.Alone++
-	t.f.own.take(r, nil)
+// hear has something reach the planner after a time: not at all if it is dead then,
+// and once its pause is over if it is paused.
+func (p *planner) hear(after time.Duration, do func()) {
+	if p.slow {
+		after += slowBy
+	}
+	p.last = max(p.last, p.sim.now+after)
+	p.arrive(p.last-p.sim.now, p.life, do)
 }
 
-// giveUp takes back all that a planner holds of this forwarder.
-func (f *forwarder) giveUp(n int) {
-	open := f.open
-	f.open = nil
-	for _, t := range open {
+func (p *planner) arrive(after time.Duration, life int, do func()) {
+	p.sim.after(after, func() {
 		switch {
-		case t.n != n:
-			if !t.given && (t.x == nil || !t.x.settled) {
-				f.open = append(f.open, t)
+		case p.dead || p.life != life:
+		case p.sim.now < p.paused:
+			p.arrive(p.paused-p.sim.now, life, do)
+		default:
+			do()
+		}
+	})
+}
+
+// part ends all connections.
+func (p *planner) part() {
+	peers := p.peers
+	p.peers = make(map[plan.Source]peer)
+	for _, f := range p.sim.forward { // in their order, as a map has none
+		for _, peer := range peers {
+			if peer.f == f {
+				p.sim.after(sameSite, func() {
+					if f.conn[peer.n] == peer.conn {
+						f.broke(peer.n)
+					}
+				})
 			}
-		case t.given:
-		case !t.answered:
-			t.given = true
-			f.ask(t.r, n)
-		case !t.x.settled:
-			t.given = true
-			t.resolve()
 		}
 	}
 }
 
-// staleAfter is how long a planner may have been paused and still go by what it
-// knew. What ended meanwhile it would take for that slow, and shed for seconds.
-const staleAfter = 200 * time.Millisecond
+// plannerEffects is plan.PlannerEffects.
+type plannerEffects struct {
+	*planner
+	life int
+}
+
+func (p plannerEffects) Tell(to plan.Source, m plan.Message) {
+	peer, ok := p.peers[to]
+	if !ok {
+		return
+	}
+	p.sim.after(sameSite, func() {
+		if peer.f.conn[peer.n] == peer.conn {
+			peer.f.plan.Answer(p.sim.now, peer.n, m)
+		}
+	})
+}
+
+func (p plannerEffects) Wake(t plan.Timer, at time.Duration) {
+	p.arrive(max(at-p.sim.now, 0), p.life, func() {
+		if !p.sim.last || p.sim.open > 0 || p.p.Out() > 0 {
+			p.p.Timer(p.sim.now, t)
+		}
+	})
+}
+
+func (p plannerEffects) Reset() { p.sim.after(0, p.part) }
+
+func (plannerEffects) Watch(bool) {}
+func (plannerEffects) Log(string) {}
 
 // befall has a fault happen, and end.
 func (s *sim) befall(f Fault) {
-	for i := range s.brains {
+	for i, p := range s.planners {
 		if f.Planner != All && f.Planner != i {
 			continue
 		}
-		b := s.brains[i]
 		switch f.Kind {
 		case Paused:
-			b.paused = s.now + f.For
-			if f.For > staleAfter {
-				s.after(f.For, func() {
-					if s.brains[i] == b && !b.dead {
-						s.kill(i)
-						s.revive(i)
-					}
-				})
-			}
+			p.paused = max(p.paused, s.now+f.For)
 		case Slow:
-			b.slow = true
-			s.after(f.For, func() { b.slow = false })
+			p.slow = true
+			s.after(f.For, func() { p.slow = false })
 		case Killed:
-			s.kill(i)
-			s.after(f.For, func() { s.revive(i) })
+			p.dead = true
+			p.part()
+			s.after(f.For, func() {
+				if p.dead {
+					p.begin()
+				}
+			})
 		}
 	}
 }
 
-// kill ends a planner: its forwarders see their connections end.
-func (s *sim) kill(i int) {
-	b := s.brains[i]
-	b.dead = true
+// planned sums who chose the servers of first attempts.
+func (s *sim) planned() {
 	for _, f := range s.forward {
-		if f.site != i {
-			continue
-		}
-		s.after(sameSite, func() {
-			f.chooser.Broke(s.now, 0)
-			f.giveUp(0)
-		})
+		n := f.plan.Counts()
+		s.res.Planned += n.Planned
+		s.res.Alone += n.Alone
+		s.res.Open += f.plan.Open()
 	}
-}
-
-// revive starts a planner that knows the servers and nothing else.
-func (s *sim) revive(i int) {
-	if b := s.brains[i]; b.dead {
-		s.brains[i] = s.brain(i, len(s.brains), b.site, true)
-		s.brains[i].listed()
+	for _, p := range s.planners {
+		if !p.dead {
+			s.res.Open += p.p.Out()
+		}
 	}
 }
