--- a/cmd/proof/plannerssim.go
+++ b/cmd/proof/plannerssim.go
@@ -30,7 +30,7 @@
 	for _, nodes := range []int{4, 10, 30, 100} {
 		modes := []string{"one level", "forwarders"}
 		if nodes == 30 {
-			modes = []string{"one level", "1 planner", "3 by key", "3 by site", "forwarders"}
+			modes = []string{"one level", "1 planner", "3 by key", "3 by site", "forwarders", "2 a site"}
 		}
 		// Keys that servers have met save work: the servers are full at 1.5 or so.
 		for _, load := range []float64{0.75, 0.95, 1.3, 1.6} {
@@ -53,7 +53,9 @@
 		"all slow":           {Planner: fleet.All, Kind: fleet.Slow, At: at, For: span},
 	}
 	for _, name := range slices.Sorted(maps.Keys(faults)) {
-		rows = append(rows, row{30, 0.95, "restarts", "forwarders", name})
+		for _, mode := range []string{"forwarders", "2 a site"} {
+			rows = append(rows, row{30, 0.95, "restarts", mode, name})
+		}
 	}
 	type job struct{ row, seed int }
 	jobs := make(chan job)
@@ -75,6 +77,8 @@
 					set.SitePlanners = true
 				case "forwarders":
 					set.Forward = 1
+				case "2 a site":
+					set.Forward = 2
 				}
 				if f, ok := faults[r.trouble]; ok {
 					set.Faults = []fleet.Fault{f}
