Give each planner its own time to answer; tell namesakes apart in the log

The time set for a planner that broke counted against the next one, which was asked meanwhile. Two forwarders under one name replaced each other without a word: a forwarder now must name itself, and a planner closes the older connection and says why.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -179,7 +179,10 @@
 	node := root.table("node")
 	c.Name = node.word("name", "node")
 	c.Listen = node.texts("listen", "an address and port such as 127.0.0.1:8080", isAddr)
-	c.Role = Role(node.choice("role", string(Alone), string(Alone), string(Forwarder), string(Planner)))
+	role := Role(node.choice("role", string(Alone), string(Alone), string(Forwarder), string(Planner)))
+	if c.Role = role; role == Forwarder && node.m["name"] == nil {
+		node.fail("name", "is missing: want one that no other forwarder of the tier has")
+	}
 	switch {
 	case c.Role == Planner && len(c.Listen) > 0:
 		node.fail("listen", "stands with a planner, which serves no clients: want planning.listen alone")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -151,6 +151,7 @@
 		{"planner", "role = \"planner\"", "role = \"boss\"", "role is \"boss\": want one of node, forwarder, planner"},
 		{"planner", "role = \"planner\"", "role = \"planner\"\nlisten = [\"127.0.0.1:1\"]", "listen stands with a planner"},
 		{"planner", "role = \"planner\"", "role = \"forwarder\"\nlisten = [\"127.0.0.1:1\"]", "listen is not a forwarder's: want planners"},
+		{"forwarder", "name = \"forwarder-a1\"", "", "name is missing: want one that no other forwarder"},
 		{"planner", "key = \"planner.key\"", "", "key is missing"},
 		{"planner", "listen = [\"127.0.0.1:7700\"]", "listen = [\"nowhere\"]", "listen is \"nowhere\""},
 		{"planner", "[[pool]]", "[[service]]\nname = \"s\"\n[[service.route]]\npool = \"orders\"\n[[pool]]", "service stands with a planner"},
--- a/internal/node/tier_test.go
+++ b/internal/node/tier_test.go
@@ -407,6 +407,26 @@
 	f.planned("still")
 }
 
+// TestNamesakes has two forwarders under one name: the planner serves one at a time and
+// its log says why the other had to go; requests are answered all the same.
+func TestNamesakes(t *testing.T) {
+	t.Parallel()
+	_, pools := boxes(t, 1)
+	x := newTier(t, pools)
+	p := x.planner("127.0.0.1:0")
+	a := x.forwarder("twin", p.addr)
+	a.planned("a")
+	b := x.forwarder("twin", p.addr)
+	check.Eventually(t, "the log tells of it", func() bool {
+		return strings.Contains(p.logged.String(), "another forwarder has connected under this name")
+	})
+	for i, f := range []*testNode{a, b} {
+		if status, _, _ := f.once(at("orders", look(fmt.Sprint("t", i)))); status != 200 {
+			t.Errorf("forwarder %d answered %d", i, status)
+		}
+	}
+}
+
 // TestPlannerEnds ends the only planner: its forwarder notices at once and serves on.
 func TestPlannerEnds(t *testing.T) {
 	t.Parallel()
--- a/internal/plan/forwarder.go
+++ b/internal/plan/forwarder.go
@@ -39,7 +39,8 @@
 	due     time.Duration
 	asked   int // the planner that is to answer; nobody once one has, or none is asked
 	askedAt time.Duration
-	by      int // the planner whose plan it goes by, or nobody
+	until   time.Duration // when its answer is late
+	by      int           // the planner whose plan it goes by, or nobody
 	server  decide.ServerID
 	out     []placed
 }
@@ -82,7 +83,7 @@
 			after = n
 			continue
 		}
-		t.asked, t.askedAt = n, now
+		t.asked, t.askedAt, t.until = n, now, now+wait
 		f.out.Tell(n, f.word(Ask, now, id, t))
 		f.out.Wake(id, now+wait)
 		return true
@@ -111,11 +112,11 @@
 	f.out.Go(m.ID, t.server)
 }
 
-// Late says that the time set by Wake has come. Where no answer has, the next
-// planner is asked, or none.
+// Late says that a time set by Wake has come. Where no answer has, the next planner
+// is asked, or none.
 func (f *Forwarder) Late(now time.Duration, id decide.RequestID) {
 	t := f.turns[id]
-	if t == nil || t.asked == nobody {
+	if t == nil || t.asked == nobody || now < t.until { // it was set for a planner before
 		return
 	}
 	n := t.asked
--- a/internal/plan/forwarder_test.go
+++ b/internal/plan/forwarder_test.go
@@ -121,6 +121,19 @@
 	}
 }
 
+// TestLateIsOnePlannersOwn has the time set for a planner that broke come while the
+// next is asked: that one still has its own.
+func TestLateIsOnePlannersOwn(t *testing.T) {
+	f, w := two(t)
+	f.Ask(0, 1, Question{Left: time.Second})
+	f.Broke(10*ms, 0)
+	w.expect(t, "0: ask 1", "1: ask 1")
+	f.Late(20*ms, 1) // the first's
+	w.expect(t)
+	f.Late(30*ms, 1)
+	w.expect(t, "1: ended 1.0 7", "go 1 to 0")
+}
+
 // TestMove lets go what waits for a planner that is no longer named.
 func TestMove(t *testing.T) {
 	f, w := two(t)
--- a/internal/planlink/link.go
+++ b/internal/planlink/link.go
@@ -42,6 +42,7 @@
 var (
 	errFull   = errors.New("the other end takes messages more slowly than they come")
 	errClosed = errors.New("closed")
+	errNamed  = errors.New("another forwarder has connected under this name: give each node of the tier its own")
 )
 
 // Files name what an end shows and what it believes, in PEM.
--- a/internal/planlink/server.go
+++ b/internal/planlink/server.go
@@ -195,16 +195,22 @@
 	mu     sync.Mutex
 	p      *plan.Planner
 	todo   []func()
-	peers  map[plan.Source]*outbox
+	peers  map[plan.Source]peer
 	ids    map[string]decide.ServerID
 	named  map[decide.ServerID]bool
 	closed bool
 }
 
+// peer is a forwarder that is connected.
+type peer struct {
+	*outbox
+	name string
+}
+
 // NewDesk makes a desk that knows no server yet; Listed tells it of them.
 func NewDesk(opt DeskOptions) *Desk {
 	d := &Desk{
-		opt: opt, pool: opt.Pool, classes: opt.Classes, start: time.Now(), peers: make(map[plan.Source]*outbox),
+		opt: opt, pool: opt.Pool, classes: opt.Classes, start: time.Now(), peers: make(map[plan.Source]peer),
 		ids: make(map[string]decide.ServerID), named: make(map[decide.ServerID]bool),
 	}
 	d.do(func(now time.Duration) { d.p = plan.NewPlanner(opt.Decide, opt.Zoned, opt.Seed, now, deskEffects{d}) })
@@ -275,8 +281,13 @@
 	out := newOutbox(lazyFor)
 	var me plan.Source
 	d.do(func(now time.Duration) {
+		for _, p := range d.peers {
+			if p.name == name {
+				p.fail(errNamed) // it has come back, or has a namesake, which cannot both be served
+			}
+		}
 		me = d.p.Join(now, name)
-		d.peers[me] = out
+		d.peers[me] = peer{out, name}
 	})
 	if me == 0 {
 		return 0, 0, errClosed
@@ -315,8 +326,8 @@
 	peers := d.peers
 	d.peers = nil
 	d.mu.Unlock()
-	for _, out := range peers {
-		out.fail(errClosed)
+	for _, p := range peers {
+		p.fail(errClosed)
 	}
 }
 
@@ -324,8 +335,8 @@
 type deskEffects struct{ *Desk }
 
 func (d deskEffects) Tell(to plan.Source, m plan.Message) {
-	if out := d.peers[to]; out != nil {
-		out.add(m)
+	if p, ok := d.peers[to]; ok {
+		p.add(m)
 	}
 }
 
@@ -342,8 +353,8 @@
 }
 
 func (d deskEffects) Reset() {
-	for _, out := range d.peers {
-		out.fail(errClosed)
+	for _, p := range d.peers {
+		p.fail(errClosed)
 	}
 }
 
