--- a/cmd/jasperpin/tools.go
+++ b/cmd/jasperpin/tools.go
@@ -77,17 +77,14 @@
 	if path == "" {
 		path = "/"
 	}
-	if host, err = route.Host(host); err != nil {
-		return "", fmt.Errorf("host %q: %w", host, err)
-	}
-	if err := route.CheckPath(path); err != nil {
-		return "", fmt.Errorf("path %q: %w", path, err)
-	}
 	table, err := cfg.Table()
 	if err != nil {
 		return "", err
 	}
-	m, ok := table.Match(route.Query{Host: host, Path: path, Method: method})
+	m, ok, err := table.Find(host, route.Query{Path: path, Method: method})
+	if err != nil {
+		return "", fmt.Errorf("%s with host %q: %w", target, host, err)
+	}
 	if !ok {
 		return "", fmt.Errorf("no route: host %q, path %q, method %s are answered 404", host, path, method)
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -307,6 +307,19 @@
 	return strings.ToLower(host), nil
 }
 
+// Find finds the rule for a request whose Host header is as it came. An error tells
+// what is wrong with host or path.
+func (t *Table) Find(host string, q Query) (m Match, ok bool, err error) {
+	if q.Host, err = Host(host); err != nil {
+		return Match{}, false, fmt.Errorf("host: %w", err)
+	}
+	if err := CheckPath(q.Path); err != nil {
+		return Match{}, false, fmt.Errorf("path: %w", err)
+	}
+	m, ok = t.Match(q)
+	return m, ok, nil
+}
+
 // CheckPath refuses an escaped path that a server may read as another one than
 // the table does.
 func CheckPath(path string) error {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -69,17 +69,13 @@
 		target.Class = route.Class(q.Path)
 		return target, nil
 	}
-	var err error
-	if q.Host, err = route.Host(host); err != nil {
-		return Target{}, fmt.Errorf("host: %w", err)
-	}
-	if err := route.CheckPath(q.Path); err != nil {
-		return Target{}, fmt.Errorf("path: %w", err)
-	}
 	if q.Pick == 0 {
 		q.Pick = rand.Uint64()
 	}
-	m, ok := t.routes.Match(q)
+	m, ok, err := t.routes.Find(host, q)
+	if err != nil {
+		return Target{}, err
+	}
 	if !ok {
 		return Target{}, ErrNoRoute
 	}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -41,7 +41,6 @@
 	news chan struct{} // closed at the next change
 	seq  uint64
 	list []Entry
-	mute bool
 	down bool
 }
 
@@ -70,13 +69,6 @@
 	d.news = make(chan struct{})
 }
 
-// Mute has it fall silent on every call, those that wait among them, or speak again.
-func (d *Discovery) Mute(on bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.mute = on
-}
-
 // Down has it answer every call with 503, or serve again.
 func (d *Discovery) Down(on bool) {
 	d.mu.Lock()
@@ -92,14 +84,11 @@
 	defer t.Stop()
 	for late := false; ; {
 		d.mu.Lock()
-		mute, down, news := d.mute, d.down, d.news
+		down, news := d.down, d.news
 		fresh := after != d.seq
 		reply := map[string]any{"seq": d.seq, "whole": fresh, "hosts": d.list}
 		d.mu.Unlock()
 		switch {
-		case mute:
-			<-r.Context().Done()
-			return
 		case down:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
