Count a zone's cold servers for what they can do when a planner hands back

Cold servers now count by their warmth, looked into each second, and a zone is short under 0.95 of the mean.

--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -19,9 +19,11 @@
 	// fadeAfter the time at which its client has given up, an attempt of which no
 	// end was told counts no more.
 	fadeAfter = 500 * time.Millisecond
-	// shortOf is the part of a zone's usual size below which it is short of servers,
-	// as one that has lost some is.
-	shortOf = 0.8
+	// shortOf is the part of the zones' mean size below which one is short of servers,
+	// as one that has lost some, or has them cold.
+	shortOf = 0.95
+	// seeEvery is how often that is looked into: servers grow warm meanwhile.
+	seeEvery = time.Second
 	// maxOut bounds the attempts that one forwarder may have counted.
 	maxOut = 1 << 16
 )
@@ -61,6 +63,7 @@
 	list    []decide.Server // the last whole one, with what came since
 	zoned   bool            // requests go to servers of the planner's own zone
 	short   bool            // which has few of them: the balancer is told of all
+	seen    time.Duration   // when that was last looked into
 
 	lastSource Source
 	sources    map[Source]*source
@@ -151,6 +154,9 @@
 	if t.life == p.life {
 		p.b.Timer(p.now, t.token)
 	}
+	if was := p.short; p.zoned && p.now-p.seen >= seeEvery && p.see() != was {
+		p.b.Listed(p.now, decide.ListFull, p.told(p.list))
+	}
 }
 
 // Listed takes news of the servers.
@@ -180,14 +186,17 @@
 	return told
 }
 
-// see finds out whether the planner's zone is short of servers.
+// see finds out whether the planner's zone is short of servers. One that is cold
+// counts for what it can do by now.
 func (p *Planner) see() bool {
+	p.seen = p.now
 	zones := make(map[int]float64)
 	all := 0.0
 	for _, s := range p.list {
 		if s.Condition == decide.Ready {
-			zones[s.Zone] += s.Scale
-			all += s.Scale
+			size := s.Scale * p.warmth(s)
+			zones[s.Zone] += size
+			all += size
 		}
 	}
 	p.short = p.zoned && zones[p.set.Zone] < shortOf*all/float64(max(1, len(zones)))
@@ -201,6 +210,15 @@
 	}
 }
 
+// warmth is the part of what a server can do that it has by now.
+func (p *Planner) warmth(s decide.Server) float64 {
+	age := p.now - s.Since
+	if s.Since <= 0 || age >= p.set.WarmWithin {
+		return 1
+	}
+	return p.set.StartShare + (1-p.set.StartShare)*float64(max(age, 0))/float64(p.set.WarmWithin)
+}
+
 // Join takes a forwarder's new connection. What it had out under the same name
 // before is forgotten: it tells what it has out now.
 func (p *Planner) Join(now time.Duration, name string) Source {
