--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -99,6 +99,33 @@
 	}
 }
 
+// TestAllLostForLong has all planners lost for 30 s: forwarders decide alone, and go by
+// plans again afterwards.
+func TestAllLostForLong(t *testing.T) {
+	set := Settings{Nodes: 6, Servers: 24, Load: 0.8, For: 40 * time.Second, Seed: 5}
+	one, err := Run(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set.Forward = 1
+	well, err := Run(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set.Faults = []Fault{{All, Killed, 4 * time.Second, 30 * time.Second}}
+	r, err := Run(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Open != 0 || r.Twice != 0 || len(r.Latencies)+r.Refused+r.Failed != r.Asked || r.MissedShare() > one.MissedShare()+0.005 {
+		t.Errorf("%d asked, %d answered, %d refused, %d failed; %d never ended, %d ran twice; missed %.3f%%, one level %.3f%%",
+			r.Asked, len(r.Latencies), r.Refused, r.Failed, r.Open, r.Twice, 100*r.MissedShare(), 100*one.MissedShare())
+	}
+	if share := float64(r.Planned) / float64(well.Planned); share < 0.05 || share > 0.25 { // of 40 s some 6 are left
+		t.Errorf("%d planned, %d without the loss", r.Planned, well.Planned)
+	}
+}
+
 // TestAnyFaults has anything befall the planners of a small tier, in any order and
 // over each other.
 func TestAnyFaults(t *testing.T) {
--- a/internal/node/tier_test.go
+++ b/internal/node/tier_test.go
@@ -407,6 +407,24 @@
 	f.planned("still")
 }
 
+// TestListsDiffer has a planner that knows servers which its forwarder does not, or
+// that the forwarder knows to drain: none of these gets a request, and all are served.
+func TestListsDiffer(t *testing.T) {
+	t.Parallel()
+	mine, unknown, draining := check.Raw(t, standin.Echo), check.Raw(t, standin.Echo), check.Raw(t, standin.Echo)
+	x := newTier(t, pool("orders", "", mine.Addr, unknown.Addr, draining.Addr))
+	p := x.planner("127.0.0.1:0")
+	x.pools = "[[pool]]\nname = \"orders\"\nprotocol = \"platform\"\n" +
+		"[[pool.server]]\naddress = \"" + mine.Addr + "\"\n" +
+		"[[pool.server]]\naddress = \"" + draining.Addr + "\"\ndrain = true\n" + testClasses
+	f := x.forwarder("a", p.addr)
+	f.planned("a") // some plans name the one server that both have
+	if unknown.Got.Load() != 0 || draining.Got.Load() != 0 {
+		t.Errorf("%d requests at a server that is not on the list, %d at one that drains", unknown.Got.Load(), draining.Got.Load())
+	}
+	check.Eventually(t, "plans that are not carried out count no more", func() bool { return p.node.Desk("orders").Out() == 0 })
+}
+
 // TestNamesakes has two forwarders under one name: the planner serves one at a time and
 // its log says why the other had to go; requests are answered all the same.
 func TestNamesakes(t *testing.T) {
--- a/internal/plan/planner_test.go
+++ b/internal/plan/planner_test.go
@@ -99,6 +99,26 @@
 	}
 }
 
+// TestColdZoneIsShort has half of a zone's servers restart: it is short of them until
+// they are warm, as far as nothing else is told.
+func TestColdZoneIsShort(t *testing.T) {
+	p, d, _, now := settled(t, true)
+	list := sites(12)
+	for i := 0; i < 6; i += 2 {
+		list[i].Since = now
+	}
+	p.Listed(now, decide.ListDelta, list)
+	if !p.short {
+		t.Error("with half of the servers cold: not short")
+	}
+	for end := now + modelSettings().WarmWithin + seeEvery; now < end; now += 100 * time.Millisecond {
+		p.Timer(now, d.wakes[0])
+	}
+	if p.short || d.resets != 0 {
+		t.Errorf("with all of them warm: short %v, %d resets", p.short, d.resets)
+	}
+}
+
 // TestPlannerWithoutZones places on all servers.
 func TestPlannerWithoutZones(t *testing.T) {
 	p, d, src, now := settled(t, false)
