--- a/cmd/proof/plannerssim.go
+++ b/cmd/proof/plannerssim.go
@@ -50,6 +50,7 @@
 		"one planner killed": {Planner: 0, Kind: fleet.Killed, At: at, For: span},
 		"all killed":         {Planner: fleet.All, Kind: fleet.Killed, At: at, For: span},
 		"all paused":         {Planner: fleet.All, Kind: fleet.Paused, At: at, For: span},
+		"all half cut off":   {Planner: fleet.All, Kind: fleet.Cut, At: at, For: span},
 		"all slow":           {Planner: fleet.All, Kind: fleet.Slow, At: at, For: span},
 	}
 	for _, name := range slices.Sorted(maps.Keys(faults)) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,6 +57,8 @@
 	Killed FaultKind = iota
 	Paused
 	Slow
+	// Cut has every other forwarder lose its connection, and find no way for a time.
+	Cut
 )
 
 const slowBy = 50 * time.Millisecond
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -71,6 +71,8 @@
 		"all paused":       {{All, Paused, at, span}},
 		"one slow":         {{2, Slow, at, span}},
 		"all slow":         {{All, Slow, at, span}},
+		"one cut off":      {{0, Cut, at, span}},
+		"all cut off":      {{All, Cut, at, span}},
 		"killed at once":   {{0, Killed, 0, span}},
 		"one after other":  {{0, Killed, at, span}, {1, Killed, at + span/2, span}, {2, Paused, at + span, span}},
 		"again and again":  {{0, Killed, at, span / 6}, {0, Killed, at + span/3, span / 6}, {0, Paused, at + 2*span/3, span / 6}},
@@ -139,7 +141,7 @@
 		}
 		for range rapid.IntRange(0, 6).Draw(t, "faults") {
 			set.Faults = append(set.Faults, Fault{
-				Planner: rapid.IntRange(All, 2*sites-1).Draw(t, "planner"), Kind: FaultKind(rapid.IntRange(0, 2).Draw(t, "kind")),
+				Planner: rapid.IntRange(All, 2*sites-1).Draw(t, "planner"), Kind: FaultKind(rapid.IntRange(0, int(Cut)).Draw(t, "kind")),
 				At: ms("at", 2000), For: ms("for", 3000),
 			})
 		}
--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -16,6 +16,7 @@
 // send all of it to a third of the servers.
 type forwarder struct {
 	*brain
+	i        int // among all
 	name     string
 	plan     *plan.Forwarder
 	planners []*planner
@@ -24,7 +25,7 @@
 
 // forwarder gives a brain the planners of its site.
 func (s *sim) forwarder(i int, b *brain) {
-	f := &forwarder{brain: b, name: fmt.Sprint("f", i)}
+	f := &forwarder{brain: b, i: i, name: fmt.Sprint("f", i)}
 	for n := b.site; n < len(s.planners); n += sites {
 		f.planners = append(f.planners, s.planners[n])
 	}
@@ -39,7 +40,7 @@
 // connect joins a planner, and tries again for as long as it cannot.
 func (f *forwarder) connect(n int) {
 	s, p := f.sim, f.planners[n]
-	if p.dead || s.now < p.paused {
+	if p.dead || s.now < p.paused || p.cuts(f) {
 		if !s.last || s.open > 0 {
 			s.after(reconnect, func() { f.connect(n) })
 		}
@@ -103,9 +104,13 @@
 	last   time.Duration // when the last word reaches it: they keep their order
 	dead   bool          // nothing that is said to it or that it set arrives
 	paused time.Duration
+	cut    time.Duration // until when some forwarders find no way to it
 	slow   bool
 }
 
+// cuts says whether a forwarder is one of those.
+func (p *planner) cuts(f *forwarder) bool { return p.sim.now < p.cut && f.i/sites%2 == 0 }
+
 // peer is a forwarder's connection at a planner.
 type peer struct {
 	f       *forwarder
@@ -147,13 +152,13 @@
 	})
 }
 
-// part ends all connections.
-func (p *planner) part() {
-	peers := p.peers
-	p.peers = make(map[plan.Source]peer)
+// part ends the connections of some forwarders.
+func (p *planner) part(whose func(*forwarder) bool) {
 	for _, f := range p.sim.forward { // in their order, as a map has none
-		for _, peer := range peers {
-			if peer.f == f {
+		for src, peer := range p.peers {
+			if peer.f == f && whose(f) {
+				delete(p.peers, src)
+				p.arrive(sameSite, p.life, func() { p.p.Leave(p.sim.now, src) })
 				p.sim.after(sameSite, func() {
 					if f.conn[peer.n] == peer.conn {
 						f.broke(peer.n)
@@ -190,7 +195,9 @@
 	})
 }
 
-func (p plannerEffects) Reset() { p.sim.after(0, p.part) }
+func (p plannerEffects) Reset() { p.sim.after(0, func() { p.part(all) }) }
+
+func all(*forwarder) bool { return true }
 
 func (plannerEffects) Watch(bool) {}
 func (plannerEffects) Log(string) {}
@@ -204,12 +211,15 @@
 		switch f.Kind {
 		case Paused:
 			p.paused = max(p.paused, s.now+f.For)
+		case Cut:
+			p.cut = max(p.cut, s.now+f.For)
+			p.part(p.cuts)
 		case Slow:
 			p.slow = true
 			s.after(f.For, func() { p.slow = false })
 		case Killed:
 			p.dead = true
-			p.part()
+			p.part(all)
 			s.after(f.For, func() {
 				if p.dead {
 					p.begin()
