Bound a planner's connections by its descriptors, and outlast running out of them

A planner took 4,096 forwarders whatever its limits said, and ended when accepting failed for want of a descriptor. It now takes what [limits] has, and waits where the process has none.

--- a/internal/limit/machine.go
+++ b/internal/limit/machine.go
@@ -31,6 +31,9 @@
 // while idle connections to servers can be closed for it.
 func (m Machine) Conns() int { return (m.Descriptors - spare) / 2 }
 
+// Peers is how many connections a process that serves no clients may hold.
+func (m Machine) Peers() int { return m.Descriptors - spare }
+
 // Heap is the soft memory limit of the Go runtime, in bytes.
 func (m Machine) Heap() int64 { return int64(heapShare * float64(m.Memory)) }
 
--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.server = planlink.NewServer(tls, log)
+	p.server = planlink.NewServer(tls, max(1, cfg.Limits.Peers()-planlink.MaxStrangers), log)
 	p.apply(cfg)
 	for _, addr := range c.Listen {
 		ln, err := net.Listen("tcp", addr)
--- a/internal/planlink/server.go
+++ b/internal/planlink/server.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"jasperpin/decide"
@@ -15,17 +16,15 @@
 	"jasperpin/internal/plan"
 )
 
-// Bounds of what strangers and forwarders may open.
-const (
-	maxStrangers  = 64   // connections that have not greeted yet
-	maxForwarders = 4096 // connections that have
-)
+// MaxStrangers bounds the connections that have not greeted yet.
+const MaxStrangers = 64
 
 // Server is a planner's end: it takes forwarders' connections and gives each to the
 // desk of the pool that it names.
 type Server struct {
-	tls *tls.Config
-	log *slog.Logger
+	tls  *tls.Config
+	most int // connections that have greeted
+	log  *slog.Logger
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -36,9 +35,10 @@
 	serving   sync.WaitGroup
 }
 
-// NewServer makes a planner's end that knows no pool yet.
-func NewServer(tls *tls.Config, log *slog.Logger) *Server {
-	return &Server{tls: tls, log: log, desks: make(map[string]*Desk), conns: make(map[net.Conn]bool)}
+// NewServer makes a planner's end that knows no pool yet. It keeps so many connections
+// of forwarders at the most, and MaxStrangers beside them.
+func NewServer(tls *tls.Config, most int, log *slog.Logger) *Server {
+	return &Server{tls: tls, most: most, log: log, desks: make(map[string]*Desk), conns: make(map[net.Conn]bool)}
 }
 
 // Open puts a pool's desk in place, and Shut takes one away again. What forwarders
@@ -72,6 +72,11 @@
 	for {
 		c, err := ln.Accept()
 		if err != nil {
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				s.log.Error("no descriptor for a forwarder", "err", err)
+				time.Sleep(acceptPause) // others may be given back
+				continue
+			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if s.closed {
@@ -83,7 +88,7 @@
 			_ = tc.SetKeepAliveConfig(keepAlive)
 		}
 		s.mu.Lock()
-		if s.closed || len(s.conns)-s.greeted >= maxStrangers {
+		if s.closed || len(s.conns)-s.greeted >= MaxStrangers {
 			s.mu.Unlock()
 			c.Close()
 			continue
@@ -163,7 +168,7 @@
 		return nil, "", h.Fits(nil)
 	case d == nil:
 		return nil, "", fmt.Errorf("the planner has no pool %q", h.Pool)
-	case s.greeted >= maxForwarders:
+	case s.greeted >= s.most:
 		return nil, "", fmt.Errorf("%d forwarders are connected, which are the most", s.greeted)
 	}
 	if err := h.Fits(d.classes); err != nil {
