Share what the tests of tiers, held servers and simulated runs repeated

One check of a sound run, one held server, one node of a file, one tier with a planner, and one count of doubled effects in the proofs, where each stood two to eight times.

--- a/cmd/proof/planners.go
+++ b/cmd/proof/planners.go
@@ -279,16 +279,10 @@
 		r.bytes += between(p.logged())
 	}
 	nodes, plan = nil, nil
-	ran := make(map[string]int)
 	for _, b := range rack.all {
-		b.Effects(ran)
 		r.runs += b.Counts().Ran
 	}
-	for _, n := range ran {
-		if n > 1 {
-			r.twice++
-		}
-	}
+	r.twice = twice(rack.all)
 	return r, ctx.Err()
 }
 
@@ -379,7 +373,7 @@
 }
 
 func (r *rack) box(n int, cold bool) (*standin.Box, error) {
-	set := standin.BoxSettings{Name: fmt.Sprint("box", n), Speed: []float64{1.3, 1, 0.9, 0.7}[n%4], Cores: 2, Queue: 16, Window: 10 * time.Second, Memory: r.memory, Stops: true}
+	set := standin.BoxSettings{Name: fmt.Sprint("box", n), Speed: speeds[n%len(speeds)], Cores: 2, Queue: 16, Window: 10 * time.Second, Memory: r.memory, Stops: true}
 	if cold {
 		set.ColdFrom, set.Warm = 0.13, 5*time.Second
 	}
--- a/cmd/proof/services.go
+++ b/cmd/proof/services.go
@@ -29,9 +29,11 @@
 	return text
 }
 
+// speeds of boxes, in turn.
+var speeds = []float64{1.3, 1, 0.9, 0.7}
+
 // stable is a group of boxes of mixed speed.
 func stable(n int) (boxes []*standin.Box, addrs []string, end func(), err error) {
-	speeds := []float64{1.3, 1, 0.9, 0.7}
 	end = func() {
 		for _, b := range boxes {
 			_ = b.Close()
@@ -122,16 +124,18 @@
 	return n
 }
 
-func (r *result) count(boxes ...*standin.Box) {
-	sum := make(map[string]int)
+// twice counts the keyed or unsafe requests that took effect twice at some boxes.
+func twice(boxes []*standin.Box) (n int) {
+	ran := make(map[string]int)
 	for _, b := range boxes {
-		b.Effects(sum)
+		b.Effects(ran)
 	}
-	for _, n := range sum {
-		if n > 1 {
-			r.twice++
+	for _, times := range ran {
+		if times > 1 {
+			n++
 		}
 	}
+	return n
 }
 
 func load(addr, service string, rate float64, span time.Duration, seed uint64) *standin.Load {
@@ -180,7 +184,7 @@
 		r.orders = sum(load(p.addr, "orders", c.rate, 5*time.Second, seed+100).Start(ctx).Wait())
 	}
 	r.stock = sum(calm.Wait())
-	r.count(append(stock, orders...)...)
+	r.twice = twice(append(stock, orders...))
 	return r, ctx.Err()
 }
 
@@ -225,6 +229,6 @@
 		time.Sleep(span / 60)
 	}
 	r := &result{stock: sum(calm.Wait()), orders: sum(busy.Wait())}
-	r.count(append(stock, orders...)...)
+	r.twice = twice(append(stock, orders...))
 	return r, ctx.Err()
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -8,6 +8,19 @@
 	"pgregory.net/rapid"
 )
 
+// play plays a run that must be sound: every request ends once, and none that must not
+// runs twice.
+func play(t interface{ Fatalf(string, ...any) }, set Settings) *Result {
+	r, err := Run(set)
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+	if r.Open != 0 || r.Twice != 0 || r.Asked == 0 || len(r.Latencies)+r.Refused+r.Failed != r.Asked {
+		t.Fatalf("%d asked, %d answered, %d refused, %d failed; %d never ended, %d ran twice", r.Asked, len(r.Latencies), r.Refused, r.Failed, r.Open, r.Twice)
+	}
+	return r
+}
+
 // TestFleet plays small tiers in every form: one seed plays one run, every request
 // ends once, and none that must not runs twice.
 func TestFleet(t *testing.T) {
@@ -24,21 +37,11 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			set.For, set.Seed = 5*time.Second, 7
-			a, err := Run(set)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if a.Open != 0 || a.Twice != 0 || a.Asked == 0 || len(a.Latencies)+a.Refused+a.Failed != a.Asked {
-				t.Errorf("%d asked, %d answered, %d refused, %d failed; %d never ended, %d ran twice", a.Asked, len(a.Latencies), a.Refused, a.Failed, a.Open, a.Twice)
-			}
+			a := play(t, set)
 			if a.MissedShare() > 0.6 {
 				t.Errorf("%.0f%% missed", 100*a.MissedShare())
 			}
-			b, err := Run(set)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if !reflect.DeepEqual(a, b) {
+			if b := play(t, set); !reflect.DeepEqual(a, b) {
 				t.Error("one seed plays two runs")
 			}
 			t.Logf("missed %.2f%%, p99 %v, %.2f attempts a request", 100*a.MissedShare(), a.Quantile(0.99), float64(a.Attempts)/float64(a.Asked))
@@ -54,15 +57,9 @@
 // stay near those of one level.
 func TestPlannersFail(t *testing.T) {
 	base := Settings{Nodes: 9, Servers: 45, Load: 0.95, For: 8 * time.Second, Seed: 3}
-	one, err := Run(base)
-	if err != nil {
-		t.Fatal(err)
-	}
+	one := play(t, base)
 	base.Forward = 1
-	well, err := Run(base)
-	if err != nil {
-		t.Fatal(err)
-	}
+	well := play(t, base)
 	at, span := 2*time.Second, 3*time.Second
 	for name, faults := range map[string][]Fault{
 		"one killed":       {{0, Killed, at, span}},
@@ -83,13 +80,7 @@
 			t.Parallel()
 			set := base
 			set.Faults = faults
-			r, err := Run(set)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if r.Open != 0 || r.Twice != 0 || len(r.Latencies)+r.Refused+r.Failed != r.Asked {
-				t.Errorf("%d asked, %d answered, %d refused, %d failed; %d never ended, %d ran twice", r.Asked, len(r.Latencies), r.Refused, r.Failed, r.Open, r.Twice)
-			}
+			r := play(t, set)
 			if r.Planned == 0 || r.Alone <= well.Alone {
 				t.Errorf("%d planned, %d alone; without a fault %d and %d", r.Planned, r.Alone, well.Planned, well.Alone)
 			}
@@ -105,23 +96,13 @@
 // plans again afterwards.
 func TestAllLostForLong(t *testing.T) {
 	set := Settings{Nodes: 6, Servers: 24, Load: 0.8, For: 40 * time.Second, Seed: 5}
-	one, err := Run(set)
-	if err != nil {
-		t.Fatal(err)
-	}
+	one := play(t, set)
 	set.Forward = 1
-	well, err := Run(set)
-	if err != nil {
-		t.Fatal(err)
-	}
+	well := play(t, set)
 	set.Faults = []Fault{{All, Killed, 4 * time.Second, 30 * time.Second}}
-	r, err := Run(set)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if r.Open != 0 || r.Twice != 0 || len(r.Latencies)+r.Refused+r.Failed != r.Asked || r.MissedShare() > one.MissedShare()+0.005 {
-		t.Errorf("%d asked, %d answered, %d refused, %d failed; %d never ended, %d ran twice; missed %.3f%%, one level %.3f%%",
-			r.Asked, len(r.Latencies), r.Refused, r.Failed, r.Open, r.Twice, 100*r.MissedShare(), 100*one.MissedShare())
+	r := play(t, set)
+	if r.MissedShare() > one.MissedShare()+0.005 {
+		t.Errorf("missed %.3f%%, one level %.3f%%", 100*r.MissedShare(), 100*one.MissedShare())
 	}
 	if share := float64(r.Planned) / float64(well.Planned); share < 0.05 || share > 0.25 { // of 40 s some 6 are left
 		t.Errorf("%d planned, %d without the loss", r.Planned, well.Planned)
@@ -145,13 +126,7 @@
 				At: ms("at", 2000), For: ms("for", 3000),
 			})
 		}
-		r, err := Run(set)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if r.Open != 0 || r.Twice != 0 || len(r.Latencies)+r.Refused+r.Failed != r.Asked {
-			t.Fatalf("%d asked, %d answered, %d refused, %d failed; %d never ended, %d ran twice", r.Asked, len(r.Latencies), r.Refused, r.Failed, r.Open, r.Twice)
-		}
+		play(t, set)
 	})
 }
 
@@ -161,10 +136,7 @@
 	var missed [2]float64
 	for forward := range missed {
 		for seed := range uint64(3) {
-			r, err := Run(Settings{Nodes: 9, Servers: 60, Load: 0.8, SmallSite: 0.3, For: 6 * time.Second, Seed: seed + 1, Forward: forward})
-			if err != nil {
-				t.Fatal(err)
-			}
+			r := play(t, Settings{Nodes: 9, Servers: 60, Load: 0.8, SmallSite: 0.3, For: 6 * time.Second, Seed: seed + 1, Forward: forward})
 			missed[forward] += r.MissedShare() / 3
 			if forward == 1 && r.Planned < r.Alone {
 				t.Errorf("seed %d: %d planned, %d alone", seed+1, r.Planned, r.Alone)
--- a/internal/node/conns_test.go
+++ b/internal/node/conns_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -67,10 +66,7 @@
 // away and the owner is served.
 func TestNameInUse(t *testing.T) {
 	release := make(chan struct{})
-	s := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
-		<-release
-		return standin.Echo(c, r, body)
-	})
+	s := check.Raw(t, held(release, ""))
 	n := startNode(t, nil, s.Addr)
 	owner := n.dial()
 	if _, err := io.WriteString(owner, look("dup")); err != nil {
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"fmt"
-	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -16,10 +13,7 @@
 func TestDrainUnderLoad(t *testing.T) {
 	const each = 16
 	release := make(chan struct{})
-	s := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
-		<-release
-		return standin.Echo(c, r, body)
-	})
+	s := check.Raw(t, held(release, ""))
 	n := startNode(t, nil, s.Addr)
 	answers := make(chan string, 2*each)
 	send := func(id string) {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -163,6 +163,24 @@
 	return string(b)
 }
 
+// held echoes requests once release is closed: all, or those of one owner alone.
+func held(release <-chan struct{}, owner string) standin.Reply {
+	return func(c net.Conn, r *http.Request, body []byte) bool {
+		if owner == "" || r.Header.Get("Req-Owner") == owner {
+			<-release
+		}
+		return standin.Echo(c, r, body)
+	}
+}
+
+// byFile makes a node of an operator's file, which begin runs.
+func byFile(t *testing.T, text string) *testNode {
+	t.Helper()
+	n := &testNode{t: t, file: filepath.Join(t.TempDir(), "node.toml"), hup: make(chan os.Signal, 1), ended: make(chan error, 1), logged: &check.Log{}}
+	n.writeText(text)
+	return n
+}
+
 // look is a good request of the class that may be repeated.
 func look(id string) string {
 	return "GET /look/k HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Deadline-Ms: 20000\r\n\r\n"
--- a/internal/node/services_test.go
+++ b/internal/node/services_test.go
@@ -7,8 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -64,17 +62,23 @@
 // startServicesWithin runs one with so many descriptors.
 func startServicesWithin(t *testing.T, descriptors int, text string) *testNode {
 	t.Helper()
-	n := &testNode{t: t, file: filepath.Join(t.TempDir(), "node.toml"), hup: make(chan os.Signal, 1), ended: make(chan error, 1), logged: &check.Log{}}
-	n.writeText(strings.Replace(nodeText, "512", fmt.Sprint(descriptors), 1) + text)
+	n := byFile(t, strings.Replace(nodeText, "512", fmt.Sprint(descriptors), 1)+text)
 	n.begin(File(n.file))
 	return n
 }
 
-// reloaded replaces the file, reloads and waits until it is in force.
+// reloaded replaces the file but for the node's own part, reloads and waits until it
+// is in force.
 func (n *testNode) reloaded(text string) {
+	n.t.Helper()
+	n.reloadedWhole(nodeText + text)
+}
+
+// reloadedWhole replaces the whole file.
+func (n *testNode) reloadedWhole(text string) {
 	n.t.Helper()
 	was := strings.Count(n.logged.String(), "msg=reloaded")
-	n.writeText(nodeText + text)
+	n.writeText(text)
 	n.reload()
 	check.Eventually(n.t, "the file is in force", func() bool { return strings.Count(n.logged.String(), "msg=reloaded") > was })
 }
@@ -212,10 +216,7 @@
 // refused at once.
 func TestPoolsOwnLine(t *testing.T) {
 	release := make(chan struct{})
-	s := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
-		<-release
-		return standin.Echo(c, r, body)
-	})
+	s := check.Raw(t, held(release, ""))
 	other := "[[service]]\nname = \"other\"\n[[service.route]]\nhosts = [\"other.example.org\"]\npool = \"orders\"\n"
 	n := startServices(t, svc("orders", "")+other+pool("orders", "concurrent = 1\nqueue = 1\nqueue_wait = \"30s\"", s.Addr))
 	ends := make(chan int, 3)
@@ -249,12 +250,7 @@
 // when to come back, and another tenant is served.
 func TestFloodingTenant(t *testing.T) {
 	release := make(chan struct{})
-	s := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
-		if r.Header.Get("Req-Owner") == "flood" {
-			<-release
-		}
-		return standin.Echo(c, r, body)
-	})
+	s := check.Raw(t, held(release, "flood"))
 	const limits = "tenant_header = \"Req-Owner\"\nconcurrent = 20\nqueue = 5\nqueue_wait = \"50ms\"\n" +
 		"[[service.tenant]]\nname = \"flood\"\n[[service.tenant]]\nname = \"quiet\"\n[[service.tenant]]\nname = \"metered\"\nrate = 0.5\n"
 	n := startServices(t, svc("orders", limits)+pool("orders", "", s.Addr))
@@ -359,10 +355,7 @@
 // TestReloadEndsWhereItBegan removes a pool while a request is in flight.
 func TestReloadEndsWhereItBegan(t *testing.T) {
 	release := make(chan struct{})
-	old := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
-		<-release
-		return standin.Echo(c, r, body)
-	})
+	old := check.Raw(t, held(release, ""))
 	fresh := check.Raw(t, standin.Echo)
 	n := startServices(t, svc("orders", "")+pool("orders", "", old.Addr))
 	got := make(chan string, 1)
@@ -454,10 +447,7 @@
 // TestOneNameInTwoServices has one Req-Id open in two services: each is its own.
 func TestOneNameInTwoServices(t *testing.T) {
 	release := make(chan struct{})
-	hold := func(c net.Conn, r *http.Request, body []byte) bool {
-		<-release
-		return standin.Echo(c, r, body)
-	}
+	hold := held(release, "")
 	a, b := check.Raw(t, hold), check.Raw(t, hold)
 	n := startServices(t, svc("orders", "")+svc("stock", "")+pool("orders", "", a.Addr)+pool("stock", "", b.Addr))
 	got := make(chan int, 2)
@@ -561,10 +551,7 @@
 // that borrowed is refused more, and the other has its guaranteed part.
 func TestBudgetsAtTheirCap(t *testing.T) {
 	release := make(chan struct{})
-	slow := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
-		<-release
-		return standin.Echo(c, r, body)
-	})
+	slow := check.Raw(t, held(release, ""))
 	quick := check.Raw(t, standin.Echo)
 	// 128 descriptors are 32 connections each way, half of which are guaranteed to stock.
 	text := svc("orders", "") + svc("stock", "") + pool("orders", "share = 0.1", slow.Addr) + pool("stock", "share = 0.5", quick.Addr)
--- a/internal/node/tier_test.go
+++ b/internal/node/tier_test.go
@@ -8,9 +8,7 @@
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -54,18 +52,10 @@
 	return check.Must[*tls.Config](x.t)(planlink.Files{Certificate: cert, Key: key, Authorities: x.auth.File}.Load())
 }
 
-// start makes an end of a file, which begin runs.
-func (x *tier) start(text string) *testNode {
-	x.t.Helper()
-	n := &testNode{t: x.t, file: filepath.Join(x.t.TempDir(), "node.toml"), hup: make(chan os.Signal, 1), ended: make(chan error, 1), logged: &check.Log{}}
-	n.writeText(text)
-	return n
-}
-
 // planner starts a planner at an address, or at any with port 0.
 func (x *tier) planner(addr string) *testNode {
 	x.t.Helper()
-	n := x.start("[node]\nrole = \"planner\"\n[planning]\nlisten = [\"" + addr + "\"]\n" + x.files(planlink.PlannerName) + x.pools)
+	n := byFile(x.t, "[node]\nrole = \"planner\"\n[planning]\nlisten = [\""+addr+"\"]\n"+x.files(planlink.PlannerName)+x.pools)
 	n.begin(File(n.file))
 	return n
 }
@@ -78,7 +68,7 @@
 
 func (x *tier) forwarder(name string, planners ...string) *testNode {
 	x.t.Helper()
-	n := x.start(x.forwarderText(name, x.files(name), svc("orders", ""), planners...))
+	n := byFile(x.t, x.forwarderText(name, x.files(name), svc("orders", ""), planners...))
 	n.begin(File(n.file))
 	return n
 }
@@ -102,6 +92,17 @@
 	check.Eventually(p.t, "the forwarders are connected", func() bool { return p.node.Desk("orders").Forwarders() == forwarders })
 }
 
+// withPlanner is a tier of some servers, one planner, and a forwarder that goes by it.
+func withPlanner(t *testing.T, servers int) (x *tier, planner, forwarder *testNode) {
+	t.Helper()
+	_, pools := boxes(t, servers)
+	x = newTier(t, pools)
+	planner = x.planner("127.0.0.1:0")
+	forwarder = x.forwarder("a", planner.addr)
+	forwarder.planned("a")
+	return x, planner, forwarder
+}
+
 // boxes are some servers, and the pool before them.
 func boxes(t *testing.T, n int) ([]*standin.Box, string) {
 	var all []*standin.Box
@@ -148,12 +149,7 @@
 func TestPlansAreCarriedOut(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	s := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
-		if r.Header.Get("Req-Owner") == "slow" {
-			<-release
-		}
-		return standin.Echo(c, r, body)
-	})
+	s := check.Raw(t, held(release, "slow"))
 	x := newTier(t, pool("orders", "", s.Addr))
 	p := x.planner("127.0.0.1:0")
 	a, b := x.forwarder("a", p.addr), x.forwarder("b", p.addr)
@@ -262,13 +258,9 @@
 // release: the planner believes none and serves its own.
 func TestStrangers(t *testing.T) {
 	t.Parallel()
-	_, pools := boxes(t, 1)
-	x := newTier(t, pools)
-	p := x.planner("127.0.0.1:0")
-	f := x.forwarder("a", p.addr)
-	f.planned("before")
+	x, p, f := withPlanner(t, 1)
 	mine := func(name string) *tls.Config { return x.tls(name, x.auth) }
-	foreign := x.tls("stranger", newTier(t, pools).auth)
+	foreign := x.tls("stranger", newTier(t, x.pools).auth)
 	nameless := mine("nobody")
 	nameless.Certificates = nil
 	hello := func(change func(*plan.Hello)) []byte {
@@ -374,23 +366,16 @@
 	x := newTier(t, pools)
 	first, second := x.planner("127.0.0.1:0"), x.planner("127.0.0.1:0")
 	files := x.files("a")
-	f := x.start(x.forwarderText("a", files, svc("orders", ""), first.addr))
+	f := byFile(t, x.forwarderText("a", files, svc("orders", ""), first.addr))
 	f.begin(File(f.file))
 	f.planned("first")
-	reload := func(n *testNode, text string) {
-		t.Helper()
-		was := strings.Count(n.logged.String(), "msg=reloaded")
-		n.writeText(text)
-		n.reload()
-		check.Eventually(t, "the file is in force", func() bool { return strings.Count(n.logged.String(), "msg=reloaded") > was })
-	}
-	reload(f, x.forwarderText("a", files, svc("orders", ""), second.addr))
+	f.reloadedWhole(x.forwarderText("a", files, svc("orders", ""), second.addr))
 	connected(second, 1)
 	connected(first, 0)
 	f.planned("second")
 	// The planner's pool is gone, then back: the forwarder serves on and is planned for.
 	text := check.Must[[]byte](t)(os.ReadFile(second.file))
-	reload(second, strings.Replace(string(text), "name = \"orders\"", "name = \"other\"", 1))
+	second.reloadedWhole(strings.Replace(string(text), "name = \"orders\"", "name = \"other\"", 1))
 	if second.node.Desk("orders") != nil {
 		t.Error("a pool that is gone has a desk")
 	}
@@ -398,7 +383,7 @@
 		t.Errorf("without a desk: %d", status)
 	}
 	check.Eventually(t, "the log says why nobody plans", func() bool { return strings.Contains(f.logged.String(), "no pool") })
-	reload(second, string(text))
+	second.reloadedWhole(string(text))
 	f.planned("again")
 	// A role is changed by a restart.
 	f.writeText(nodeText + svc("orders", "") + pools)
@@ -429,12 +414,8 @@
 // its log says why the other had to go; requests are answered all the same.
 func TestNamesakes(t *testing.T) {
 	t.Parallel()
-	_, pools := boxes(t, 1)
-	x := newTier(t, pools)
-	p := x.planner("127.0.0.1:0")
-	a := x.forwarder("twin", p.addr)
-	a.planned("a")
-	b := x.forwarder("twin", p.addr)
+	x, p, a := withPlanner(t, 1)
+	b := x.forwarder("a", p.addr)
 	check.Eventually(t, "the log tells of it", func() bool {
 		return strings.Contains(p.logged.String(), "another forwarder has connected under this name")
 	})
@@ -448,11 +429,7 @@
 // TestPlannerEnds ends the only planner: its forwarder notices at once and serves on.
 func TestPlannerEnds(t *testing.T) {
 	t.Parallel()
-	_, pools := boxes(t, 1)
-	x := newTier(t, pools)
-	p := x.planner("127.0.0.1:0")
-	f := x.forwarder("a", p.addr)
-	f.planned("a")
+	_, p, f := withPlanner(t, 1)
 	p.stop()
 	check.Eventually(t, "the log says that there is no planner", func() bool { return strings.Contains(f.logged.String(), "no planner") })
 	if status, _, _ := f.once(at("orders", look("after"))); status != 200 {
