--- a/internal/node/services_test.go
+++ b/internal/node/services_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"jasperpin/internal/core"
+	"jasperpin/internal/limit"
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
 )
@@ -590,3 +592,42 @@
 		return status == 200
 	})
 }
+
+// TestBytesAtTheirCap holds as many bodies as there is memory for: the pool that
+// borrowed is refused more, and the other has its guaranteed part.
+func TestBytesAtTheirCap(t *testing.T) {
+	release := make(chan struct{})
+	slow, quick := check.Raw(t, held(release, "")), check.Raw(t, standin.Echo)
+	text := svc("orders", "") + svc("stock", "") + pool("orders", "share = 0.1", slow.Addr) + pool("stock", "share = 0.5", quick.Addr)
+	n := byFile(t, strings.Replace(nodeText, "64MB", "32MB", 1)+text)
+	n.begin(File(n.file))
+	body := strings.Repeat("b", core.MaxBody-64) // the echo has the name before it
+	all := limit.Machine{Memory: 32 << 20}.Held()
+	room := int64((all - all/2) / (len(body) + core.MaxBody)) // half is stock's; an answer counts, too
+	const asked = 100
+	var crowd sync.WaitGroup
+	var refused, served atomic.Int64
+	for i := range asked {
+		crowd.Go(func() {
+			switch status, _, _ := n.once(at("orders", post("credit", fmt.Sprint("o", i), "", body))); status {
+			case 200:
+				served.Add(1)
+			case 503:
+				refused.Add(1)
+			default:
+				t.Errorf("answered %d", status)
+			}
+		})
+	}
+	check.Eventually(t, "the pool is at its cap", func() bool { return refused.Load() == asked-room })
+	for i := range 20 {
+		if status, _, _ := n.once(at("stock", post("credit", fmt.Sprint("s", i), "", body))); status != 200 {
+			t.Errorf("within its guarantee: %d", status)
+		}
+	}
+	close(release)
+	crowd.Wait()
+	if served.Load() != room {
+		t.Errorf("%d served, there was room for %d", served.Load(), room)
+	}
+}
