Hand names in use and, by file, the listeners to a new version; check figures by thousands

Need: a request id open in the old process was unknown to the new one, and a node by the operator's file could not start a second process: nothing listened for both.

The first process sends its listeners' descriptors along with what it knows; the new one takes those whose addresses it is to listen at. Plain requests' names begin at random, so that two processes never give one.

--- a/cmd/jasperpin/serve.go
+++ b/cmd/jasperpin/serve.go
@@ -21,27 +21,31 @@
 		SilenceErrors: true, SilenceUsage: true,
 		Args: cobra.NoArgs,
 	}
-	file := ""
-	run := func(*cobra.Command, []string) error { return serve(file) }
+	var file, control string
+	run := func(*cobra.Command, []string) error { return serve(file, control) }
 	cmd.RunE = run
 	cmd.Flags().StringVarP(&file, "config", "c", "", "the operator's file; without it GW_CONFIG names the platform's")
+	cmd.Flags().StringVar(&control, "control", "", "where operators call, in place of node.control: a new version beside the running one needs a door of its own")
 	srv := &cobra.Command{
 		Use: "serve", Short: "Serve until SIGTERM; SIGHUP reads the configuration anew", Args: cobra.NoArgs, RunE: run,
 		Example: "  jasperpin serve -c deploy/jasperpin.toml",
 	}
-	srv.Flags().AddFlag(cmd.Flags().Lookup("config"))
+	srv.Flags().AddFlagSet(cmd.Flags())
 	cmd.AddCommand(srv, ctlCommand(), checkCommand(), routeCommand(), demoCommand(), versionCommand())
 	return cmd
 }
 
 // serve serves until SIGTERM or SIGINT, answers what it has taken, and ends.
-func serve(file string) error {
+func serve(file, control string) error {
 	// Caught from the first moment, as it would end the process. One that is
 	// pending covers any that follow: they all ask for the newest configuration.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	var source node.Source = node.File(file)
+	var source node.Source = node.File{Path: file, Control: control}
 	if file == "" {
+		if control != "" {
+			return errors.New("--control goes with -c: the platform names the door in GW_CONTROL")
+		}
 		if os.Getenv("GW_CONFIG") == "" {
 			return errors.New("nothing to serve: name a file with -c, or set GW_CONFIG; `jasperpin demo` needs neither")
 		}
--- a/cmd/proof/child.go
+++ b/cmd/proof/child.go
@@ -37,7 +37,7 @@
 	case "node":
 		reload := make(chan os.Signal, 1)
 		signal.Notify(reload, syscall.SIGHUP)
-		n, err := node.Start(node.File(args[0]), slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		n, err := node.Start(node.File{Path: args[0]}, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 		if err != nil {
 			return err
 		}
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"jasperpin/decide"
+	"jasperpin/internal/names"
 	"jasperpin/internal/rota"
 )
 
@@ -221,7 +222,7 @@
 	b       *decide.Balancer
 	todo    []func()
 	reqs    map[decide.RequestID]*Exchange
-	open    map[string]bool // the clients' names of reqs
+	names   *names.Book // the clients' names of reqs, and those open in other processes
 	last    decide.RequestID
 	servers map[string]*server
 	byID    map[decide.ServerID]*server
@@ -236,7 +237,7 @@
 func NewPool(set Settings) *Pool {
 	p := &Pool{
 		set: set, start: time.Now(), empty: make(chan struct{}),
-		reqs: make(map[decide.RequestID]*Exchange), open: make(map[string]bool),
+		reqs: make(map[decide.RequestID]*Exchange), names: names.New(),
 		servers: make(map[string]*server), byID: make(map[decide.ServerID]*server),
 		rota: rota.New(),
 	}
@@ -285,11 +286,10 @@
 		case p.retired:
 			err = ErrRetired
 			return
-		case p.open[q.Name]:
+		case !p.names.Open(q.Name):
 			err = ErrNameInUse
 			return
 		}
-		p.open[q.Name] = true
 		for p.last++; p.reqs[p.last] != nil; p.last++ {
 		}
 		r.id, r.due = p.last, p.within(p.since(q.At)+q.Wait)
@@ -409,7 +409,7 @@
 func (p *Pool) release(r *Exchange) {
 	if r.settled && r.out == 0 && p.reqs[r.id] == r {
 		delete(p.reqs, r.id)
-		delete(p.open, r.Name)
+		p.names.End(r.Name)
 		if p.set.Guide != nil {
 			p.set.Guide.Closed(r.id)
 		}
@@ -498,6 +498,32 @@
 	return m
 }
 
+// Names is news of the names in use here, for the node's other processes: all of them
+// where whole is wanted or nothing has been told, else what has changed since.
+func (p *Pool) Names(whole bool) (n names.News) {
+	p.do(func(time.Duration) {
+		if whole {
+			n = p.names.All()
+		} else {
+			n = p.names.News()
+		}
+	})
+	return n
+}
+
+// Mute ends the news: there is nobody to hear them.
+func (p *Pool) Mute() { p.do(func(time.Duration) { p.names.Mute() }) }
+
+// Hear takes news of the names in use in another process, whose requests are as open as
+// those here.
+func (p *Pool) Hear(from names.Side, n names.News) (err error) {
+	p.do(func(time.Duration) { err = p.names.Hear(from, n) })
+	return err
+}
+
+// Forget frees another process's names, as it has ended.
+func (p *Pool) Forget(side names.Side) { p.do(func(time.Duration) { p.names.Forget(side) }) }
+
 // recall gives the module what was known before, once it has its list: classes and
 // servers are found again by their names.
 func (p *Pool) recall(now time.Duration) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -116,7 +116,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("the demo's file: %w", err)
 	}
-	n, err := node.Start(node.File(file), slog.New(slog.DiscardHandler))
+	n, err := node.Start(node.File{Path: file}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return err
 	}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -53,6 +54,7 @@
 // New makes a front for a machine, or a part of one.
 func New(set *service.Set, m limit.Machine, log *slog.Logger) *Front {
 	f := &Front{set: set, conns: newConns(m.Clients()), room: bodyRoom{of: limit.NewBodies(m)}}
+	f.names.Store(rand.Uint64()) // so that no two processes of a node give one name
 	f.srv = &http.Server{
 		Handler: f, ReadHeaderTimeout: headWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHead,
 		ConnContext: withConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -40,12 +40,7 @@
 			t.Errorf("answered %q", got)
 		}
 	}
-	select {
-	case err := <-n.ended:
-		n.ended <- err
-	case <-time.After(check.Soon):
-		t.Error("the node did not end")
-	}
+	n.gone()
 }
 
 // TestDrainLeavesMuteConnections drains beside connections that say nothing, or stopped
--- /dev/null
+++ b/internal/node/fuzz_test.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"jasperpin/internal/core"
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+// FuzzRequestBody writes a request with any framing and any bytes behind its head: a server
+// sees this one request or none, with the body that the framing says, and the client gets
+// its one answer, an error or a close.
+func FuzzRequestBody(f *testing.F) {
+	for _, c := range [][2]string{
+		{"Content-Length: 3", "abc"}, {"Content-Length: 3", "abcGET /look/k HTTP/1.1\r\nHost: h\r\nReq-Id: hidden\r\nReq-Deadline-Ms: 900\r\n\r\n"},
+		{"Transfer-Encoding: chunked", "3;a=\"b\"\r\nabc\r\n0\r\nT: v\r\n\r\n"}, {"Transfer-Encoding: chunked", "3\nabc\n0\n\n"},
+		{"Transfer-Encoding: chunked", "fffffffffffffffff\r\n"}, {"Transfer-Encoding: chunked\r\nContent-Length: 5", "0\r\n\r\nGET "},
+		{"Content-Length: 5\r\nExpect: 100-continue", "abcde"}, {"Content-Length: 3, 3", "abc"}, {"Connection: Content-Length\r\nContent-Length: 2", "ab"},
+		{"Transfer-Encoding : chunked\r\nContent-Length: 2", "0\r\n\r\n"}, {"Transfer-Encoding: chunked", "-1\r\n"}, {"X: a\r\n Content-Length: 4", "abcd"},
+	} {
+		f.Add(c[0], []byte(c[1]))
+	}
+	const id = "fuzzed"
+	s := check.Raw(f, standin.Echo)
+	n := startNode(f, nil, s.Addr)
+	f.Fuzz(func(t *testing.T, framing string, body []byte) {
+		if strings.Contains(framing, "\r\n\r\n") || strings.Contains(framing, "\n\n") || strings.Contains(framing, "\n\r\n") || len(body) > 64<<10 {
+			t.Skip("the head ends early: another request")
+		}
+		c := check.Must[net.Conn](t)(net.Dial("tcp", n.addr))
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(check.Soon))
+		head := "POST /credit/k HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Deadline-Ms: 900\r\n" + framing + "\r\n\r\n"
+		go func() {
+			_, _ = io.WriteString(c, head+string(body))
+			_ = c.(*net.TCPConn).CloseWrite()
+		}()
+		got, err := io.ReadAll(c)
+		if err != nil && !strings.Contains(err.Error(), "reset") {
+			t.Fatalf("neither answered nor closed: %v after %q", err, got)
+		}
+		for {
+			select {
+			case r := <-s.Heads:
+				if name := r.Header.Get("Req-Id"); name != id || r.Method != http.MethodPost || r.URL.Path != "/credit/k" {
+					t.Fatalf("a server got %s %s of %q", r.Method, r.URL, name)
+				}
+				continue
+			default:
+			}
+			break
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(got)), nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			return
+		}
+		answer, _ := io.ReadAll(resp.Body)
+		want, err := http.ReadRequest(bufio.NewReader(io.MultiReader(strings.NewReader(head), bytes.NewReader(body))))
+		if err != nil {
+			t.Fatalf("served %q, which cannot be read: %v", answer, err)
+		}
+		if whole, err := io.ReadAll(want.Body); err != nil || string(answer) != id+" "+string(whole) {
+			t.Fatalf("served with %q; the body is %q, %v", answer, whole, err)
+		}
+	})
+}
+
+// FuzzAnswer has a server answer with any bytes and close: what a client gets as a whole
+// answer is what the server gave, and it gets no second one.
+func FuzzAnswer(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nok\r\n0\r\nSum: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n", "HTTP/1.1 204 None\r\nContent-Length: 5\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nuntil close",
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok", "HTTP/1.1 304 Same\r\n\r\n", "noise",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\nraw",
+	} {
+		f.Add([]byte(text))
+	}
+	answers := make(chan []byte, 1)
+	s := check.Raw(f, func(c net.Conn, _ *http.Request, _ []byte) bool {
+		select {
+		case a := <-answers:
+			_, _ = c.Write(a)
+		default: // asked once more, where that is allowed
+		}
+		return false
+	})
+	n := startNode(f, nil, s.Addr)
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		if len(answer) > 64<<10 {
+			t.Skip()
+		}
+		answers <- answer
+		defer func() {
+			select {
+			case <-answers: // nobody asked
+			default:
+			}
+		}()
+		c := check.Must[net.Conn](t)(net.Dial("tcp", n.addr))
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(check.Soon))
+		if _, err := io.WriteString(c, strings.Replace(post("credit", "r", "", "x"), "Host: h\r\n", "Host: h\r\nConnection: close\r\n", 1)); err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(c)
+		if err != nil && !strings.Contains(err.Error(), "reset") {
+			t.Fatalf("neither answered nor closed: %v after %q", err, got)
+		}
+		br := bufio.NewReader(bytes.NewReader(got))
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			if len(got) > 0 {
+				t.Fatalf("the client got %q", got)
+			}
+			return
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return // it can tell
+		}
+		if rest, _ := io.ReadAll(br); len(rest) > 0 {
+			t.Fatalf("behind its answer the client got %q", rest)
+		}
+		if resp.StatusCode >= 500 || resp.StatusCode == http.StatusTooManyRequests {
+			return // the node's own, or a server's failure
+		}
+		want, said := finalAnswer(answer)
+		if said != nil {
+			t.Fatalf("the client got %d %q of an answer that cannot be read: %v", resp.StatusCode, body, said)
+		}
+		if want.StatusCode != resp.StatusCode || want.Body != string(body) {
+			t.Fatalf("the client got %d %q, the server gave %d %q", resp.StatusCode, body, want.StatusCode, want.Body)
+		}
+	})
+}
+
+// given is an answer as net/http reads it.
+type given struct {
+	StatusCode int
+	Body       string
+}
+
+// finalAnswer reads the answer behind those that only announce it.
+func finalAnswer(b []byte) (given, error) {
+	br := bufio.NewReader(bytes.NewReader(b))
+	for range 20 {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return given{}, err
+		}
+		if resp.StatusCode/100 == 1 {
+			continue
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, core.MaxBody))
+		return given{resp.StatusCode, string(body)}, err
+	}
+	return given{}, errors.New("no final answer")
+}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -22,7 +22,7 @@
 
 // testNode is a node that serves on loopback.
 type testNode struct {
-	t      *testing.T
+	t      testing.TB
 	addr   string
 	node   *Node
 	file   string
@@ -54,7 +54,7 @@
 }
 
 // startNode runs a node in front of the servers; change may alter what it is told.
-func startNode(t *testing.T, change func(raw map[string]any), servers ...string) *testNode {
+func startNode(t testing.TB, change func(raw map[string]any), servers ...string) *testNode {
 	t.Helper()
 	d := discoveryOf(t, servers...)
 	n := &testNode{
@@ -96,7 +96,7 @@
 	})
 }
 
-func discoveryOf(t *testing.T, servers ...string) *standin.Discovery {
+func discoveryOf(t testing.TB, servers ...string) *standin.Discovery {
 	t.Helper()
 	return check.Owned(t, func() (*standin.Discovery, error) { return standin.NewDiscovery(standin.Hosts(servers...)...) })
 }
@@ -128,6 +128,12 @@
 
 func (n *testNode) stop() {
 	n.term()
+	n.gone()
+}
+
+// gone waits until the node has ended by itself.
+func (n *testNode) gone() {
+	n.t.Helper()
 	select {
 	case err := <-n.ended:
 		if err != nil {
@@ -174,7 +180,7 @@
 }
 
 // byFile makes a node of an operator's file, which begin runs.
-func byFile(t *testing.T, text string) *testNode {
+func byFile(t testing.TB, text string) *testNode {
 	t.Helper()
 	n := &testNode{t: t, file: filepath.Join(t.TempDir(), "node.toml"), hup: make(chan os.Signal, 1), ended: make(chan error, 1), logged: &check.Log{}}
 	n.writeText(text)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,17 +113,12 @@
 		guide = n.clients.guide
 	}
 	known := n.meet()
-	inherited := cfg.Inherited // the first address alone
-	for _, addr := range cfg.Listen {
-		ln, err := listen(addr, inherited)
-		if err != nil {
-			return fmt.Errorf("listening for clients: %w", err)
-		}
-		n.listeners, inherited = append(n.listeners, ln), 0
+	if err := n.listen(known.Listeners); err != nil {
+		return fmt.Errorf("listening for clients: %w", err)
 	}
 	// Apply configures the room; until then there is none.
 	if n.room, err = httpup.NewRoom(0, nil); err == nil {
-		n.set, err = service.New(cfg, n.room, n.upstream, guide, known, n.figures, log)
+		n.set, err = service.New(cfg, n.room, n.upstream, guide, known.Pools, n.figures, log)
 	}
 	if err != nil {
 		return err
@@ -131,7 +126,7 @@
 	n.front = httpfront.New(n.set, n.machine(), log)
 	n.served = make(chan error, len(n.listeners))
 	n.part(n.share)
-	if err := n.line.Listen(kin{n}); err != nil {
+	if err := n.line.Listen(n.kin()); err != nil {
 		// A path too long, say: it serves, and a new version will know nothing of it.
 		log.Warn("a new version will not find this process", "err", err)
 	}
@@ -139,14 +134,39 @@
 	return n.openDoor()
 }
 
-// listen opens an address, or takes the descriptor that listens there already.
-func listen(addr string, inherited int) (net.Listener, error) {
-	if inherited == 0 {
-		return net.Listen("tcp", addr)
+// listen opens the addresses for clients, but for those that the process before hands
+// over, and the first where a descriptor that listens there is inherited.
+func (n *Node) listen(handed map[string]net.Listener) error {
+	defer func() {
+		for _, ln := range handed { // an address that is not wanted any more
+			ln.Close()
+		}
+	}()
+	for i, addr := range n.cfg.Listen {
+		var ln net.Listener
+		var err error
+		switch {
+		case i == 0 && n.cfg.Inherited > 0:
+			ln, err = inherit(n.cfg.Inherited)
+		case handed[addr] != nil:
+			ln = handed[addr]
+			delete(handed, addr)
+		default:
+			ln, err = net.Listen("tcp", addr)
+		}
+		if err != nil {
+			return err
+		}
+		n.listeners = append(n.listeners, ln)
 	}
-	f := os.NewFile(uintptr(inherited), "clients")
+	return nil
+}
+
+// inherit takes a descriptor that listens already.
+func inherit(fd int) (net.Listener, error) {
+	f := os.NewFile(uintptr(fd), "clients")
 	if f == nil {
-		return nil, fmt.Errorf("descriptor %d is not open", inherited)
+		return nil, fmt.Errorf("descriptor %d is not open", fd)
 	}
 	defer f.Close() // the listener has a copy of its own
 	return net.FileListener(f)
@@ -292,7 +312,7 @@
 // hold whole requests before the node has accepted them.
 func (n *Node) drain() error {
 	began := time.Now()
-	heir := n.cfg.Inherited > 0 && n.line.Succeeded()
+	heir := n.line.Succeeded()
 	n.log.Info("draining", "successor", heir)
 	n.draining.Store(true)
 	n.front.Drain()
@@ -317,10 +337,21 @@
 }
 
 // File is a Source: the file that the operator owns.
-type File string
+type File struct {
+	Path string
+	// Control goes before the file's, where set: a new version beside the running one
+	// needs a door of its own.
+	Control string
+}
 
 // Load reads the file.
-func (f File) Load() (*config.Config, error) { return config.Load(string(f)) }
+func (f File) Load() (*config.Config, error) {
+	cfg, err := config.Load(f.Path)
+	if err == nil && f.Control != "" {
+		cfg.Control = f.Control
+	}
+	return cfg, err
+}
 
 // Reload reads the file anew. Listeners are laid out once.
 func (f File) Reload(was *config.Config) (*config.Config, []string, error) {
--- a/internal/node/operate_test.go
+++ b/internal/node/operate_test.go
@@ -1,9 +1,13 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -154,3 +158,152 @@
 		t.Errorf("telemetry: %q", got)
 	}
 }
+
+// TestSuccessorByFile has a second process of a node by the operator's file take over: it
+// goes on with the first one's listener, knows which server is out, and turns away the
+// name of a request that the first still holds.
+func TestSuccessorByFile(t *testing.T) {
+	release := make(chan struct{})
+	slow, out := check.Raw(t, held(release, "slow")), check.Raw(t, standin.Echo)
+	text := strings.Replace(nodeText, "127.0.0.1:0", check.Unused(t), 1)
+	text = strings.Replace(text, "[limits]", "private = \""+t.TempDir()+"\"\n[limits]", 1)
+	first := byFile(t, text+svc("orders", "")+pool("orders", "", slow.Addr, out.Addr))
+	first.begin(File{Path: first.file, Control: "127.0.0.1:0"})
+	if got := first.call("exclude orders/" + out.Addr); got != "done\n" {
+		t.Fatalf("exclude: %q", got)
+	}
+	owner := first.dial()
+	if _, err := io.WriteString(owner, at("orders", post("credit", "dup", "Req-Owner: slow\r\n", "x"))); err != nil {
+		t.Fatal(err)
+	}
+	check.Eventually(t, "the request is out", func() bool { return slow.Got.Load() == 1 })
+
+	second := byFile(t, "")
+	second.file = first.file
+	second.begin(File{Path: first.file, Control: "127.0.0.1:0"})
+	if got := second.figure("out_of_rotation"); got != "1" {
+		t.Errorf("the second has %s servers out", got)
+	}
+	first.term()
+	check.Eventually(t, "the first drains", func() bool { return strings.HasPrefix(first.call("readyz"), "error") })
+	// From now on the second alone accepts.
+	check.Eventually(t, "the second takes requests", func() bool {
+		status, _, _ := second.once(at("orders", look("a")))
+		return status == 200 && second.figure("fulfilled.look") != "0"
+	})
+	if status, _, _ := second.once(at("orders", post("credit", "dup", "", "x"))); status != 409 {
+		t.Errorf("a name that the first holds: %d", status)
+	}
+	close(release)
+	resp, err := http.ReadResponse(bufio.NewReader(owner), nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Errorf("the first's request: %v, %v", resp, err)
+	}
+	first.gone()
+	check.Eventually(t, "the name is free", func() bool {
+		status, _, _ := second.once(at("orders", post("credit", "dup", "", "x")))
+		return status == 200
+	})
+	if got := out.Got.Load(); got != 0 {
+		t.Errorf("%d requests went to a server that is out", got)
+	}
+}
+
+// TestFiguresAgainstClients drives thousands of requests past servers that err, fall silent,
+// turn work away and break connections, with clients that leave, and compares each figure
+// with what clients and servers have counted, within the operators' bounds.
+func TestFiguresAgainstClients(t *testing.T) {
+	var boxes []*standin.Box
+	var addrs []string
+	for range 4 {
+		b := box(t, standin.BoxSettings{Cores: 8, Queue: 8, Work: 5 * time.Millisecond})
+		boxes, addrs = append(boxes, b), append(addrs, b.Addr)
+	}
+	n := startNode(t, func(raw map[string]any) {
+		withDoor(raw)
+		for _, c := range raw["settings"].(map[string]any)["classes"].([]map[string]any) {
+			c["objectiveMs"], c["deadlineMs"] = 300, 1000
+		}
+	}, addrs...)
+	kind := func(class, method string, keyed bool) standin.Kind {
+		return standin.Kind{Class: class, Path: "/" + class + "/", Method: method, Keyed: keyed, Share: 1, Work: 5 * time.Millisecond, Aim: 300 * time.Millisecond, Deadline: 5 * time.Second}
+	}
+	l := &standin.Load{
+		Addr: n.addr, Rate: 600, For: 5 * time.Second, Seed: 11, Tenants: map[string]int{"a": 1},
+		Kinds: []standin.Kind{kind("look", "GET", false), kind("order", "POST", true), kind("credit", "POST", false)},
+	}
+	running := l.Start(t.Context())
+	for i, turn := range []struct {
+		mode  standin.Mode
+		boxes []*standin.Box
+	}{{standin.Erring, boxes[:1]}, {standin.Silent, boxes[1:2]}, {standin.Draining, boxes}, {standin.Resetting, boxes}} {
+		want := int64(500 * (i + 1))
+		check.Eventually(t, "requests go on", func() bool { return running.Sent.Load() > want })
+		for _, b := range turn.boxes {
+			b.Turn(turn.mode)
+		}
+		check.Eventually(t, "requests go on", func() bool { return running.Sent.Load() > want+200 })
+		for _, b := range turn.boxes {
+			b.Turn(standin.Serving)
+		}
+	}
+	// One class more, under load: those that there are go on being counted.
+	settings := n.raw["settings"].(map[string]any)
+	settings["classes"] = append(settings["classes"].([]map[string]any), map[string]any{"name": "count", "effect": "free", "objectiveMs": 300, "deadlineMs": 1000, "gain": 1})
+	n.write()
+	n.reload()
+	const gone = 20 // clients that leave before their answer: any count will do
+	for i := range gone {
+		c := n.dial()
+		if _, err := io.WriteString(c, post("credit", fmt.Sprint("gone", i), "Req-Cost: 200000\r\n", "x")); err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	}
+	tallies := running.Wait()
+	check.Eventually(t, "all has ended", func() bool { return n.figure("open_requests") == "0" })
+	figure := func(name string) int {
+		t.Helper()
+		v, err := strconv.Atoi(n.figure(name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	near := func(name string, want, share float64, slack int) {
+		t.Helper()
+		got := float64(figure(name))
+		if math.Abs(got-want) > max(3, share*want)+float64(slack) {
+			t.Errorf("%s is %v, clients and servers count %v", name, got, want)
+		}
+	}
+	var ends [5]int
+	for class, tally := range tallies {
+		slack := 0
+		if class == "credit" {
+			slack = gone
+		}
+		served, refused, failed := tally.Ends[standin.InTime]+tally.Ends[standin.Late], tally.Ends[standin.Refused], tally.Ends[standin.Failed]
+		near("fulfilled."+class, float64(served), 0.01, slack)
+		near("throttled."+class, float64(refused), 0.01, slack)
+		near("faulted."+class, float64(failed), 0.01, slack)
+		whole := 0
+		for _, b := range boxes {
+			whole += b.Counts().Class[class]
+		}
+		near("relayed."+class, float64(whole), 0.02, slack)
+		if n := tally.Ends[standin.Lost] + tally.Ends[standin.Wrong]; n > 0 {
+			t.Errorf("%s: %d lost or wrong", class, n)
+		}
+		for i, n := range []int{served, refused, failed, whole, tally.Asked} {
+			ends[i] += n
+		}
+	}
+	t.Logf("served %d, refused %d, failed %d; %d attempts for %d requests", ends[0], ends[1], ends[2], ends[3], ends[4])
+	if ends[0] < 1000 || ends[1] < 50 || ends[2] < 20 || ends[3] <= ends[0] {
+		t.Error("the load does not show what is to be counted")
+	}
+	if figure("fulfilled.count") != 0 || figure("cfg_accepted") != 1 || figure("registry_entries") != 4 {
+		t.Error("the class that was added, the file or the servers are not counted")
+	}
+}
--- a/internal/node/services_test.go
+++ b/internal/node/services_test.go
@@ -65,7 +65,7 @@
 func startServicesWithin(t *testing.T, descriptors int, text string) *testNode {
 	t.Helper()
 	n := byFile(t, strings.Replace(nodeText, "512", fmt.Sprint(descriptors), 1)+text)
-	n.begin(File(n.file))
+	n.begin(File{Path: n.file})
 	return n
 }
 
@@ -600,7 +600,7 @@
 	slow, quick := check.Raw(t, held(release, "")), check.Raw(t, standin.Echo)
 	text := svc("orders", "") + svc("stock", "") + pool("orders", "share = 0.1", slow.Addr) + pool("stock", "share = 0.5", quick.Addr)
 	n := byFile(t, strings.Replace(nodeText, "64MB", "32MB", 1)+text)
-	n.begin(File(n.file))
+	n.begin(File{Path: n.file})
 	body := strings.Repeat("b", core.ShortAnswer-64) // the echo has the name before it
 	all := limit.Machine{Memory: 32 << 20}.Held()
 	room := int64((all - all/2) / (len(body) + core.ShortAnswer)) // half is stock's; an answer counts, too
--- a/internal/node/succeed.go
+++ b/internal/node/succeed.go
@@ -1,16 +1,18 @@
 package node
 
 import (
+	"net"
 	"time"
 
 	"jasperpin/internal/core"
 	"jasperpin/internal/limit"
+	"jasperpin/internal/names"
 	"jasperpin/internal/succession"
 )
 
 // meet looks for the process in whose place this one goes on, and gives what it knows.
-func (n *Node) meet() map[string]core.Memory {
-	var known map[string]core.Memory
+func (n *Node) meet() succession.Known {
+	var known succession.Known
 	n.line, known = succession.Meet(n.cfg.Private, n.log)
 	n.share = n.line.Share()
 	return known
@@ -27,7 +29,21 @@
 }
 
 // kin is the node as its line sees it.
-type kin struct{ *Node }
+type kin struct {
+	*Node
+	lent map[string]net.Listener // for a successor that inherits none
+}
+
+// kin is the node for its line, with the listeners that it opened or was handed.
+func (n *Node) kin() kin {
+	k := kin{n, make(map[string]net.Listener)}
+	if n.cfg.Inherited == 0 {
+		for i, ln := range n.listeners {
+			k.lent[n.cfg.Listen[i]] = ln
+		}
+	}
+	return k
+}
 
 func (k kin) Memory() map[string]core.Memory { return k.set.Memory() }
 
@@ -47,6 +63,41 @@
 	k.log.Info("server "+what+", as another process was told", "pool", c.Pool, "server", c.Server)
 }
 
+func (k kin) Names(whole bool) map[string]names.News {
+	news := make(map[string]names.News)
+	for name, p := range k.set.Pools() {
+		if n := p.Names(whole); !n.Empty() {
+			news[name] = n
+		}
+	}
+	return news
+}
+
+func (k kin) Mute() {
+	for _, p := range k.set.Pools() {
+		p.Mute()
+	}
+}
+
+func (k kin) Hear(from names.Side, news map[string]names.News) {
+	pools := k.set.Pools()
+	for name, n := range news {
+		if p := pools[name]; p != nil {
+			if err := p.Hear(from, n); err != nil {
+				k.log.Warn("news of another process's names", "pool", name, "err", err)
+			}
+		}
+	}
+}
+
+func (k kin) Forget(side names.Side) {
+	for _, p := range k.set.Pools() {
+		p.Forget(side)
+	}
+}
+
+func (k kin) Listeners() map[string]net.Listener { return k.lent }
+
 // Share has the node's own goroutine lay the limits out; the newest word counts.
 func (k kin) Share(s succession.Share) {
 	for {
--- a/internal/node/tier_test.go
+++ b/internal/node/tier_test.go
@@ -56,7 +56,7 @@
 func (x *tier) planner(addr string) *testNode {
 	x.t.Helper()
 	n := byFile(x.t, "[node]\nrole = \"planner\"\n[planning]\nlisten = [\""+addr+"\"]\n"+x.files(planlink.PlannerName)+x.pools)
-	n.begin(File(n.file))
+	n.begin(File{Path: n.file})
 	return n
 }
 
@@ -69,7 +69,7 @@
 func (x *tier) forwarder(name string, planners ...string) *testNode {
 	x.t.Helper()
 	n := byFile(x.t, x.forwarderText(name, x.files(name), svc("orders", ""), planners...))
-	n.begin(File(n.file))
+	n.begin(File{Path: n.file})
 	return n
 }
 
@@ -367,7 +367,7 @@
 	first, second := x.planner("127.0.0.1:0"), x.planner("127.0.0.1:0")
 	files := x.files("a")
 	f := byFile(t, x.forwarderText("a", files, svc("orders", ""), first.addr))
-	f.begin(File(f.file))
+	f.begin(File{Path: f.file})
 	f.planned("first")
 	f.reloadedWhole(x.forwarderText("a", files, svc("orders", ""), second.addr))
 	connected(second, 1)
--- a/internal/succession/line.go
+++ b/internal/succession/line.go
@@ -2,16 +2,20 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
+	"io"
 	"io/fs"
 	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"jasperpin/internal/core"
+	"jasperpin/internal/names"
 )
 
 const (
@@ -22,6 +26,8 @@
 	meetWait = 1500 * time.Millisecond
 	// tellWait bounds a write to another process, which may have stopped.
 	tellWait = 500 * time.Millisecond
+	// namesEvery is how far the others are behind in which names are in use.
+	namesEvery = 20 * time.Millisecond
 )
 
 // Node is what a process's line tells, and asks of. Memory and Apply may be called from
@@ -32,6 +38,21 @@
 	Apply(Call)
 	// Share says with whom this process has the machine from now on.
 	Share(Share)
+	// Names is news of the names in use here, by pool: of all where whole is wanted.
+	// Mute says that nobody hears them any more.
+	Names(whole bool) map[string]names.News
+	Mute()
+	// Hear takes another process's news, Forget frees its names.
+	Hear(from names.Side, news map[string]names.News)
+	Forget(names.Side)
+	// Listeners are those that a successor goes on with, by the addresses configured.
+	Listeners() map[string]net.Listener
+}
+
+// Known is what a process learns from the one before it.
+type Known struct {
+	Pools     map[string]core.Memory
+	Listeners map[string]net.Listener // by the addresses configured; the caller closes them
 }
 
 // Line is this process among those of its node. A nil one has no others.
@@ -46,6 +67,8 @@
 	ln            *net.UnixListener
 	closed        bool
 	running       sync.WaitGroup
+	telling       bool                  // names, to whoever is there
+	inUse         map[string]names.News // in the process before, until Listen
 }
 
 // link is a connection to another process.
@@ -55,8 +78,9 @@
 	mu   sync.Mutex // of writes
 }
 
-func newLink(c net.Conn) *link {
-	in := bufio.NewScanner(c)
+// newLink makes a link of a connection of which the first bytes have been read.
+func newLink(c net.Conn, first []byte) *link {
+	in := bufio.NewScanner(io.MultiReader(bytes.NewReader(first), c))
 	in.Buffer(make([]byte, 4<<10), maxMessage)
 	return &link{conn: c, in: in}
 }
@@ -65,14 +89,22 @@
 func (l *link) write(m message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.writeLocked(m)
+	l.writeLocked(m, nil)
 }
 
-func (l *link) writeLocked(m message) {
+// writeLocked writes one message with files, which the reader has to look for.
+func (l *link) writeLocked(m message, files []int) {
 	b, err := encode(m)
 	if err == nil {
 		_ = l.conn.SetWriteDeadline(time.Now().Add(tellWait))
-		_, err = l.conn.Write(b)
+		if len(files) > 0 {
+			// The first byte alone, so that none of the files' bytes are left to repeat.
+			_, _, err = l.conn.(*net.UnixConn).WriteMsgUnix(b[:1], syscall.UnixRights(files...), nil)
+			b = b[1:]
+		}
+		if err == nil {
+			_, err = l.conn.Write(b)
+		}
 	}
 	if err != nil {
 		l.conn.Close()
@@ -93,32 +125,39 @@
 // Meet looks in a folder for the process that runs, and gives what it knows: nothing
 // where there is none, where it does not answer in time, or where it is of a version
 // that cannot be read. No folder makes no line.
-func Meet(folder string, log *slog.Logger) (*Line, map[string]core.Memory) {
+func Meet(folder string, log *slog.Logger) (*Line, Known) {
 	if folder == "" {
-		return nil, nil
+		return nil, Known{}
 	}
 	l := &Line{path: filepath.Join(folder, SocketName), log: log}
-	conn, err := net.DialTimeout("unix", l.path, meetWait)
+	d := net.Dialer{Timeout: meetWait}
+	conn, err := d.Dial("unix", l.path)
 	if err != nil {
 		if !errors.Is(err, fs.ErrNotExist) {
 			log.Info("no process before this one answers", "err", err)
 		}
-		return l, nil
+		return l, Known{}
 	}
-	k := newLink(conn)
 	_ = conn.SetReadDeadline(time.Now().Add(meetWait))
-	k.write(message{Hello: true})
-	m, err := k.read()
+	newLink(conn, nil).write(message{Hello: true})
+	// What goes along with the answer comes with its first bytes.
+	first, files, err := receive(conn.(*net.UnixConn))
+	k := newLink(conn, first)
+	var m message
+	if err == nil {
+		m, err = k.read()
+	}
+	listeners := adopt(m.Listen, files, log)
 	if err != nil {
 		log.Warn("the process before this one tells nothing that can be used", "err", err)
 		conn.Close()
-		return l, nil
+		return l, Known{}
 	}
 	_ = conn.SetReadDeadline(time.Time{})
-	l.before = k
+	l.before, l.inUse = k, m.Names
 	l.kin.before = max(1, m.Of)
-	log.Info("taking over", "processes", l.kin.share().Of)
-	return l, m.Pools
+	log.Info("taking over", "processes", l.kin.share().Of, "listeners", len(listeners))
+	return l, Known{m.Pools, listeners}
 }
 
 // Share is with whom this process has the machine.
@@ -151,11 +190,48 @@
 	defer l.mu.Unlock()
 	l.node = node
 	if l.before != nil {
-		l.running.Go(func() { l.hear(l.before, true) })
+		node.Hear(names.Before, l.inUse)
+		l.inUse = nil
+		before := l.before
+		l.running.Go(func() { l.hear(before, true) })
+		l.tell()
 	}
 	return l.bind()
 }
 
+// tell begins to tell the others which names are in use here, for as long as there are
+// any. Called under the lock.
+func (l *Line) tell() {
+	if l.telling {
+		return
+	}
+	l.telling = true
+	l.running.Go(func() {
+		tick := time.NewTicker(namesEvery)
+		defer tick.Stop()
+		for range tick.C {
+			l.mu.Lock()
+			older, newer := l.before, l.after
+			if l.closed || older == nil && newer == nil {
+				l.telling = false
+				l.node.Mute() // under the lock: whoever comes next begins anew
+				l.mu.Unlock()
+				return
+			}
+			l.mu.Unlock()
+			news := l.node.Names(false)
+			if len(news) == 0 {
+				continue
+			}
+			for _, k := range []*link{older, newer} {
+				if k != nil {
+					k.write(message{Names: news})
+				}
+			}
+		}
+	})
+}
+
 // bind takes the socket's place in the folder, also from the process before: a third
 // one is to find the newest. Called under the lock.
 func (l *Line) bind() error {
@@ -186,7 +262,7 @@
 		if err != nil {
 			return
 		}
-		k := newLink(conn)
+		k := newLink(conn, nil)
 		_ = conn.SetReadDeadline(time.Now().Add(tellWait))
 		if m, err := k.read(); err != nil || !m.Hello {
 			conn.Close()
@@ -204,9 +280,14 @@
 		k.mu.Lock()
 		l.after, l.kin.after = k, 1
 		of, before := l.kin.share().Of, l.before
+		l.tell()
 		l.mu.Unlock()
-		k.writeLocked(message{Of: of - 1, Pools: l.node.Memory()})
+		addrs, files := lend(l.node.Listeners(), l.log)
+		k.writeLocked(message{Of: of - 1, Pools: l.node.Memory(), Names: l.node.Names(true), Listen: addrs}, files)
 		k.mu.Unlock()
+		for _, fd := range files {
+			_ = syscall.Close(fd)
+		}
 		l.log.Info("a successor is here", "processes", of)
 		l.share(before, 2)
 		l.running.Go(func() { l.hear(k, false) })
@@ -224,6 +305,10 @@
 
 // hear hears from another process until it ends.
 func (l *Line) hear(k *link, before bool) {
+	side := names.After
+	if before {
+		side = names.Before
+	}
 	for {
 		m, err := k.read()
 		if err != nil {
@@ -240,6 +325,9 @@
 			l.kin.drain = m.Drain
 		}
 		l.mu.Unlock()
+		if len(m.Names) > 0 {
+			l.node.Hear(side, m.Names)
+		}
 		if m.Call != nil {
 			l.node.Apply(*m.Call)
 			for _, other := range []*link{older, newer} {
@@ -258,6 +346,7 @@
 		l.mu.Unlock()
 		return
 	}
+	l.node.Forget(side)
 	older, newer := l.before, l.after
 	if before {
 		l.before, l.kin.before, l.kin.drain = nil, 0, nil
--- a/internal/succession/line_test.go
+++ b/internal/succession/line_test.go
@@ -14,6 +14,7 @@
 	"jasperpin/decide"
 	"jasperpin/internal/core"
 	"jasperpin/internal/limit"
+	"jasperpin/internal/names"
 	"jasperpin/internal/rota"
 	"jasperpin/internal/standin/check"
 )
@@ -22,11 +23,60 @@
 type node struct {
 	name string
 
+	listeners map[string]net.Listener
+
 	mu    sync.Mutex
 	calls []Call
 	share Share
+	names *names.Book // made with begin
+}
+
+// open opens a name here, and says whether it was free.
+func (n *node) open(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.names.Open(name)
+}
+
+func (n *node) end(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.names.End(name)
+}
+
+func (n *node) Names(whole bool) map[string]names.News {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	news := n.names.All()
+	if !whole {
+		news = n.names.News()
+	}
+	if news.Empty() {
+		return nil
+	}
+	return map[string]names.News{"": news}
+}
+
+func (n *node) Mute() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.names.Mute()
+}
+
+func (n *node) Hear(from names.Side, news map[string]names.News) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.names.Hear(from, news[""])
+}
+
+func (n *node) Forget(side names.Side) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.names.Forget(side)
 }
 
+func (n *node) Listeners() map[string]net.Listener { return n.listeners }
+
 func (n *node) Memory() map[string]core.Memory {
 	return map[string]core.Memory{"": {
 		Hosts: []core.Host{{Name: n.name, Addr: "127.0.0.1:1", Condition: decide.Ready}},
@@ -68,12 +118,17 @@
 func begin(t *testing.T, folder, name string) (*Line, *node, map[string]core.Memory) {
 	t.Helper()
 	l, known := Meet(folder, slog.New(slog.DiscardHandler))
-	n := &node{name: name, share: l.Share()}
+	n := &node{name: name, share: l.Share(), names: names.New(), listeners: known.Listeners}
 	if err := l.Listen(n); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(l.Close)
-	return l, n, known
+	t.Cleanup(func() {
+		l.Close()
+		for _, ln := range n.listeners {
+			ln.Close()
+		}
+	})
+	return l, n, known.Pools
 }
 
 // TestSuccession has a second process learn what the first knows, both hear of each
@@ -107,6 +162,56 @@
 	}
 }
 
+// TestNamesInUse has a name that is open in one process be taken in the other, both ways,
+// until it ends or its process does.
+func TestNamesInUse(t *testing.T) {
+	dir := t.TempDir()
+	a, first, _ := begin(t, dir, "first")
+	first.open("long")
+	first.open("short")
+	_, second, _ := begin(t, dir, "second")
+	if second.open("long") || second.open("short") {
+		t.Error("names open in the first are free in the second at its start")
+	}
+	first.end("short")
+	check.Eventually(t, "a name that has ended is free", func() bool { return second.open("short") })
+	check.Eventually(t, "the first hears of it", func() bool { return !first.open("short") })
+	second.open("new")
+	check.Eventually(t, "the first hears of a new one", func() bool {
+		defer first.end("new")
+		return !first.open("new")
+	})
+	a.Close()
+	check.Eventually(t, "the first has ended, and its names with it", func() bool { return second.open("long") })
+}
+
+// TestListenersGoAlong has the second process go on with the first one's listener, and a
+// third with that: whoever connects meanwhile is taken by one that accepts.
+func TestListenersGoAlong(t *testing.T) {
+	dir := t.TempDir()
+	ln := check.Must[net.Listener](t)(net.Listen("tcp", "127.0.0.1:0"))
+	addr := ln.Addr().String()
+	a, first, _ := begin(t, dir, "first")
+	first.listeners = map[string]net.Listener{"clients": ln, "no socket": struct{ net.Listener }{ln}}
+	for _, name := range []string{"second", "third"} {
+		l, next, _ := begin(t, dir, name)
+		got := next.listeners["clients"]
+		if got == nil || len(next.listeners) != 1 {
+			t.Fatalf("the %s got %v", name, next.listeners)
+		}
+		c := check.Must[net.Conn](t)(net.Dial("tcp", addr)) // waits in the queue
+		ln.Close()
+		a.Close()
+		accepted := check.Must[net.Conn](t)(got.Accept())
+		if accepted.RemoteAddr().String() != c.LocalAddr().String() {
+			t.Errorf("%s took %s", name, accepted.RemoteAddr())
+		}
+		accepted.Close()
+		c.Close()
+		a, ln = l, got
+	}
+}
+
 // TestFailedSuccessor has the first process go on alone, and be found by the next one.
 func TestFailedSuccessor(t *testing.T) {
 	dir := t.TempDir()
@@ -178,11 +283,11 @@
 			}
 		})
 	}
-	if l, known := Meet("", slog.New(slog.DiscardHandler)); l != nil || known != nil || l.Succeeded() || l.Share().Of != 1 {
+	if l, known := Meet("", slog.New(slog.DiscardHandler)); l != nil || known.Pools != nil || l.Succeeded() || l.Share().Of != 1 {
 		t.Error("no folder made a line")
 	}
 	l, _ := Meet(filepath.Join(t.TempDir(), "none"), slog.New(slog.DiscardHandler))
-	if err := l.Listen(&node{}); err == nil {
+	if err := l.Listen(&node{names: names.New()}); err == nil {
 		t.Error("a folder that is not there was listened in")
 	}
 	l.Close()
--- a/internal/succession/state.go
+++ b/internal/succession/state.go
@@ -10,6 +10,7 @@
 
 	"jasperpin/internal/core"
 	"jasperpin/internal/limit"
+	"jasperpin/internal/names"
 )
 
 // version is of the messages. Another version's are read as far as their fields are the
@@ -25,7 +26,8 @@
 	Out          bool
 }
 
-// message is what goes between two processes, one a line. Just one of its parts is there.
+// message is what goes between two processes, one a line. Just one of its parts is there,
+// but for the answer to a hello.
 type message struct {
 	Version int
 	Hello   bool                   `json:",omitempty"` // the successor's first
@@ -33,6 +35,8 @@
 	Drain   *Drain                 `json:",omitempty"` // the sender drains
 	Pools   map[string]core.Memory `json:",omitempty"` // what is known, after a hello
 	Call    *Call                  `json:",omitempty"`
+	Names   map[string]names.News  `json:",omitempty"` // by pool
+	Listen  []string               `json:",omitempty"` // addresses whose listeners come along
 }
 
 // Drain is told by a process that takes no client any more.
