--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -80,6 +80,7 @@
 	Name string
 	// Plain pools speak HTTP at large, others the platform's protocol.
 	Plain       bool
+	Body        int64              // the longest body, either way, in bytes
 	Share       float64            // guaranteed part of the limits, 0 to 1
 	Gate        limit.GateSettings // places and the line for them
 	Servers     []core.Host
@@ -163,6 +164,7 @@
 	maxRate    = 1e9
 	maxHeld    = 1 << 24
 	maxClasses = 256
+	maxBody    = 64 << 30
 	// maxPlanners bounds the planners of a forwarder: each is told of every attempt.
 	maxPlanners = 8
 )
@@ -327,6 +329,7 @@
 	p := Pool{
 		Name: t.word("name", ""), Classes: make(map[string]int), Zones: make(discovery.Zones),
 		Plain:       t.choice("protocol", "http", "http", "platform") == "http",
+		Body:        t.size("body", core.MaxBody, limit.KeptBody, maxBody),
 		Share:       t.number("share", -1, 0, 1),
 		Discovery:   t.text("discovery", "", "an address and port such as 127.0.0.1:8500", isAddr),
 		DialTimeout: t.time("connect_timeout", defaultDial, time.Millisecond, time.Minute),
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -34,7 +34,8 @@
 // ErrUnknown says that no server of this id is listed.
 var ErrUnknown = errors.New("no such server is listed")
 
-// MaxBody is the longest body, either way, in bytes. ShortAnswer is the longest answer
+// MaxBody is the longest body, either way, in bytes, of a pool that says no other.
+// ShortAnswer is the longest answer
 // that is read whole before it goes on: until then another attempt may do better.
 const (
 	MaxBody     = 32 << 20
--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"jasperpin/internal/core"
 	"jasperpin/internal/limit"
 )
 
@@ -72,6 +71,7 @@
 	body  io.Reader
 	rc    *http.ResponseController
 	room  *bodyRoom
+	most  int64         // bytes that the body may have
 	slack time.Duration // how long the first bytes may take
 	held  int           // bytes beyond a short body, off the room
 
@@ -102,7 +102,7 @@
 	u.quit.Unlock()
 	n, err := u.body.Read(p)
 	u.waited += time.Since(began)
-	if u.came += int64(n); u.came > core.MaxBody {
+	if u.came += int64(n); u.came > u.most {
 		return 0, errTooLong
 	}
 	if errors.Is(err, io.EOF) {
@@ -148,7 +148,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	_ = u.rc.SetReadDeadline(time.Now().Add(discardFor))
-	_, _ = io.CopyN(io.Discard, u.body, core.MaxBody)
+	_, _ = io.CopyN(io.Discard, u.body, u.most)
 }
 
 // keep reads as much of the body as may be kept, and says whether that is all of it.
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -176,7 +176,7 @@
 		return
 	}
 	rc := http.NewResponseController(w)
-	up := &upload{body: hr.Body, rc: rc, room: &f.room, slack: max(bodySlack, requestWait-cc.writing())}
+	up := &upload{body: hr.Body, rc: rc, room: &f.room, most: target.Body, slack: max(bodySlack, requestWait-cc.writing())}
 	defer up.free()
 	body, whole, err := up.keep(hr.ContentLength)
 	if err != nil {
@@ -327,7 +327,7 @@
 		q.Key = keyOf(rest[strings.LastIndexByte(rest, '/')+1:])
 	}
 	if target.Plain {
-		return f.plain(hr, class, q)
+		return f.plain(hr, target.Body, class, q)
 	}
 	keys, wantKeys := len(hr.Header["Idempotency-Key"]), 0
 	method := http.MethodPost
@@ -342,7 +342,7 @@
 		return nil, &complaint{http.StatusMethodNotAllowed, "the class takes " + method}
 	case keys != wantKeys:
 		return nil, &complaint{http.StatusBadRequest, "Idempotency-Key contradicts the class"}
-	case hr.ContentLength > core.MaxBody:
+	case hr.ContentLength > target.Body:
 		return nil, &complaint{http.StatusRequestEntityTooLarge, "body too long"}
 	case method == http.MethodGet && hr.ContentLength > 0:
 		return nil, &complaint{http.StatusBadRequest, "the class takes no body"}
@@ -370,10 +370,10 @@
 
 // plain reads a request of HTTP at large: its method says what it is, it needs no
 // name, and its client waits as long as its class does unless it says otherwise.
-func (f *Front) plain(hr *http.Request, class *decide.Class, q *core.Request) (*core.Request, *complaint) {
+func (f *Front) plain(hr *http.Request, most int64, class *decide.Class, q *core.Request) (*core.Request, *complaint) {
 	reads := hr.Method == http.MethodGet || hr.Method == http.MethodHead || hr.Method == http.MethodOptions
 	switch {
-	case hr.ContentLength > core.MaxBody:
+	case hr.ContentLength > most:
 		return nil, &complaint{http.StatusRequestEntityTooLarge, "body too long"}
 	case hr.Method == http.MethodConnect || hr.Method == http.MethodTrace || hr.Header.Get("Upgrade") != "":
 		return nil, &complaint{http.StatusNotImplemented, "no tunnels and no upgrades"}
--- a/internal/httpup/conns.go
+++ b/internal/httpup/conns.go
@@ -36,6 +36,8 @@
 	// Plain takes every whole answer under 500 for served, as HTTP at large means
 	// them. Otherwise 200 alone is, as the platform's protocol has it.
 	Plain bool
+	// MaxBody is the longest answer, in bytes.
+	MaxBody int64
 }
 
 // Upstream is a pool's connections to its servers, those at rest among them.
@@ -62,7 +64,7 @@
 type upConn struct {
 	net.Conn
 	br      *bufio.Reader
-	allowed int // bytes that the answer may still take
+	allowed int64 // bytes that the answer may still take
 	srv     *server
 	epoch   int
 	since   time.Time     // at rest
--- a/internal/httpup/upstream.go
+++ b/internal/httpup/upstream.go
@@ -24,8 +24,9 @@
 	// maxShort bounds all that a server may send of an answer that is read whole, 1xx
 	// answers and the framing of chunks among it: a short body and as much again.
 	maxShort = 2*core.ShortAnswer + maxHead
-	// maxLong bounds a longer one: chunks of a few bytes are mostly framing.
-	maxLong = 8 * core.MaxBody
+	// framed is how many times its length a longer one may take: chunks of a few bytes are
+	// mostly framing.
+	framed = 8
 	// earlyBy is how much later than an answer's head the writer of its request may come
 	// to say that it is done: on a busy node the answer can overtake it.
 	earlyBy = 50 * time.Millisecond
@@ -83,7 +84,7 @@
 	if known { // what follows is read for the connection's sake alone
 		defer time.AfterFunc(drainFor, c.expire).Stop()
 	}
-	body, more, err := c.body(resp)
+	body, more, err := c.body(resp, s.MaxBody)
 	switch {
 	case err == nil && more && !known:
 		if !stop() { // given up at the last moment
@@ -93,7 +94,7 @@
 		_ = c.SetDeadline(time.Time{})
 		return decide.OK, &core.Answer{
 			Code: resp.StatusCode, Header: core.EndToEnd(resp.Header), Body: body, Length: resp.ContentLength,
-			Rest: &rest{c: c, resp: resp, left: core.MaxBody - int64(len(body))},
+			Rest: &rest{c: c, resp: resp, left: s.MaxBody - int64(len(body))},
 		}
 	case err == nil && !more && stop() && !resp.Close:
 		s.put(c)
@@ -246,19 +247,19 @@
 // body reads an answer's body to its end or, of one that is not short, what comes first
 // and says that there is more. One that only the connection's end would delimit is
 // refused unless the server says that it closes: cut short, or with its length lost on
-// the way, it would pass for whole.
-func (c *upConn) body(resp *http.Response) (body []byte, more bool, err error) {
+// the way, it would pass for whole. Most is the longest that it may be.
+func (c *upConn) body(resp *http.Response, most int64) (body []byte, more bool, err error) {
 	if resp.Request.Method == http.MethodHead {
 		return nil, false, nil
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !closes(resp) {
 		return nil, false, errUnframed
 	}
-	if resp.ContentLength > core.MaxBody {
+	if resp.ContentLength > most {
 		return nil, false, errEndless
 	}
 	if resp.ContentLength > core.ShortAnswer {
-		c.allowed = maxLong
+		c.allowed = framed * most
 		first := make([]byte, piece)
 		n, err := resp.Body.Read(first)
 		if err != nil {
@@ -274,7 +275,7 @@
 		return nil, false, fmt.Errorf("reading an answer's body: %w", err)
 	}
 	if more = b.Len() > core.ShortAnswer; more {
-		c.allowed = maxLong
+		c.allowed = framed * most
 	}
 	return b.Bytes(), more, nil
 }
@@ -291,6 +292,6 @@
 		return 0, errEndless
 	}
 	n, err := c.Conn.Read(p)
-	c.allowed -= n
+	c.allowed -= int64(n)
 	return n, err
 }
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -222,3 +222,49 @@
 		t.Errorf("%d requests reached the server whole", asked)
 	}
 }
+
+// TestBodyOfPool has each pool bound its own bodies, longer or shorter than they are
+// without a word, both ways and in either framing.
+func TestBodyOfPool(t *testing.T) {
+	t.Parallel()
+	s := check.Raw(t, standin.Echo)
+	n := startServices(t, svc("short", "")+svc("long", "")+pool("short", `body = "2MB"`, s.Addr)+pool("long", `body = "40MB"`, s.Addr))
+	for _, c := range []struct {
+		service string
+		size    int
+		want    int
+	}{{"short", 1_900_000, 200}, {"short", 2<<20 + 1, 413}, {"long", 36 << 20, 200}} {
+		body := strings.Repeat("x", c.size)
+		for i, text := range []string{post("credit", "r", "", body), chunked("credit", "r", "", body)} {
+			if i == 1 && c.want == 413 {
+				continue // it has no length to go by
+			}
+			resp := n.upload(at(c.service, text))
+			got, err := io.Copy(io.Discard, resp.Body)
+			if resp.StatusCode != c.want || c.want == 200 && (err != nil || int(got) != len("r ")+c.size) {
+				t.Errorf("%s, %d bytes, chunked %v: %d, %d bytes back, %v", c.service, c.size, i == 1, resp.StatusCode, got, err)
+			}
+		}
+	}
+	// One in chunks, and an answer, beyond the bound: nobody takes them for whole.
+	if got := n.exchange(at("short", chunked("credit", "r", "", strings.Repeat("x", 3<<20)))); strings.Contains(got, "HTTP/1.1 200") {
+		t.Errorf("a body in chunks beyond the bound was served: %.60q", got)
+	}
+	far := check.Raw(t, standin.Respond("HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n"+long(3_000_000)))
+	n.reloaded(svc("short", "") + pool("short", `body = "2MB"`, far.Addr))
+	if status, _, _ := n.once(at("short", post("credit", "q", "", "x"))); status != 502 {
+		t.Errorf("an answer beyond the bound: %d", status)
+	}
+}
+
+// upload writes a request while its answer is read.
+func (n *testNode) upload(text string) *http.Response {
+	n.t.Helper()
+	c := n.dial()
+	go func() { _, _ = io.WriteString(c, text) }()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return resp
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,7 +204,7 @@
 
 // upstream makes a pool's upstream.
 func (n *Node) upstream(p *config.Pool) core.Upstream {
-	return httpup.New(httpup.Options{Name: p.Name, DialTimeout: p.DialTimeout, KeepAlive: p.Settings.KeepAlive, Plain: p.Plain}, n.room)
+	return httpup.New(httpup.Options{Name: p.Name, DialTimeout: p.DialTimeout, KeepAlive: p.Settings.KeepAlive, Plain: p.Plain, MaxBody: p.Body}, n.room)
 }
 
 // Run serves until ctx ends, then drains, and returns nil once all that was taken
@@ -419,7 +419,7 @@
 		Services: []config.Service{{Routes: []route.Rule{{Targets: []route.Target{{Weight: 1}}, Origin: "the platform"}}}},
 		Pools: []config.Pool{{
 			Share: 1, Discovery: c.Discovery, Known: c.Known, Zones: c.Zones, Classes: c.Classes,
-			Settings: c.Settings, DialTimeout: c.DialTimeout,
+			Settings: c.Settings, DialTimeout: c.DialTimeout, Body: core.MaxBody,
 		}},
 	}
 }
--- a/internal/service/owned.go
+++ b/internal/service/owned.go
@@ -69,7 +69,7 @@
 		o.pool = core.NewPool(set)
 		o.heard = o.feed.Start(o.pool.Listed)
 	}
-	return &Pool{Pool: o.pool, Name: c.Name, Plain: c.Plain, classes: c.Classes, counts: counts, own: o}
+	return &Pool{Pool: o.pool, Name: c.Name, Plain: c.Plain, Body: c.Body, classes: c.Classes, counts: counts, own: o}
 }
 
 // nameSeed keeps the pools of one node from drawing the same numbers. The one
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -27,7 +27,8 @@
 type Pool struct {
 	*core.Pool
 	Name    string
-	Plain   bool // speaks HTTP at large
+	Plain   bool  // speaks HTTP at large
+	Body    int64 // the longest body, either way, in bytes
 	classes map[string]int
 	counts  []*figures.Class // by class
 	own     *owned
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -109,13 +109,18 @@
 	client  *http.Transport
 	mu      sync.Mutex
 	tallies map[string]*Tally
+	enough  chan struct{}
+	stop    sync.Once
 	done    chan struct{}
 }
 
+// Stop sends nothing more. What has been sent ends as it would have.
+func (r *Running) Stop() { r.stop.Do(func() { close(r.enough) }) }
+
 // Start sends the load. It ends by itself, with its last answer, or when ctx does.
 func (l *Load) Start(ctx context.Context) *Running {
 	r := &Running{
-		l: l, tallies: make(map[string]*Tally), done: make(chan struct{}),
+		l: l, tallies: make(map[string]*Tally), enough: make(chan struct{}), done: make(chan struct{}),
 		client: &http.Transport{
 			DialContext:        (&net.Dialer{Timeout: 5 * time.Second, KeepAlive: -1}).DialContext,
 			DisableCompression: true, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Second,
@@ -206,6 +211,8 @@
 	r.l.draw(func(o order) bool {
 		select {
 		case <-time.After(time.Until(began.Add(o.at))):
+		case <-r.enough:
+			return false
 		case <-ctx.Done():
 			return false
 		}
