--- a/internal/idem/idem.go
+++ b/internal/idem/idem.go
@@ -8,6 +8,7 @@
 	"container/list"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -64,6 +65,7 @@
 // Class is how the keys of one class are kept.
 type Class struct {
 	Keep    time.Duration // how long an answer is remembered; the promise to clients
+	RunMost time.Duration // how long a run may take: its process may have died
 	NoWait  bool          // a repeat of one that runs is Busy at once
 	MayPass bool          // where there is no room it runs without a promise
 }
@@ -76,6 +78,7 @@
 	TenantShare float64
 	LongAnswer  int // bytes of an answer beyond which its body is not kept
 	Waiters     int // of one key
+	First       Ticket
 	Classes     map[string]Class
 }
 
@@ -98,7 +101,8 @@
 	waiting list.List
 	answer  Answer
 	bytes   int64
-	until   time.Duration // when it is forgotten, once it does not run
+	until   time.Duration // when it is forgotten or, while it runs, overdue
+	at      int           // its place among the ages, once it does not run
 }
 
 type usage struct {
@@ -125,18 +129,19 @@
 	read  Digest
 }
 
-// New makes an empty store.
+// New makes an empty store. First is the ticket before its first: stores that hand keys to
+// each other begin far apart, as with a random number each.
 func New(set Settings) (*Store, error) {
 	if set.Entries < 1 || set.Bytes < overhead || set.TenantShare <= 0 || set.TenantShare > 1 || set.LongAnswer < 0 || set.Waiters < 0 {
 		return nil, errors.New("idem: want at least one entry and its bytes, a tenant's share above 0 and up to 1, no bound below 0")
 	}
 	for name, c := range set.Classes {
-		if c.Keep <= 0 {
-			return nil, fmt.Errorf("idem: class %q keeps its answers for %v: want a time above 0", name, c.Keep)
+		if c.Keep <= 0 || c.RunMost <= 0 {
+			return nil, fmt.Errorf("idem: class %q keeps its answers for %v and runs for %v: want times above 0", name, c.Keep, c.RunMost)
 		}
 	}
 	return &Store{
-		set: set, entries: make(map[Key]*entry), tickets: make(map[Ticket]*arrival), tenants: make(map[string]*usage),
+		set: set, entries: make(map[Key]*entry), tickets: make(map[Ticket]*arrival), tenants: make(map[string]*usage), last: set.First,
 	}, nil
 }
 
@@ -146,7 +151,7 @@
 	s.Expire(now)
 	e := s.entries[k]
 	if e == nil {
-		return s.first(k, d)
+		return s.first(now, k, d)
 	}
 	var none Digest
 	switch {
@@ -165,7 +170,7 @@
 	return Wait, t, Answer{}
 }
 
-func (s *Store) first(k Key, d Digest) (Verdict, Ticket, Answer) {
+func (s *Store) first(now time.Duration, k Key, d Digest) (Verdict, Ticket, Answer) {
 	c, known := s.set.Classes[k.Class]
 	if !known {
 		return Pass, 0, Answer{} // a class of which nothing is promised
@@ -179,7 +184,7 @@
 	}
 	s.entries[k] = e
 	s.count(k.Tenant, 1, e.bytes)
-	e.owner = s.ticket(e)
+	e.owner, e.until = s.ticket(e), now+c.RunMost
 	return Run, e.owner, Answer{}
 }
 
@@ -260,10 +265,17 @@
 		e.owner = e.waiting.Remove(front).(Ticket)
 		next := s.tickets[e.owner]
 		next.place, e.digest = nil, next.read
+		e.until = now + s.set.Classes[e.key.Class].RunMost
 		return Settled{Runner: e.owner}
 	}
+	s.ended(e, end == MayHaveRun, ans, now+s.set.Classes[e.key.Class].Keep)
+	return Settled{Waiters: s.release(e)}
+}
+
+// ended keeps a run's end until a moment.
+func (s *Store) ended(e *entry, mayHaveRun bool, ans Answer, until time.Duration) {
 	e.state = answered
-	if end == MayHaveRun {
+	if mayHaveRun {
 		e.state = unknown
 	}
 	// Only the body may be given up for want of room: that it ran stays known.
@@ -273,17 +285,31 @@
 		e.bytes += n
 		s.count(e.key.Tenant, 0, n)
 	}
-	e.answer = ans
-	e.until = now + s.set.Classes[e.key.Class].Keep
+	e.answer, e.until = ans, until
 	heap.Push(&s.ages, e)
-	var out Settled
+}
+
+// release gives up those that wait for an entry.
+func (s *Store) release(e *entry) (waiters []Ticket) {
 	for at := e.waiting.Front(); at != nil; at = at.Next() {
 		w := at.Value.(Ticket)
 		delete(s.tickets, w)
-		out.Waiters = append(out.Waiters, w)
+		waiters = append(waiters, w)
 	}
 	e.waiting.Init()
-	return out
+	return waiters
+}
+
+// Overdue is the runs that have taken longer than one may: whoever ran them is gone, and
+// they are to be settled as such that may have run. It looks at every key.
+func (s *Store) Overdue(now time.Duration) (runs []Ticket) {
+	for _, e := range s.entries {
+		if e.state == running && e.until <= now {
+			runs = append(runs, e.owner)
+		}
+	}
+	slices.Sort(runs)
+	return runs
 }
 
 // Gone tells that the client of one that waits has left. A run goes on without its client:
@@ -315,10 +341,17 @@
 
 func (a ages) Len() int           { return len(a) }
 func (a ages) Less(i, j int) bool { return a[i].until < a[j].until }
-func (a ages) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a ages) Swap(i, j int) {
+	a[i], a[j] = a[j], a[i]
+	a[i].at, a[j].at = i, j
+}
 
 // Push adds an entry, as heap wants it.
-func (a *ages) Push(x any) { *a = append(*a, x.(*entry)) }
+func (a *ages) Push(x any) {
+	e := x.(*entry)
+	e.at = len(*a)
+	*a = append(*a, e)
+}
 
 // Pop takes the last, as heap wants it.
 func (a *ages) Pop() any {
--- a/internal/idem/idem_test.go
+++ b/internal/idem/idem_test.go
@@ -12,7 +12,8 @@
 	return Settings{
 		Entries: 8, Bytes: 8 * 1024, TenantShare: 0.5, LongAnswer: 600, Waiters: 3,
 		Classes: map[string]Class{
-			"credit": {Keep: 10 * time.Second}, "order": {Keep: 5 * time.Second, NoWait: true}, "note": {Keep: 2 * time.Second, MayPass: true},
+			"credit": {Keep: 10 * time.Second, RunMost: time.Minute}, "order": {Keep: 5 * time.Second, RunMost: time.Minute, NoWait: true},
+			"note": {Keep: 2 * time.Second, RunMost: time.Minute, MayPass: true},
 		},
 	}
 }
