--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -21,7 +22,7 @@
 // its one answer, an error or a close.
 func FuzzRequestBody(f *testing.F) {
 	for _, c := range [][2]string{
-		{"Content-Length: 3", "abc"}, {"Content-Length: 3", "abcGET /look/k HTTP/1.1\r\nHost: h\r\nReq-Id: hidden\r\nReq-Deadline-Ms: 900\r\n\r\n"},
+		{"Content-Length: 3", "abc"}, {"Transfer-Encoding: chunked\r\nContent-Length: 98", "0\r\n\r\nGET /look/k HTTP/1.1\r\nHost: h\r\nReq-Id: hidden\r\nReq-Deadline-Ms: 900\r\n\r\n"},
 		{"Transfer-Encoding: chunked", "3;a=\"b\"\r\nabc\r\n0\r\nT: v\r\n\r\n"}, {"Transfer-Encoding: chunked", "3\nabc\n0\n\n"},
 		{"Transfer-Encoding: chunked", "fffffffffffffffff\r\n"}, {"Transfer-Encoding: chunked\r\nContent-Length: 5", "0\r\n\r\nGET "},
 		{"Content-Length: 5\r\nExpect: 100-continue", "abcde"}, {"Content-Length: 3, 3", "abc"}, {"Connection: Content-Length\r\nContent-Length: 2", "ab"},
@@ -36,40 +37,46 @@
 		if strings.Contains(framing, "\r\n\r\n") || strings.Contains(framing, "\n\n") || strings.Contains(framing, "\n\r\n") || len(body) > 64<<10 {
 			t.Skip("the head ends early: another request")
 		}
+		text := "POST /credit/k HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Deadline-Ms: 900\r\n" + framing + "\r\n\r\n" + string(body)
+		br := bufio.NewReader(strings.NewReader(text))
+		want, readErr := http.ReadRequest(br)
+		var whole []byte
+		if readErr == nil {
+			if whole, readErr = io.ReadAll(want.Body); readErr == nil {
+				// net/http reads past a length beside chunks, and another reader does not.
+				hides := len(want.TransferEncoding) > 0 && slices.ContainsFunc(strings.Split(framing, "\n"), func(line string) bool {
+					name, _, _ := strings.Cut(line, ":")
+					return strings.EqualFold(name, "Content-Length")
+				})
+				if _, err := http.ReadRequest(br); err == nil && !hides {
+					t.Skip("a second request, in the open")
+				}
+			}
+		}
 		c := check.Must[net.Conn](t)(net.Dial("tcp", n.addr))
 		defer c.Close()
-		_ = c.SetDeadline(time.Now().Add(check.Soon))
-		head := "POST /credit/k HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Deadline-Ms: 900\r\n" + framing + "\r\n\r\n"
-		go func() {
-			_, _ = io.WriteString(c, head+string(body))
-			_ = c.(*net.TCPConn).CloseWrite()
-		}()
-		got, err := io.ReadAll(c)
-		if err != nil && !strings.Contains(err.Error(), "reset") {
-			t.Fatalf("neither answered nor closed: %v after %q", err, got)
-		}
-		for {
-			select {
-			case r := <-s.Heads:
-				if name := r.Header.Get("Req-Id"); name != id || r.Method != http.MethodPost || r.URL.Path != "/credit/k" {
-					t.Fatalf("a server got %s %s of %q", r.Method, r.URL, name)
-				}
-				continue
-			default:
+		// What is cut short is waited for, by the node as well.
+		_ = c.SetDeadline(time.Now().Add(300 * time.Millisecond))
+		go func() { _, _ = io.WriteString(c, text) }()
+		answers := bufio.NewReader(c)
+		resp, err := http.ReadResponse(answers, nil)
+		for err == nil && resp.StatusCode/100 == 1 {
+			resp, err = http.ReadResponse(answers, nil)
+		}
+		var answer []byte
+		if err == nil {
+			answer, err = io.ReadAll(resp.Body)
+		}
+		for len(s.Heads) > 0 {
+			if r := <-s.Heads; r.Header.Get("Req-Id") != id || r.Method != http.MethodPost || r.URL.Path != "/credit/k" {
+				t.Fatalf("a server got %s %s of %q", r.Method, r.URL, r.Header.Get("Req-Id"))
 			}
-			break
 		}
-		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(got)), nil)
 		if err != nil || resp.StatusCode != http.StatusOK {
 			return
 		}
-		answer, _ := io.ReadAll(resp.Body)
-		want, err := http.ReadRequest(bufio.NewReader(io.MultiReader(strings.NewReader(head), bytes.NewReader(body))))
-		if err != nil {
-			t.Fatalf("served %q, which cannot be read: %v", answer, err)
-		}
-		if whole, err := io.ReadAll(want.Body); err != nil || string(answer) != id+" "+string(whole) {
-			t.Fatalf("served with %q; the body is %q, %v", answer, whole, err)
+		if readErr != nil || string(answer) != id+" "+string(whole) {
+			t.Fatalf("served with %q; the body is %q, %v", answer, whole, readErr)
 		}
 	})
 }
