--- a/internal/succession/line.go
+++ b/internal/succession/line.go
@@ -98,7 +98,7 @@
 	if err == nil {
 		_ = l.conn.SetWriteDeadline(time.Now().Add(tellWait))
 		if len(files) > 0 {
-			// The first byte alone, so that none of the files' bytes are left to repeat.
+			// With the first byte alone: a short write here would have the rest sent again.
 			_, _, err = l.conn.(*net.UnixConn).WriteMsgUnix(b[:1], syscall.UnixRights(files...), nil)
 			b = b[1:]
 		}
