Test a second upgrade while one is under way, and a dead process's socket, with real processes

Change: three processes under load, a call at the newest reaches all, the older two end and no request is lost; the last is killed, and the next one takes over from nobody.

Nothing in the program changed.

--- a/cmd/jasperpin/upgrade_test.go
+++ b/cmd/jasperpin/upgrade_test.go
@@ -213,3 +213,35 @@
 		t.Errorf("%s servers are out", got)
 	}
 }
+
+// TestUpgradeDuringUpgrade has a third process start while the first has yet to go: a call
+// at any of them reaches all, they leave one after the other, and none is lost. Killed
+// outright, the last leaves a socket behind that the next one is not held up by.
+func TestUpgradeDuringUpgrade(t *testing.T) {
+	s := newSite(t)
+	all := []*process{s.start(s.file).ready()}
+	stop := s.load()
+	for range 2 {
+		all = append(all, s.start(s.file).ready())
+	}
+	if _, err := all[2].call("exclude s-" + s.boxes[0].Addr); err != nil {
+		t.Fatal(err)
+	}
+	for i, p := range all {
+		check.Eventually(t, "each knows who is out", func() bool { return p.figure("out_of_rotation") == "1" })
+		if i < 2 {
+			defer p.gone()
+		}
+	}
+	for _, p := range all[:2] {
+		if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stop()
+	_ = all[2].cmd.Process.Kill()
+	<-all[2].ended
+	if next := s.start(s.file).ready(); strings.Contains(next.log.String(), "taking over") || next.figure("out_of_rotation") != "0" {
+		t.Errorf("it took over from one that is dead:\n%s", next.log)
+	}
+}
