--- a/decide/memory_test.go
+++ b/decide/memory_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	_ "jasperpin/internal/seeded"
+
 	"pgregory.net/rapid"
 )
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	_ "jasperpin/internal/seeded"
+
 	"pgregory.net/rapid"
 )
 
--- a/internal/limit/evict_test.go
+++ b/internal/limit/evict_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	_ "jasperpin/internal/seeded"
+
 	"pgregory.net/rapid"
 )
 
--- a/internal/names/names_test.go
+++ b/internal/names/names_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"testing"
 
+	_ "jasperpin/internal/seeded"
+
 	"pgregory.net/rapid"
 )
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	_ "jasperpin/internal/seeded"
+
 	"pgregory.net/rapid"
 )
 
