Keep idempotency keys in a node: a repeat gets the first request's one answer

Nothing caught a double tap on a class that must never run twice. A class with a table of keys in the operator's file now has its requests told apart by Idempotency-Key, or by what they say where the file asks for it: repeats wait for the first or get 409, get its answer when it is there, its failure where it may have run, and run where it never did; another request under the key gets 422; a full store refuses new keys.

The front asks it before the service's line, so that repeats take no place there. A body that streams is digested as it passes, an answer that streams is copied up to what is kept. A run under a key goes on without its client. idem.Store takes other settings in service; a key stays as it was promised.

Ruled out: keys behind the line, where repeats take the places that the first needs; names as JSON text, which would change header values that are not UTF-8.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -41,6 +41,7 @@
 	// Budgets says whether pools share the limits out. A node with one pool that
 	// has them all to itself needs none.
 	Budgets  bool
+	Keys     Keys
 	Services []Service
 	Pools    []Pool
 	Role     Role
@@ -90,6 +91,7 @@
 	Classes     map[string]int // positions in Settings.Classes by name
 	Settings    decide.Settings
 	DialTimeout time.Duration
+	Keys        map[string]KeyRule // by class; those that are not there have none
 }
 
 // Feed says where the pool's servers come from.
@@ -99,14 +101,14 @@
 
 // Continues says whether a pool that was made of another configuration may go on
 // under this one: all that differs is its guaranteed part, its places and line, its
-// servers or the address of its discovery.
+// servers, the address of its discovery or the keys of its classes.
 func (p *Pool) Continues(old *Pool) bool {
 	if (old.Discovery == "") != (p.Discovery == "") {
 		return false
 	}
 	was, is := *old, *p
 	for _, c := range []*Pool{&was, &is} {
-		c.Share, c.Gate, c.Known, c.Discovery, c.Servers = 0, limit.GateSettings{}, discovery.List{}, "", nil
+		c.Share, c.Gate, c.Known, c.Discovery, c.Servers, c.Keys = 0, limit.GateSettings{}, discovery.List{}, "", nil, nil
 	}
 	return reflect.DeepEqual(was, is)
 }
@@ -224,6 +226,7 @@
 	lim.done()
 
 	c.readPlanning(root)
+	c.readKeys(root)
 
 	pools := make(map[string]*Pool)
 	for _, t := range root.tables("pool") {
@@ -400,6 +403,7 @@
 	case p.Discovery == "" && len(p.Servers) == 0:
 		t.fail("servers", "is missing: want servers = [\"127.0.0.1:9001\"], [[pool.server]] tables or discovery = \"127.0.0.1:8500\"")
 	}
+	p.Keys = make(map[string]KeyRule)
 	for _, s := range t.tables("class") {
 		readClass(s, &p)
 	}
@@ -437,6 +441,9 @@
 	if len(p.Settings.Classes) == maxClasses {
 		s.fail("name", "%q is one class too many: want %d at the most", name, maxClasses)
 	}
+	if s.m["keys"] != nil {
+		p.Keys[name] = readKeyRule(s.table("keys"), effect)
+	}
 	p.Classes[name] = len(p.Settings.Classes)
 	p.Settings.Classes = append(p.Settings.Classes, cls)
 	s.done()
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -50,6 +50,9 @@
 	if !next.Plain || next.Servers[1].Condition != decide.Draining || next.Servers[0].Share != 2 || next.Share != 0.25 {
 		t.Errorf("stock-next: %+v", next)
 	}
+	if rule, ok := orders.Keys["credit"]; !ok || rule.Class.Keep != 24*time.Hour || rule.Class.NoWait || rule.Class.MayPass || len(orders.Keys) != 1 {
+		t.Errorf("keys: %+v", orders.Keys)
+	}
 	table, err := c.Table()
 	if err != nil {
 		t.Fatal(err)
@@ -104,6 +107,12 @@
 		{`repeat = "safe"`, `repeat = "safe"` + "\n[[pool]]\nname = \"p\"", `f:14: name "p" is used twice`},
 		{`repeat = "safe"`, `repeat = "safe"` + "\n[[service]]\nname = \"s\"", `f:14: name "s" is used twice`},
 		{`servers = ["127.0.0.1:1"]`, `servers = ["127.0.0.1:1"]` + "\nqueue = 3", `f:10: queue has nothing to wait for: want concurrent`},
+		{`repeat = "safe"`, `repeat = "safe"` + "\n[pool.class.keys]", `f:13: from stands with a class that may be repeated as it is`},
+		{`repeat = "safe"`, `repeat = "never"` + "\n[pool.class.keys]\nfull = \"pass\"", `f:14: full is "pass" with a class that must never run twice: want "refuse"`},
+		{`repeat = "safe"`, `repeat = "never"` + "\n[pool.class.keys]\nneed = true\nfrom = \"fingerprint\"", `f:14: need stands with fingerprints`},
+		{`repeat = "safe"`, `repeat = "never"` + "\n[pool.class.keys]\nkeep = \"1ms\"", `f:14: keep is "1ms": want a time with its unit`},
+		{`repeat = "safe"`, `repeat = "safe"` + "\n[keys]\nmemory = \"100MB\"", `f:14: memory is more than a quarter of limits.memory: want 64MB at the most`},
+		{`repeat = "safe"`, `repeat = "safe"` + "\n[keys]\nlong_answer = \"64GB\"", `want a size with its unit (B, KB, MB or GB) from "0B" to "32MB"`},
 		{`repeat = "safe"`, `repeat = "safe"` + "\n[limits]\nmemory = \"32MB\"\ndescriptors = 4096", `f:14: memory is too little for 4096 descriptors: want 132MB`},
 		{`repeat = "safe"`, `repeat = `, `f:12: not TOML`},
 		{`repeat = "safe"`, `repeat = "safe"` + "\nrepeat = \"safe\"", `not TOML`},
--- /dev/null
+++ b/internal/config/keys.go
@@ -0,0 +1,97 @@
+package config
+
+import (
+	"time"
+
+	"jasperpin/internal/core"
+	"jasperpin/internal/idem"
+)
+
+// Keys bounds what is known of idempotency keys, over all pools.
+type Keys struct {
+	Entries     int
+	Memory      int64 // bytes
+	TenantShare float64
+	LongAnswer  int64 // bytes of an answer, as kept, beyond which only its status is
+	Waiters     int   // of one key
+}
+
+// KeyRule is what the node does about the keys of one class.
+type KeyRule struct {
+	// Fingerprint has requests without a key told apart by what they say: one like another
+	// of the same tenant is a repeat of it.
+	Fingerprint bool
+	Need        bool // a request without a key is a mistake
+	Class       idem.Class
+}
+
+// What a file that does not say gets.
+const (
+	defaultKeys        = 100_000
+	defaultKeyMemory   = 16 << 20
+	defaultTenantShare = 0.5
+	defaultLongAnswer  = 64 << 10
+	defaultWaiters     = 64
+	defaultKeyKeep     = time.Hour
+	maxKeyKeep         = 7 * 24 * time.Hour
+	// keyMemoryShare of the node's memory may be keys.
+	keyMemoryShare = 4
+	// runMost is longer than any request can run: an upload, and its answer.
+	runMost = core.LongestUpload + core.LongestWait
+)
+
+// readKeys reads the bounds of keys.
+func (c *Config) readKeys(root *table) {
+	t := root.table("keys")
+	c.Keys = Keys{
+		Entries:     t.count("entries", defaultKeys, 1, maxHeld),
+		Memory:      t.size("memory", min(defaultKeyMemory, c.Limits.Memory/keyMemoryShare), 1<<20, 1<<40),
+		TenantShare: t.number("tenant_share", defaultTenantShare, 0.001, 1),
+		LongAnswer:  t.size("long_answer", defaultLongAnswer, 0, core.MaxBody),
+		Waiters:     t.count("waiters", defaultWaiters, 0, maxHeld),
+	}
+	if most := c.Limits.Memory / keyMemoryShare; c.Keys.Memory > most {
+		t.fail("memory", "is more than a quarter of limits.memory: want %dMB at the most, or more there", most>>20)
+	}
+	t.done()
+}
+
+// readKeyRule reads what is done about the keys of a class that the servers repeat so.
+func readKeyRule(t *table, effect string) KeyRule {
+	r := KeyRule{
+		Fingerprint: t.choice("from", "header", "header", "fingerprint") == "fingerprint",
+		Need:        t.flag("need", false),
+		Class: idem.Class{
+			Keep: t.time("keep", defaultKeyKeep, time.Second, maxKeyKeep), RunMost: runMost,
+			NoWait:  t.choice("meanwhile", "wait", "wait", "refuse") == "refuse",
+			MayPass: t.choice("full", "refuse", "refuse", "pass") == "pass",
+		},
+	}
+	switch {
+	case effect == "safe":
+		t.fail("from", "stands with a class that may be repeated as it is: want no keys for it")
+	case effect == "never" && r.Class.MayPass:
+		t.fail("full", "is \"pass\" with a class that must never run twice: want \"refuse\"")
+	case r.Fingerprint && r.Need:
+		t.fail("need", "stands with fingerprints, which are for requests that have no key: want one of the two")
+	}
+	t.done()
+	return r
+}
+
+// KeySettings are the bounds and classes of keys, and false where no class has any.
+func (c *Config) KeySettings() (idem.Settings, bool) {
+	set := idem.Settings{
+		Entries: c.Keys.Entries, Bytes: c.Keys.Memory, TenantShare: c.Keys.TenantShare,
+		LongAnswer: int(c.Keys.LongAnswer), Waiters: c.Keys.Waiters, Classes: make(map[string]idem.Class),
+	}
+	for i := range c.Pools {
+		for class, rule := range c.Pools[i].Keys {
+			set.Classes[KeyClass(c.Pools[i].Name, class)] = rule.Class
+		}
+	}
+	return set, len(set.Classes) > 0
+}
+
+// KeyClass names a pool's class among those of all pools. No name has a slash.
+func KeyClass(pool, class string) string { return pool + "/" + class }
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -412,12 +412,23 @@
 // units of sizes; a unit of its own word stands for powers of 1024.
 var units = map[string]int64{"B": 1, "KB": 1 << 10, "MB": 1 << 20, "GB": 1 << 30}
 
+// sizeText words a size in the largest unit that it fills.
+func sizeText(n int64) string {
+	text := fmt.Sprint(n, "B")
+	for _, unit := range []string{"KB", "MB", "GB"} {
+		if n >= units[unit] {
+			text = fmt.Sprint(n/units[unit], unit)
+		}
+	}
+	return text
+}
+
 func (t *table) size(key string, def, least, most int64) int64 {
 	v := t.get(key)
 	if v == nil {
 		return def
 	}
-	want := fmt.Sprintf("a size with its unit (B, KB, MB or GB) from \"%dMB\" to \"%dGB\", such as \"256MB\"", least>>20, most>>30)
+	want := fmt.Sprintf("a size with its unit (B, KB, MB or GB) from %q to %q, such as \"256MB\"", sizeText(least), sizeText(most))
 	s, ok := v.(string)
 	digits := strings.TrimRight(s, "BKMG")
 	n, err := strconv.ParseInt(digits, 10, 64)
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -42,8 +42,8 @@
 	ShortAnswer = 64 << 10
 )
 
-// longestUpload bounds how long a request that streams may take until its last byte.
-const longestUpload = 15 * time.Minute
+// LongestUpload bounds how long a request that streams may take until its last byte.
+const LongestUpload = 15 * time.Minute
 
 // LongestWait bounds the deadlines taken where the class tells none, and so how
 // long a timer may be kept.
@@ -295,7 +295,7 @@
 		}
 		r.id, r.due = p.last, p.within(p.since(q.At)+q.Wait)
 		if q.Rest != nil {
-			r.due = p.within(p.since(time.Now()) + longestUpload)
+			r.due = p.within(p.since(time.Now()) + LongestUpload)
 		}
 		p.reqs[r.id] = r
 		// The module's clock never runs back, and a request that waited to be read
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -26,12 +26,29 @@
 type Board struct {
 	Open              atomic.Int64 // requests taken and not ended
 	Accepted, Invalid atomic.Uint64
+	Repeats           Repeats
 
+	keys    atomic.Pointer[Held]
 	mu      sync.RWMutex
 	classes map[string]*Class
 	rest    Class // of classes beyond the bound
 }
 
+// Repeats counts the requests that came under a key of another: those that got its answer
+// and, of them, those that waited for it; those that were another request, that could not
+// wait, for whose key there was no room, and that ran without one for that.
+type Repeats struct {
+	Answered, Waited, Mismatched, Busy, Full, Passed atomic.Uint64
+}
+
+// Held tells how many keys are held, and the bytes that they count for.
+type Held interface {
+	Held() (entries int, bytes int64)
+}
+
+// Keys has the board tell of keys, from the first call on.
+func (b *Board) Keys(h Held) { b.keys.CompareAndSwap(nil, &h) }
+
 // New makes a board on which nothing is counted yet.
 func New() *Board { return &Board{classes: make(map[string]*Class)} }
 
@@ -80,6 +97,12 @@
 	}
 	_, err := fmt.Fprintf(w, "svc.open_requests=%d\nsvc.registry_entries=%d\nsvc.out_of_rotation=%d\nsvc.cfg_accepted=%d\nsvc.cfg_invalid=%d\n",
 		b.Open.Load(), s.Listed, s.Out, b.Accepted.Load(), b.Invalid.Load())
+	if h := b.keys.Load(); h != nil && err == nil {
+		entries, bytes := (*h).Held()
+		r := &b.Repeats
+		_, err = fmt.Fprintf(w, "keys.held=%d\nkeys.bytes=%d\nkeys.answered=%d\nkeys.waited=%d\nkeys.mismatched=%d\nkeys.busy=%d\nkeys.full=%d\nkeys.passed=%d\n",
+			entries, bytes, r.Answered.Load(), r.Waited.Load(), r.Mismatched.Load(), r.Busy.Load(), r.Full.Load(), r.Passed.Load())
+	}
 	if err != nil {
 		return fmt.Errorf("writing figures: %w", err)
 	}
--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -143,6 +143,13 @@
 	return u.closed && !u.ended
 }
 
+// done says whether the body has been read to its end.
+func (u *upload) done() bool {
+	u.quit.Lock()
+	defer u.quit.Unlock()
+	return u.ended
+}
+
 // discard takes in what is left of a body whose answer has gone.
 func (u *upload) discard() {
 	u.mu.Lock()
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -175,6 +175,13 @@
 		complain(w, fault)
 		return
 	}
+	var key string
+	if target.Keyed != nil {
+		if key, fault = keyText(hr, target.Keyed); fault != nil {
+			complain(w, fault)
+			return
+		}
+	}
 	rc := http.NewResponseController(w)
 	up := &upload{body: hr.Body, rc: rc, room: &f.room, most: target.Body, slack: max(bodySlack, requestWait-cc.writing())}
 	defer up.free()
@@ -209,6 +216,19 @@
 	if target.Plain {
 		forwarded(q.Header, hr.RemoteAddr)
 	}
+	var first *claim
+	if target.Keyed != nil {
+		if !target.Plain && target.Classes()[q.Class].Effect == decide.SingleShot {
+			delete(q.Header, keyHeader) // servers take none with such a class
+		}
+		var answered bool
+		if first, answered = f.claim(w, hr, target, key, q, up); answered {
+			return
+		}
+		if first != nil {
+			defer first.end()
+		}
+	}
 	pass, err := f.set.Enter(hr.Context(), target, service.Ask{Tenant: tenant(hr, target), Bytes: len(body), Due: q.At.Add(q.Wait)})
 	if err != nil {
 		if hr.Context().Err() != nil {
@@ -241,11 +261,15 @@
 		complain(w, &complaint{http.StatusConflict, "Req-Id is in use"})
 		return
 	}
+	if first != nil {
+		first.arrived = true
+	}
 	var fin core.Final
 	select {
 	case fin = <-x.Final():
 	case <-hr.Context().Done():
-		if !up.ours() {
+		// One under a key goes on without its client: its repeat may wait for it.
+		if !up.ours() && first == nil {
 			target.Gone(x)
 			panic(http.ErrAbortHandler)
 		}
@@ -254,6 +278,9 @@
 	if end = service.Unserved; fin.Status == core.Served {
 		end = service.Served
 	}
+	if first != nil {
+		first.ended(&fin)
+	}
 	if !whole {
 		up.Close()
 	}
@@ -336,6 +363,10 @@
 		method, keys = http.MethodGet, 0 // a key changes nothing
 	case decide.Guarded:
 		wantKeys = 1
+	default:
+		if target.Keyed != nil {
+			keys = 0 // which this node keeps
+		}
 	}
 	switch ms, err := strconv.ParseInt(hr.Header.Get("Req-Deadline-Ms"), 10, 64); {
 	case hr.Method != method:
@@ -463,17 +494,21 @@
 	own(w, status, r.RetryAfter, plain)
 }
 
-// own gives an answer of the node's own. The platform's protocol takes decimals
-// for when to come back, since whole seconds are longer than most aims; HTTP at
-// large does not.
-func own(w http.ResponseWriter, status int, retryAfter time.Duration, plain bool) {
-	digits, seconds := 3, retryAfter.Seconds()
+// retryAfter tells when to come back. The platform's protocol takes decimals, since whole
+// seconds are longer than most aims; HTTP at large does not.
+func retryAfter(w http.ResponseWriter, wait time.Duration, plain bool) {
+	digits, seconds := 3, wait.Seconds()
 	if plain {
 		digits, seconds = 0, math.Ceil(seconds)
 	}
 	if seconds > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', digits, 64))
 	}
+}
+
+// own gives an answer of the node's own, and when to come back, if above 0.
+func own(w http.ResponseWriter, status int, wait time.Duration, plain bool) {
+	retryAfter(w, wait, plain)
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 }
--- a/internal/idem/idem.go
+++ b/internal/idem/idem.go
@@ -95,6 +95,7 @@
 
 type entry struct {
 	key     Key
+	class   Class // as it was when the key came: that is what its client was promised
 	digest  Digest
 	state   state
 	owner   Ticket // of the run
@@ -105,8 +106,8 @@
 	at      int           // its place among the ages, once it does not run
 }
 
-func newEntry(k Key) *entry {
-	return &entry{key: k, bytes: int64(overhead + len(k.Tenant) + len(k.Class) + len(k.Text))}
+func newEntry(k Key, c Class) *entry {
+	return &entry{key: k, class: c, bytes: int64(overhead + len(k.Tenant) + len(k.Class) + len(k.Text))}
 }
 
 type usage struct {
@@ -136,17 +137,34 @@
 // New makes an empty store. First is the ticket before its first: stores that hand keys to
 // each other begin far apart, as with a random number each.
 func New(set Settings) (*Store, error) {
+	if err := set.check(); err != nil {
+		return nil, err
+	}
+	return &Store{
+		set: set, entries: make(map[Key]*entry), tickets: make(map[Ticket]*arrival), tenants: make(map[string]*usage), last: set.First,
+	}, nil
+}
+
+// Configure puts other settings in force, but for First. Keys that are held stay as they
+// were promised, also beyond the new bounds and of classes that are gone.
+func (s *Store) Configure(set Settings) error {
+	if err := set.check(); err != nil {
+		return err
+	}
+	s.set = set
+	return nil
+}
+
+func (set *Settings) check() error {
 	if set.Entries < 1 || set.Bytes < overhead || set.TenantShare <= 0 || set.TenantShare > 1 || set.LongAnswer < 0 || set.Waiters < 0 {
-		return nil, errors.New("idem: want at least one entry and its bytes, a tenant's share above 0 and up to 1, no bound below 0")
+		return errors.New("idem: want at least one entry and its bytes, a tenant's share above 0 and up to 1, no bound below 0")
 	}
 	for name, c := range set.Classes {
 		if c.Keep <= 0 || c.RunMost <= 0 {
-			return nil, fmt.Errorf("idem: class %q keeps its answers for %v and runs for %v: want times above 0", name, c.Keep, c.RunMost)
+			return fmt.Errorf("idem: class %q keeps its answers for %v and runs for %v: want times above 0", name, c.Keep, c.RunMost)
 		}
 	}
-	return &Store{
-		set: set, entries: make(map[Key]*entry), tickets: make(map[Ticket]*arrival), tenants: make(map[string]*usage), last: set.First,
-	}, nil
+	return nil
 }
 
 // Arrive says what becomes of a request. With Run and Wait it is known by the ticket; with
@@ -165,7 +183,7 @@
 		return Mismatch, 0, Answer{}
 	case e.state != running:
 		return Replay, 0, e.answer
-	case s.set.Classes[k.Class].NoWait || e.waiting.Len() >= s.set.Waiters:
+	case e.class.NoWait || e.waiting.Len() >= s.set.Waiters:
 		return Busy, 0, Answer{}
 	}
 	t := s.ticket(e)
@@ -179,7 +197,7 @@
 	if !known {
 		return Pass, 0, Answer{} // a class of which nothing is promised
 	}
-	e := newEntry(k)
+	e := newEntry(k, c)
 	e.digest = d
 	if !s.fits(k.Tenant, 1, e.bytes) {
 		if c.MayPass {
@@ -270,10 +288,10 @@
 		e.owner = e.waiting.Remove(front).(Ticket)
 		next := s.tickets[e.owner]
 		next.place, e.digest = nil, next.read
-		e.until = now + s.set.Classes[e.key.Class].RunMost
+		e.until = now + e.class.RunMost
 		return Settled{Runner: e.owner}
 	}
-	s.ended(e, end == MayHaveRun, ans, now+s.set.Classes[e.key.Class].Keep)
+	s.ended(e, end == MayHaveRun, ans, now+e.class.Keep)
 	return Settled{Waiters: s.release(e)}
 }
 
@@ -338,6 +356,15 @@
 	s.count(e.key.Tenant, -1, -e.bytes)
 }
 
+// Room is how long a new key that finds no room has to wait for some, or 0 where that is not
+// known: all keys run. Those of other tenants may go first.
+func (s *Store) Room(now time.Duration) time.Duration {
+	if len(s.ages) == 0 {
+		return 0
+	}
+	return max(0, s.ages[0].until-now)
+}
+
 // Held is how many keys there are, and the bytes that they count for.
 func (s *Store) Held() (entries int, bytes int64) { return s.all.entries, s.all.bytes }
 
--- a/internal/idem/owner.go
+++ b/internal/idem/owner.go
@@ -117,7 +117,7 @@
 	e := s.entries[r.Key]
 	switch {
 	case e == nil:
-		e = newEntry(r.Key)
+		e = newEntry(r.Key, c)
 		s.entries[r.Key] = e
 		s.count(r.Key.Tenant, 1, e.bytes)
 	case e.state != running:
--- /dev/null
+++ b/internal/node/keys_test.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"jasperpin/internal/limit"
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+// withKeys gives the class that must never run twice keys of its own, the last of a file.
+func withKeys(text, rule string) string { return text + "[pool.class.keys]\n" + rule + "\n" }
+
+// keyed is a request of that class under a key.
+func keyed(id, key, body string) string {
+	return post("credit", id, "Idempotency-Key: "+key+"\r\nReq-Owner: a\r\n", body)
+}
+
+// keyedNode is a node with keys before one server.
+func keyedNode(t *testing.T, bounds, rule string, answer standin.Reply) (*testNode, *standin.Raw) {
+	t.Helper()
+	server := check.Raw(t, answer)
+	return startServices(t, bounds+withKeys(svc("orders", "tenant_header = \"Req-Owner\"")+pool("orders", "", server.Addr), rule)), server
+}
+
+// mirror answers with a request's body.
+func mirror(c net.Conn, r *http.Request, body []byte) bool {
+	return standin.Respond(fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Entry: 7\r\nContent-Length: %d\r\n\r\n%s", len(body), body))(c, r, body)
+}
+
+// TestRepeats asks again under one key: the first alone reaches the server, which sees no
+// key with a class that takes none.
+func TestRepeats(t *testing.T) {
+	n, server := keyedNode(t, "", "", func(c net.Conn, r *http.Request, body []byte) bool {
+		if len(r.Header["Idempotency-Key"]) > 0 {
+			body = []byte("saw a key")
+		}
+		return mirror(c, r, body)
+	})
+	for i, ask := range []struct {
+		text             string
+		status           int
+		body             string
+		replayed, reused bool
+	}{
+		{text: keyed("r0", "k1", "two towels"), status: 200, body: "two towels"},
+		{text: keyed("r1", "k1", "two towels"), status: 200, body: "two towels", replayed: true},
+		{text: keyed("r2", `"k1"`, "two towels"), status: 200, body: "two towels", replayed: true},
+		{text: keyed("r3", "k1", "three towels"), status: 422, reused: true},
+		{text: strings.Replace(keyed("r4", "k1", "two towels"), "Req-Owner: a", "Req-Owner: b", 1), status: 200, body: "two towels"},
+		{text: keyed("r5", "k2", "two towels"), status: 200, body: "two towels"},
+		{text: post("credit", "r6", "", "two towels"), status: 200, body: "two towels"},
+		{text: keyed("r7", `"k1", "k2"`, "two towels"), status: 400, reused: true},
+	} {
+		status, body, h := n.once(at("orders", ask.text))
+		if status != ask.status || !ask.reused && body != ask.body || (h.Get("Idempotent-Replayed") == "true") != ask.replayed || ask.replayed && h.Get("X-Entry") != "7" {
+			t.Errorf("request %d: %d %q %v, want %+v", i, status, body, h, ask)
+		}
+	}
+	if got := server.Got.Load(); got != 4 {
+		t.Errorf("the server has seen %d requests, want 4", got)
+	}
+}
+
+// TestRepeatsAtOnce has a crowd ask under one key while the first runs: one effect, and one
+// answer for all that may wait.
+func TestRepeatsAtOnce(t *testing.T) {
+	release := make(chan struct{})
+	n, server := keyedNode(t, "[keys]\nwaiters = 20\n", "", func(c net.Conn, r *http.Request, body []byte) bool {
+		<-release
+		return mirror(c, r, []byte(r.Header.Get("Req-Id")))
+	})
+	const crowd = 60
+	var busy, other atomic.Int64
+	var answers sync.Map
+	var all sync.WaitGroup
+	for i := range crowd {
+		all.Go(func() {
+			status, body, _ := n.once(at("orders", keyed(fmt.Sprint("c", i), "k", "x")))
+			switch status {
+			case 409:
+				busy.Add(1)
+			case 200:
+				answers.Store(body, true)
+			default:
+				other.Add(1)
+			}
+		})
+	}
+	check.Eventually(t, "all but the first and those that may wait are answered", func() bool { return busy.Load() == crowd-21 })
+	close(release)
+	all.Wait()
+	different := 0
+	answers.Range(func(any, any) bool { different++; return true })
+	if got := server.Got.Load(); got != 1 || different != 1 || other.Load() != 0 {
+		t.Errorf("%d effects, %d answers, %d neither", got, different, other.Load())
+	}
+}
+
+// TestFirstClientGone has the first client leave while its request runs: the run goes on,
+// and its repeat gets the answer.
+func TestFirstClientGone(t *testing.T) {
+	release, came := make(chan struct{}), make(chan struct{})
+	n, server := keyedNode(t, "", "", func(c net.Conn, r *http.Request, body []byte) bool {
+		close(came)
+		<-release
+		return mirror(c, r, body)
+	})
+	c := n.dial()
+	if _, err := io.WriteString(c, at("orders", keyed("g0", "k", "x"))); err != nil {
+		t.Fatal(err)
+	}
+	<-came
+	c.Close()
+	answer := make(chan string, 1)
+	go func() {
+		status, body, _ := n.once(at("orders", keyed("g1", "k", "x")))
+		answer <- fmt.Sprint(status, body)
+	}()
+	check.Eventually(t, "both are there", func() bool { return n.node.figures.Open.Load() == 2 })
+	close(release)
+	if got := <-answer; got != "200x" || server.Got.Load() != 1 {
+		t.Errorf("the repeat got %q after %d effects", got, server.Got.Load())
+	}
+}
+
+// TestRunThatFailed has the first fail in two ways: where it may have run its repeat gets
+// that failure and does not run, and where nothing ran it does.
+func TestRunThatFailed(t *testing.T) {
+	n, server := keyedNode(t, "", "", func(net.Conn, *http.Request, []byte) bool { return false }) // reset
+	for i := range 3 {
+		if status, _, h := n.once(at("orders", keyed(fmt.Sprint("f", i), "k", "x"))); status != 502 || (h.Get("Idempotent-Replayed") != "") != (i > 0) {
+			t.Errorf("request %d: %d %v", i, status, h)
+		}
+	}
+	if got := server.Got.Load(); got != 1 {
+		t.Errorf("it ran %d times", got)
+	}
+
+	file := func(addr string) string { return withKeys(svc("orders", "")+pool("orders", "", addr), "") }
+	n = startServices(t, file(check.Unused(t)))
+	if status, _, _ := n.once(at("orders", keyed("n0", "k", "x"))); status != 503 {
+		t.Errorf("with no server: %d", status)
+	}
+	n.reloaded(file(check.Raw(t, mirror).Addr))
+	check.Eventually(t, "the repeat of what never ran runs", func() bool {
+		status, body, h := n.once(at("orders", keyed("n1", "k", "x")))
+		return status == 200 && body == "x" && h.Get("Idempotent-Replayed") == ""
+	})
+}
+
+// TestKeyedStreams sends bodies too long to keep: the verdict on a key comes with the end
+// of the body, and the answer's body is kept as far as one may be.
+func TestKeyedStreams(t *testing.T) {
+	var long atomic.Bool
+	n, server := keyedNode(t, "", "", func(c net.Conn, r *http.Request, body []byte) bool {
+		size := 100 // bytes of an answer
+		if long.Load() {
+			size = 300 << 10
+		}
+		return standin.Respond(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("z", size)))(c, r, body)
+	})
+	text := strings.Repeat("t", 2*limit.KeptBody)
+	for i, ask := range []struct {
+		body      string
+		status, n int
+	}{{text, 200, 100}, {text, 200, 100}, {text[1:] + "s", 422, 0}} {
+		status, body, _ := n.once(at("orders", keyed(fmt.Sprint("s", i), "k", ask.body)))
+		if status != ask.status || ask.n > 0 && len(body) != ask.n {
+			t.Errorf("request %d: %d and %d bytes, want %d and %d", i, status, len(body), ask.status, ask.n)
+		}
+	}
+	if got := server.Got.Load(); got != 1 {
+		t.Errorf("the server has seen %d requests", got)
+	}
+	long.Store(true)
+	if status, body, _ := n.once(at("orders", keyed("l0", "long", "x"))); status != 200 || len(body) != 300<<10 {
+		t.Errorf("a long answer: %d and %d bytes", status, len(body))
+	}
+	check.Eventually(t, "the long answer is settled", func() bool {
+		status, body, h := n.once(at("orders", keyed("l1", "long", "x")))
+		return status == 200 && body == "" && h.Get("Idempotent-Body") == "dropped"
+	})
+	if got := server.Got.Load(); got != 2 {
+		t.Errorf("the server has seen %d requests", got)
+	}
+}
+
+// TestKeysAreFull fills the store: what is held stays, and new keys are refused with a time
+// to come back.
+func TestKeysAreFull(t *testing.T) {
+	n, server := keyedNode(t, "[keys]\nentries = 2\ntenant_share = 1\n", "", mirror)
+	c := n.dial()
+	br := bufio.NewReader(c)
+	for i, want := range []int{200, 200, 503, 503} {
+		status, _, h := n.ask(c, br, at("orders", keyed(fmt.Sprint("e", i), fmt.Sprint("k", i), "x")))
+		if status != want || want == 503 && h.Get("Retry-After") != "2.000" {
+			t.Errorf("key %d: %d %v", i, status, h)
+		}
+	}
+	if status, _, h := n.ask(c, br, at("orders", keyed("e9", "k0", "x"))); status != 200 || h.Get("Idempotent-Replayed") == "" {
+		t.Errorf("a repeat: %d %v", status, h)
+	}
+	if got := server.Got.Load(); got != 2 {
+		t.Errorf("the server has seen %d requests", got)
+	}
+}
+
+// TestFingerprints has requests without a key told apart by what they say.
+func TestFingerprints(t *testing.T) {
+	n, server := keyedNode(t, "", "from = \"fingerprint\"", mirror)
+	for i, ask := range []struct {
+		body     string
+		replayed bool
+	}{{"one", false}, {"one", true}, {"two", false}} {
+		status, body, h := n.once(at("orders", post("credit", fmt.Sprint("p", i), "", ask.body)))
+		if status != 200 || body != ask.body || (h.Get("Idempotent-Replayed") != "") != ask.replayed {
+			t.Errorf("request %d: %d %q %v", i, status, body, h)
+		}
+	}
+	if got := server.Got.Load(); got != 2 {
+		t.Errorf("the server has seen %d requests", got)
+	}
+}
+
+// TestKeysThroughReload reloads with another server and another time to keep answers: what
+// was answered before is remembered.
+func TestKeysThroughReload(t *testing.T) {
+	first, second := check.Raw(t, mirror), check.Raw(t, mirror)
+	file := func(addr, rule string) string { return withKeys(svc("orders", "")+pool("orders", "", addr), rule) }
+	n := startServices(t, file(first.Addr, ""))
+	n.once(at("orders", keyed("l0", "k", "x")))
+	n.reloaded(file(second.Addr, "keep = \"2h\""))
+	status, body, h := n.once(at("orders", keyed("l1", "k", "x")))
+	if status != 200 || body != "x" || h.Get("Idempotent-Replayed") == "" || second.Got.Load() != 0 {
+		t.Errorf("after a reload: %d %q %v, and %d at the other server", status, body, h, second.Got.Load())
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -16,6 +16,7 @@
 	"jasperpin/internal/config"
 	"jasperpin/internal/core"
 	"jasperpin/internal/figures"
+	"jasperpin/internal/keys"
 	"jasperpin/internal/limit"
 	"jasperpin/internal/route"
 )
@@ -56,6 +57,14 @@
 	*Service
 	*Pool
 	Class string
+	Keyed *Keyed // nil where no keys of the class are kept here
+}
+
+// Keyed is what is done about the keys of a class.
+type Keyed struct {
+	*keys.Holder
+	config.KeyRule
+	Name string // of the class among those of all pools
 }
 
 // table is one configuration in force. It never changes.
@@ -63,7 +72,8 @@
 	routes   *route.Table
 	services map[string]*Service
 	pools    map[string]*Pool
-	only     *Target // where everything goes, where there is no choice
+	keyed    map[string]*Keyed // by config.KeyClass; nil where there are none
+	only     *Target           // where everything goes, where there is no choice
 }
 
 // Find finds where a request goes by its Host header and what else the query
@@ -85,7 +95,11 @@
 	if !ok {
 		return Target{}, ErrNoRoute
 	}
-	return Target{Service: t.services[m.Rule.Service], Pool: t.pools[m.Pool], Class: m.Class}, nil
+	target := Target{Service: t.services[m.Rule.Service], Pool: t.pools[m.Pool], Class: m.Class}
+	if t.keyed != nil {
+		target.Keyed = t.keyed[config.KeyClass(m.Pool, m.Class)]
+	}
+	return target, nil
 }
 
 // Refusal says that a request was not let in, and when to come back, if known.
@@ -144,6 +158,11 @@
 	return p, nil
 }
 
+// Refusal refuses with a wait within what the pool's settings allow.
+func (t Target) Refusal(wait time.Duration) *Refusal {
+	return &Refusal{RetryAfter: min(wait, t.Pool.own.retry)}
+}
+
 // bound keeps a refusal's wait within what the pool's settings allow.
 func (s *Set) bound(t Target, err error) error {
 	if r, ok := err.(*Refusal); ok {
@@ -218,6 +237,7 @@
 
 	mu    sync.Mutex // one configuration at a time
 	cfg   *config.Config
+	keys  *keys.Holder           // from the first configuration on that has keys
 	known map[string]core.Memory // of the process before, until the first Apply
 	endBy time.Time
 	old   map[*owned]bool // pools that drain
@@ -262,8 +282,12 @@
 	if err := s.share(cfg, cfg.Limits); err != nil {
 		return fmt.Errorf("applying a configuration: %w", err)
 	}
+	keyed, err := s.keep(cfg)
+	if err != nil {
+		return fmt.Errorf("applying a configuration: %w", err)
+	}
 	was := s.now.Load()
-	next := &table{routes: routes, services: make(map[string]*Service), pools: make(map[string]*Pool)}
+	next := &table{keyed: keyed, routes: routes, services: make(map[string]*Service), pools: make(map[string]*Pool)}
 	for i := range cfg.Pools {
 		c := &cfg.Pools[i]
 		old := was.pools[c.Name]
@@ -308,6 +332,32 @@
 	return nil
 }
 
+// keep has keys kept as a configuration says. Called under the lock.
+func (s *Set) keep(cfg *config.Config) (map[string]*Keyed, error) {
+	set, any := cfg.KeySettings()
+	if !any {
+		return nil, nil
+	}
+	if s.keys == nil {
+		h, err := keys.New(set)
+		if err != nil {
+			return nil, err
+		}
+		s.keys = h
+		s.Figures.Keys(h)
+	} else if err := s.keys.Configure(set); err != nil {
+		return nil, err
+	}
+	keyed := make(map[string]*Keyed)
+	for i := range cfg.Pools {
+		for class, rule := range cfg.Pools[i].Keys {
+			name := config.KeyClass(cfg.Pools[i].Name, class)
+			keyed[name] = &Keyed{s.keys, rule, name}
+		}
+	}
+	return keyed, nil
+}
+
 // share lays out what the pools share. Called under the lock.
 func (s *Set) share(cfg *config.Config, m limit.Machine) error {
 	guarantees := func(total int) map[string]int {
