Give the files of mutual TLS a package of their own

The group's members need what forwarders and planners have: a certificate, its key, one authority. internal/mtls reads them for any server's name; nothing else changes.

Seen: the tests of planlink and of the tier.

--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -10,6 +10,7 @@
 	"jasperpin/internal/config"
 	"jasperpin/internal/core"
 	"jasperpin/internal/discovery"
+	"jasperpin/internal/mtls"
 	"jasperpin/internal/plan"
 	"jasperpin/internal/planlink"
 )
@@ -24,9 +25,9 @@
 // newClients prepares a forwarder's ends.
 func newClients(cfg *config.Config, log *slog.Logger) (*clients, error) {
 	p := cfg.Planning
-	tls, err := planlink.Files{Certificate: p.Certificate, Key: p.Key, Authorities: p.Authorities}.Load()
+	tls, err := mtls.Files{Certificate: p.Certificate, Key: p.Key, Authorities: p.Authorities}.Load(planlink.PlannerName)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("planning: %w", err)
 	}
 	return &clients{
 		opt: planlink.ClientOptions{Name: cfg.Name, Planners: p.Planners, TLS: tls, Seed: cfg.Seed, Log: log},
@@ -98,9 +99,9 @@
 func newPlanner(cfg *config.Config, log *slog.Logger, served chan<- error) (*planner, error) {
 	p := &planner{log: log, desks: make(map[string]*desk)}
 	c := cfg.Planning
-	tls, err := planlink.Files{Certificate: c.Certificate, Key: c.Key, Authorities: c.Authorities}.Load()
+	tls, err := mtls.Files{Certificate: c.Certificate, Key: c.Key, Authorities: c.Authorities}.Load(planlink.PlannerName)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("planning: %w", err)
 	}
 	p.server = planlink.NewServer(tls, max(1, cfg.Limits.Peers()-planlink.MaxStrangers), log)
 	p.apply(cfg)
--- a/internal/node/tier_test.go
+++ b/internal/node/tier_test.go
@@ -15,6 +15,7 @@
 
 	"jasperpin/decide"
 	"jasperpin/internal/plan"
+	"jasperpin/internal/mtls"
 	"jasperpin/internal/planlink"
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
@@ -49,7 +50,7 @@
 	if err != nil {
 		x.t.Fatal(err)
 	}
-	return check.Must[*tls.Config](x.t)(planlink.Files{Certificate: cert, Key: key, Authorities: x.auth.File}.Load())
+	return check.Must[*tls.Config](x.t)(mtls.Files{Certificate: cert, Key: key, Authorities: x.auth.File}.Load(planlink.PlannerName))
 }
 
 // planner starts a planner at an address, or at any with port 0.
--- a/internal/planlink/link.go
+++ b/internal/planlink/link.go
@@ -5,14 +5,11 @@
 
 import (
 	"bufio"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"time"
 
@@ -47,33 +44,6 @@
 	errNamed  = errors.New("another forwarder has connected under this name: give each node of the tier its own")
 )
 
-// Files name what an end shows and what it believes, in PEM.
-type Files struct {
-	Certificate, Key string // of this node
-	Authorities      string // whose certificates are believed
-}
-
-// Load reads the files into what both ends use.
-func (f Files) Load() (*tls.Config, error) {
-	cert, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
-	if err != nil {
-		return nil, fmt.Errorf("planning: certificate %s with key %s: %w", f.Certificate, f.Key, err)
-	}
-	text, err := os.ReadFile(f.Authorities)
-	if err != nil {
-		return nil, fmt.Errorf("planning: authorities: %w", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(text) {
-		return nil, fmt.Errorf("planning: authorities: %s holds no certificate in PEM", f.Authorities)
-	}
-	return &tls.Config{
-		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert},
-		RootCAs: pool, ServerName: PlannerName,
-		ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
-	}, nil
-}
-
 // A frame is its payload's length, in four bytes, and the payload.
 const headLen = 4
 
--- a/internal/planlink/server_test.go
+++ b/internal/planlink/server_test.go
@@ -70,7 +70,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return check.Must[*tls.Config](t)(Files{cert, key, auth.File}.Load())
+		return check.Must[*tls.Config](t)(mtls.Files{Certificate: cert, Key: key, Authorities: auth.File}.Load(PlannerName))
 	}
 	quiet := slog.New(slog.DiscardHandler)
 	s := NewServer(end(PlannerName), 1, quiet)
