--- a/internal/node/tier_test.go
+++ b/internal/node/tier_test.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"jasperpin/decide"
-	"jasperpin/internal/plan"
 	"jasperpin/internal/mtls"
+	"jasperpin/internal/plan"
 	"jasperpin/internal/planlink"
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
--- a/internal/planlink/server_test.go
+++ b/internal/planlink/server_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"jasperpin/decide"
+	"jasperpin/internal/mtls"
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
 )
