--- /dev/null
+++ b/internal/group/snapshot.go
@@ -0,0 +1,75 @@
+package group
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// ErrSnapshot says that a snapshot is not one of this program's, or not whole.
+var ErrSnapshot = errors.New("the snapshot cannot be used")
+
+// format is that of snapshots; one of another is refused.
+const format = 1
+
+// snapshot is a state as it is kept and sent.
+type snapshot struct {
+	Format   int
+	Now      time.Duration
+	Rev      uint64
+	Forgot   uint64
+	Leases   []Lease
+	Entries  []Entry
+	Sessions map[string]session
+	Events   []Event
+}
+
+// Snapshot gives the state as bytes, the same of the same state.
+func (s *State) Snapshot() ([]byte, error) {
+	b, err := json.Marshal(snapshot{format, s.now, s.rev, s.forgot, s.Leases(""), s.Entries(""), s.sessions, s.events})
+	if err != nil {
+		return nil, fmt.Errorf("making a snapshot: %w", err)
+	}
+	return b, nil
+}
+
+// Restore makes the state that a snapshot holds, whole, or says what is wrong with it.
+func Restore(b []byte) (*State, error) {
+	var snap snapshot
+	if err := json.Unmarshal(b, &snap); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
+	}
+	if snap.Format != format {
+		return nil, fmt.Errorf("%w: its format is %d, want %d", ErrSnapshot, snap.Format, format)
+	}
+	s := New()
+	s.now, s.rev, s.forgot, s.events = snap.Now, snap.Rev, snap.Forgot, snap.Events
+	if s.now < 0 || len(snap.Leases) > MaxLeases || len(snap.Entries) > MaxKeys || len(snap.Sessions) > MaxSessions || len(s.events) > maxEvents {
+		return nil, fmt.Errorf("%w: it is beyond the bounds", ErrSnapshot)
+	}
+	last := s.forgot
+	for _, e := range s.events {
+		if e.Rev <= last || e.Rev > s.rev {
+			return nil, fmt.Errorf("%w: change %d stands behind %d of %d", ErrSnapshot, e.Rev, last, s.rev)
+		}
+		last = e.Rev
+	}
+	for _, l := range snap.Leases {
+		if _, twice := s.leases[l.Name]; twice || l.Name == "" || l.Holder == "" || l.Fence > s.rev {
+			return nil, fmt.Errorf("%w: lease %q", ErrSnapshot, l.Name)
+		}
+		s.leases[l.Name] = l
+	}
+	for _, e := range snap.Entries {
+		if _, twice := s.entries[e.Key]; twice || e.Key == "" || e.Rev == 0 || e.Rev > s.rev {
+			return nil, fmt.Errorf("%w: entry %q", ErrSnapshot, e.Key)
+		}
+		s.entries[e.Key] = e
+		s.bytes += len(e.Key) + len(e.Value)
+	}
+	for name, x := range snap.Sessions {
+		s.sessions[name] = x
+	}
+	return s, nil
+}
