Put a raft log under the group: voters, clients that ask again, leases that are kept

internal/cluster has github.com/hashicorp/raft feed group.State from a log in bbolt. One address serves raft and calls over mutual TLS, told apart by the application protocol; raft is for ends whose certificate holds the voters' name. The time of a command is measured on the leader's monotonic clock within one term, and counts for nothing in another's. Reads come from a leader that has confirmed that it leads. A client's commands carry a session and a number, so that they can be sent again after any lost answer. Held renews a lease and counts its time from before it asked.

An empty folder never joins by itself: a voter that lost its disk may have voted. A log that is cut off, overwritten or gone is found before raft sees it; bbolt maps its file, so that a cut one was a SIGBUS until the size is compared and faults are made panics.

No node starts any of it yet.

--- /dev/null
+++ b/internal/cluster/call.go
@@ -0,0 +1,221 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"jasperpin/internal/group"
+	"jasperpin/internal/mtls"
+)
+
+const (
+	// maxCall and maxReply bound what either end reads, in bytes.
+	maxCall  = 64 << 10
+	maxReply = 64 << 20
+	// maxWait bounds how long a reader may wait for a change.
+	maxWait = 30 * time.Second
+	// askWithin is how long one voter may take, beside what a reader waits.
+	askWithin = 3 * time.Second
+	// pause is between two rounds of asking, at first; it doubles up to pauseMost.
+	pause     = 20 * time.Millisecond
+	pauseMost = 500 * time.Millisecond
+	// sessions are the commands of one client that may be out at a time.
+	sessions = 16
+	// leaderHeader names who leads, where the voter asked does not.
+	leaderHeader = "Group-Leader"
+)
+
+// handler answers other instances' calls.
+func (v *Voter) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/do", answer(v, func(_ context.Context, c group.Command) (group.Result, error) { return v.Do(c) }))
+	mux.HandleFunc("POST /v1/read", answer(v, v.Read))
+	return mux
+}
+
+// answer makes a handler of a call: what it takes and gives is JSON.
+func answer[In, Out any](v *Voter, call func(context.Context, In) (Out, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in In
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCall)).Decode(&in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		out, err := call(r.Context(), in)
+		if errors.Is(err, ErrNotLeader) {
+			w.Header().Set(leaderHeader, v.Leader())
+			http.Error(w, err.Error(), http.StatusMisdirectedRequest)
+			return
+		}
+		var text []byte
+		if err == nil {
+			text, err = json.Marshal(out)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(text)
+	}
+}
+
+// Client asks the group's voters. Its calls may run side by side.
+type Client struct {
+	http *http.Client
+	free chan *session
+
+	mu     sync.Mutex
+	voters []string // addresses, the one that led last first
+}
+
+// session numbers the commands of one call after another.
+type session struct {
+	name string
+	last uint64
+}
+
+// NewClient makes a client of the voters at some addresses. It connects when it is asked.
+func NewClient(voters []string, files mtls.Files) (*Client, error) {
+	t, err := files.Load(VoterName)
+	if err != nil {
+		return nil, fmt.Errorf("a client of the group: %w", err)
+	}
+	c := &Client{free: make(chan *session, sessions), voters: append([]string(nil), voters...)}
+	c.http = &http.Client{Transport: &http.Transport{
+		DialTLSContext:      func(ctx context.Context, _, addr string) (net.Conn, error) { return dialCalls(ctx, t, addr) },
+		MaxIdleConnsPerHost: sessions, IdleConnTimeout: 30 * time.Second,
+	}}
+	life := rand.Text() // no two clients share a session
+	for i := range sessions {
+		c.free <- &session{name: fmt.Sprintf("%s/%d", life, i)}
+	}
+	return c, nil
+}
+
+func dialCalls(ctx context.Context, t *tls.Config, addr string) (net.Conn, error) {
+	return dial(ctx, t, addr, speaksHTTP)
+}
+
+// Close gives up connections at rest.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Do has a command carried out, once however often it had to be sent. The error is
+// ErrUnknown where ctx ended before an answer came.
+func (c *Client) Do(ctx context.Context, cmd group.Command) (group.Result, error) {
+	var s *session
+	select {
+	case s = <-c.free:
+	case <-ctx.Done():
+		return group.Result{}, fmt.Errorf("not sent: %w", ctx.Err())
+	}
+	defer func() { c.free <- s }()
+	s.last++
+	cmd.Session, cmd.Number = s.name, s.last
+	var r group.Result
+	if err := c.ask(ctx, "/v1/do", cmd, &r, askWithin); err != nil {
+		return group.Result{}, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	return r, r.Err()
+}
+
+// Read reads what is agreed, no older than the call.
+func (c *Client) Read(ctx context.Context, a Ask) (v View, err error) {
+	err = c.ask(ctx, "/v1/read", a, &v, askWithin+a.Wait)
+	return v, err
+}
+
+// ask asks one voter after another until one answers or ctx ends.
+func (c *Client) ask(ctx context.Context, path string, in, out any, within time.Duration) error {
+	text, err := json.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("asking the group: %w", err)
+	}
+	wait := pause
+	for {
+		c.mu.Lock()
+		voters := append([]string(nil), c.voters...)
+		c.mu.Unlock()
+		for _, addr := range voters {
+			var leader string
+			if leader, err = c.one(ctx, addr, path, text, out, within); err == nil {
+				c.led(addr)
+				return nil
+			}
+			if leader != "" && leader != addr {
+				if _, err = c.one(ctx, leader, path, text, out, within); err == nil {
+					c.led(leader)
+					return nil
+				}
+			}
+			if ctx.Err() != nil {
+				break
+			}
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return fmt.Errorf("asking the group: %w", errors.Join(ctx.Err(), err))
+		case <-t.C:
+		}
+		wait = min(2*wait, pauseMost)
+	}
+}
+
+// led puts the voter that has answered first. One that the group has taken in since is
+// remembered in place of the last.
+func (c *Client) led(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, a := range c.voters {
+		if a == addr {
+			copy(c.voters[1:i+1], c.voters[:i])
+			c.voters[0] = addr
+			return
+		}
+	}
+	c.voters = append([]string{addr}, c.voters...)
+	if len(c.voters) > maxVoters {
+		c.voters = c.voters[:maxVoters]
+	}
+}
+
+// maxVoters bounds the addresses that a client remembers.
+const maxVoters = 16
+
+// one asks one voter. Where another leads, it is told who.
+func (c *Client) one(ctx context.Context, addr, path string, text []byte, out any, within time.Duration) (leader string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+addr+path, bytes.NewReader(text))
+	if err != nil {
+		return "", fmt.Errorf("asking %s: %w", addr, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return "", fmt.Errorf("asking %s: %w", addr, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return "", fmt.Errorf("asking %s: %w", addr, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return resp.Header.Get(leaderHeader), fmt.Errorf("%s answers %s: %s", addr, resp.Status, bytes.TrimSpace(body))
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return "", fmt.Errorf("asking %s: %w", addr, err)
+	}
+	return "", nil
+}
--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,401 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"jasperpin/internal/group"
+	"jasperpin/internal/mtls"
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+// testGroup is a group of voters on loopback, each of which can be ended and started again.
+type testGroup struct {
+	t     *testing.T
+	auth  *standin.Authority
+	dir   string
+	addrs map[string]string // by name
+
+	mu     sync.Mutex
+	voters map[string]*Voter
+}
+
+func newGroup(t *testing.T, names ...string) *testGroup {
+	t.Helper()
+	g := &testGroup{t: t, dir: t.TempDir(), addrs: make(map[string]string), voters: make(map[string]*Voter)}
+	g.auth = check.Must[*standin.Authority](t)(standin.NewAuthority(g.dir))
+	for _, n := range names {
+		g.addrs[n] = check.Unused(t)
+	}
+	for _, n := range names {
+		if err := Begin(g.folder(n), n, g.addrs); err != nil {
+			t.Fatal(err)
+		}
+		g.start(n)
+	}
+	t.Cleanup(func() {
+		for n := range g.voters {
+			g.end(n)
+		}
+	})
+	return g
+}
+
+func (g *testGroup) folder(name string) string { return filepath.Join(g.dir, "voter-"+name) }
+
+func (g *testGroup) files(name string) mtls.Files {
+	g.t.Helper()
+	cert, key, err := g.auth.Issue(name)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return mtls.Files{Certificate: cert, Key: key, Authorities: g.auth.File}
+}
+
+func (g *testGroup) options(name string) Options {
+	g.t.Helper()
+	return Options{Listen: g.addrs[name], Dir: g.folder(name), Files: g.files(VoterName), Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+}
+
+func (g *testGroup) start(name string) *Voter {
+	g.t.Helper()
+	v, err := Start(g.options(name))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.voters[name] = v
+	return v
+}
+
+func (g *testGroup) end(name string) {
+	g.mu.Lock()
+	v := g.voters[name]
+	delete(g.voters, name)
+	g.mu.Unlock()
+	if v != nil {
+		v.Close()
+	}
+}
+
+// leader waits for a voter that leads, and gives its name.
+func (g *testGroup) leader() (name string) {
+	g.t.Helper()
+	check.Eventually(g.t, "one leads", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for n, v := range g.voters {
+			if v.Leader() == g.addrs[n] {
+				name = n
+				return true
+			}
+		}
+		return false
+	})
+	return name
+}
+
+func (g *testGroup) client() *Client {
+	g.t.Helper()
+	var addrs []string
+	for _, a := range g.addrs {
+		addrs = append(addrs, a)
+	}
+	slices.Sort(addrs)
+	c := check.Must[*Client](g.t)(NewClient(addrs, g.files("client")))
+	g.t.Cleanup(c.Close)
+	return c
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// op is one call on an entry, and what came of it. Rev is what a reader saw or a writer
+// made, unless another had changed the entry.
+type op struct {
+	write, changed bool
+	from, rev      uint64
+}
+
+// register is an entry as calls see it one at a time: its state is its revision.
+var register = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, in, _ any) (bool, any) {
+		rev, o := state.(uint64), in.(op)
+		switch {
+		case !o.write:
+			return rev == o.rev, rev
+		case o.changed:
+			return rev != o.from, rev
+		default:
+			return rev == o.from, o.rev
+		}
+	},
+}
+
+// TestHistories has clients write and read an entry while voters are ended and started, the
+// leader first of all: what they saw can be told as one call after another. A writer knows
+// what it made by the session, whoever led when the answer came.
+func TestHistories(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.leader()
+	rng := rand.New(rand.NewPCG(16, 1))
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	start := time.Now()
+	for i := range 5 {
+		c, seed := g.client(), rng.Uint64()
+		all.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, 2))
+			last := uint64(0)
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				o := op{write: rng.IntN(2) == 0, from: last}
+				call := time.Since(start)
+				var err error
+				if o.write {
+					var r group.Result
+					r, err = c.Do(t.Context(), group.Command{Op: group.Put, Name: "k", If: last, Value: []byte("v")})
+					if o.changed = errors.Is(err, group.ErrChanged); o.changed {
+						err = nil
+					}
+					o.rev = r.Rev
+				} else {
+					var v View
+					all := ""
+					if v, err = c.Read(t.Context(), Ask{Entries: &all}); err == nil && len(v.Entries) == 1 {
+						o.rev = v.Entries[0].Rev
+					}
+				}
+				if err != nil {
+					t.Errorf("client %d: %v", i, err)
+					return
+				}
+				if !o.changed {
+					last = o.rev
+				}
+				mu.Lock()
+				history = append(history, porcupine.Operation{ClientId: i, Input: o, Call: call.Nanoseconds(), Return: time.Since(start).Nanoseconds()})
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range 3 {
+		victim := g.leader()
+		if i == 2 {
+			victim = []string{"a", "b", "c"}[rng.IntN(3)]
+		}
+		mu.Lock()
+		seen := len(history)
+		mu.Unlock()
+		g.end(victim)
+		check.Eventually(t, "the others go on", func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(history) > seen+100
+		})
+		g.start(victim)
+	}
+	close(stop)
+	all.Wait()
+	if !porcupine.CheckOperations(register, history) {
+		t.Errorf("%d calls cannot be told one after another", len(history))
+	}
+}
+
+// TestLease has two want one lease through the death of a leader and of its holder: never
+// both have it, and the second has a greater number.
+func TestLease(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	one := g.client().Hold("duty", "one", 2*time.Second)
+	var first uint64
+	check.Eventually(t, "the first has it", func() bool {
+		f, ok := one.Fence()
+		first = f
+		return ok
+	})
+	two := g.client().Hold("duty", "two", 2*time.Second)
+	defer two.Release(within(t, time.Second))
+	g.end(g.leader())
+	g.leader()
+	check.Eventually(t, "the first renews at the next leader", func() bool {
+		one.mu.Lock()
+		defer one.mu.Unlock()
+		return one.keeper.Until()-one.now() > 1500*time.Millisecond
+	})
+	if f, ok := two.Fence(); ok {
+		t.Fatalf("both have it: %d and %d", first, f)
+	}
+	one.stop() // as one that died
+	check.Eventually(t, "the second has it", func() bool {
+		f, ok := two.Fence()
+		if _, still := one.Fence(); ok && still {
+			t.Error("both have it")
+		}
+		return ok && f > first
+	})
+}
+
+// TestLostAndTorn starts voters of folders that are not what they were: each says so, and a
+// new one takes the place of what is lost and knows what was agreed.
+func TestLostAndTorn(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	c := g.client()
+	if _, err := c.Do(within(t, check.Soon), group.Command{Op: group.Put, Name: "k", Value: []byte("v")}); err != nil {
+		t.Fatal(err)
+	}
+	lead := g.leader()
+	var lost string
+	for n := range g.addrs {
+		if n != lead {
+			lost = n
+		}
+	}
+	g.end(lost)
+	log := filepath.Join(g.folder(lost), "log.db")
+	text := check.Must[[]byte](t)(os.ReadFile(log))
+	noise := slices.Clone(text)
+	for i := range min(len(noise), 32<<10) {
+		noise[i] ^= 0x5a
+	}
+	for name, damaged := range map[string][]byte{"torn": text[:len(text)/2], "noise": noise, "gone": nil} {
+		opt := g.options(lost)
+		opt.Dir = t.TempDir() // one each: what cannot be opened stays locked in this process
+		if err := (identity{ID: lost, Begun: true}).write(opt.Dir); err != nil {
+			t.Fatal(err)
+		}
+		if damaged != nil {
+			if err := os.WriteFile(filepath.Join(opt.Dir, "log.db"), damaged, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		v, err := Start(opt)
+		if err == nil {
+			v.Close()
+		}
+		if !errors.Is(err, ErrLogTorn) && !errors.Is(err, ErrLogGone) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if err := os.RemoveAll(g.folder(lost)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Start(g.options(lost)); !errors.Is(err, ErrNoFolder) {
+		t.Errorf("an empty folder: %v", err)
+	}
+
+	if err := Join(g.folder(lost), lost); err != nil {
+		t.Fatal(err)
+	}
+	again := g.start(lost)
+	g.mu.Lock()
+	leads := g.voters[lead]
+	g.mu.Unlock()
+	if err := leads.Remove(lost); err != nil {
+		t.Fatal(err)
+	}
+	if err := leads.Add(again.ID(), again.Addr()); err != nil {
+		t.Fatal(err)
+	}
+	check.Eventually(t, "the new voter knows what was agreed", func() bool {
+		again.machine.mu.Lock()
+		defer again.machine.mu.Unlock()
+		_, ok := again.machine.state.Entry("k")
+		return ok
+	})
+	all, err := leads.Members()
+	if err != nil || len(all) != 3 || slices.ContainsFunc(all, func(m Member) bool { return m.ID == lost }) {
+		t.Errorf("voters: %+v %v", all, err)
+	}
+	check.Eventually(t, "the new voter has noted that it was taken in", func() bool {
+		who, err := readIdentity(g.folder(lost))
+		return err == nil && who.Begun
+	})
+}
+
+// TestAllRestarted ends all voters and starts them again: what was agreed is there, and a
+// single voter of a group of one needs nobody.
+func TestAllRestarted(t *testing.T) {
+	for _, names := range [][]string{{"a"}, {"a", "b", "c"}} {
+		t.Run(fmt.Sprint(len(names)), func(t *testing.T) {
+			t.Parallel()
+			g := newGroup(t, names...)
+			c := g.client()
+			r, err := c.Do(within(t, check.Soon), group.Command{Op: group.Acquire, Name: "l", Holder: "h", TTL: time.Hour})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, n := range names {
+				g.end(n)
+			}
+			for _, n := range names {
+				g.start(n)
+			}
+			all := ""
+			v, err := c.Read(within(t, check.Soon), Ask{Leases: &all})
+			if err != nil || len(v.Leases) != 1 || v.Leases[0].Fence != r.Fence {
+				t.Errorf("got %+v %v, want the lease of %+v", v, err, r)
+			}
+		})
+	}
+}
+
+// TestStrangers has ends that are no voters speak to one: raft is for voters alone, calls
+// for the authority's, and a majority that is lost answers nobody.
+func TestStrangers(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	lead := g.leader()
+	tls, err := g.files("client").Load(VoterName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := dial(t.Context(), tls, g.addrs[lead], speaksRaft)
+	if err == nil { // its handshake ends before it has been judged
+		_ = c.SetReadDeadline(time.Now().Add(check.Soon))
+		if n, err := c.Read(make([]byte, 1)); err == nil {
+			t.Errorf("a client speaks raft: %d", n)
+		}
+		c.Close()
+	}
+	other := check.Must[*standin.Authority](t)(standin.NewAuthority(t.TempDir()))
+	cert, key, err := other.Issue(VoterName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger := check.Must[*Client](t)(NewClient([]string{g.addrs[lead]}, mtls.Files{Certificate: cert, Key: key, Authorities: g.auth.File}))
+	if _, err := stranger.Do(within(t, 500*time.Millisecond), group.Command{Op: group.Put, Name: "k"}); !errors.Is(err, ErrUnknown) {
+		t.Errorf("another authority's: %v", err)
+	}
+	for n := range g.addrs {
+		if n != lead {
+			g.end(n)
+		}
+	}
+	if r, err := g.client().Do(within(t, 2*time.Second), group.Command{Op: group.Put, Name: "k"}); !errors.Is(err, ErrUnknown) {
+		t.Errorf("without a majority: %+v %v", r, err)
+	}
+}
