--- a/internal/cluster/voter.go
+++ b/internal/cluster/voter.go
@@ -20,6 +20,7 @@
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"jasperpin/internal/group"
 	"jasperpin/internal/mtls"
@@ -202,7 +203,7 @@
 		})
 		err = errors.Join(err, db.Close())
 	}
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, bolterrors.ErrTimeout) {
 		return nil, fmt.Errorf("%s: another process has it open", path)
 	}
 	if err != nil {
