Bring nodes into a group by the operator's file, and operators to it by jasperpin cluster

A node with a [cluster] table is an instance of the group from its start on, by a lease that a new life under its name has to wait for; with a folder it is a voter too. A new version beside the running one serves at once, and its voter starts when the log is free. The command line begins groups, joins, looks, adds and removes, as a table and as JSON.

A client whose first voter was stopped (SIGSTOP) gave it all of the time that a renewal has, and began with it again: all instances were gone while two of three voters were there. A voter that does not answer goes last now, and has a second.

Seen: three node processes begun by the command line; the leader stopped, the others see it go and come back; one killed whose folder is lost, replaced; the same revision everywhere. ./test.sh is green.

--- /dev/null
+++ b/cmd/jasperpin/cluster_test.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"jasperpin/internal/cluster"
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+// groupSite is an installation whose nodes are processes, and a group.
+type groupSite struct {
+	t     *testing.T
+	dir   string
+	auth  *standin.Authority
+	addrs map[string]string
+	procs map[string]*exec.Cmd
+}
+
+// file writes a node's file.
+func (s *groupSite) file(name string) string {
+	s.t.Helper()
+	cert, key, err := s.auth.Issue(cluster.VoterName)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	var voters []string
+	for _, a := range s.addrs {
+		voters = append(voters, `"`+a+`"`)
+	}
+	text := fmt.Sprintf(`[node]
+name = %q
+listen = ["127.0.0.1:0"]
+[cluster]
+voters = [%s]
+listen = %q
+folder = "group-%s"
+certificate = %q
+key = %q
+authorities = %q
+[[service]]
+name = "s"
+[[service.route]]
+pool = "p"
+[[pool]]
+name = "p"
+servers = ["127.0.0.1:1"]
+[[pool.class]]
+name = "look"
+repeat = "safe"
+aim = "1s"
+deadline = "2s"
+`, name, strings.Join(voters, ", "), s.addrs[name], name, cert, key, s.auth.File)
+	path := filepath.Join(s.dir, name+".toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+func (s *groupSite) run(name string) {
+	s.t.Helper()
+	cmd := exec.Command(os.Args[0], "serve", "-c", filepath.Join(s.dir, name+".toml"))
+	cmd.Env = append(os.Environ(), "JASPERPIN_TEST_MAIN=1")
+	if err := cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.procs[name] = cmd
+	s.t.Cleanup(func() { s.kill(name) })
+}
+
+func (s *groupSite) kill(name string) {
+	if cmd := s.procs[name]; cmd != nil {
+		delete(s.procs, name)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+}
+
+// call is one call of the command line, which writes JSON to out.
+func (s *groupSite) call(name string, out any, words ...string) error {
+	cmd := root()
+	var b bytes.Buffer
+	cmd.SetOut(&b)
+	cmd.SetArgs(append(append([]string{"cluster"}, words...), "-c", filepath.Join(s.dir, name+".toml"), "--json"))
+	err := cmd.ExecuteContext(s.t.Context())
+	if err == nil && out != nil {
+		err = json.Unmarshal(b.Bytes(), out)
+	}
+	return err
+}
+
+// there waits until the group has so many voters, one of which leads, and just these
+// instances.
+func (s *groupSite) there(voters int, names ...string) (leader string) {
+	s.t.Helper()
+	check.Eventually(s.t, fmt.Sprint(names, " are there"), func() bool {
+		var m membership
+		if err := s.call("b", &m, "members"); err != nil || len(m.Voters) != voters || len(m.Instances) != len(names) {
+			return false
+		}
+		leader = ""
+		for _, v := range m.Voters {
+			if v.Leads {
+				leader = v.ID
+			}
+		}
+		for i, name := range names {
+			if m.Instances[i].Name != name {
+				return false
+			}
+		}
+		return leader != ""
+	})
+	return leader
+}
+
+// TestGroupOfNodes has three nodes make a group by the command line: one that is stopped
+// leaves and comes back, one that is killed and has lost its folder is replaced.
+func TestGroupOfNodes(t *testing.T) {
+	s := &groupSite{t: t, dir: t.TempDir(), addrs: make(map[string]string), procs: make(map[string]*exec.Cmd)}
+	s.auth = check.Must[*standin.Authority](t)(standin.NewAuthority(s.dir))
+	begin := []string{"begin"}
+	for _, name := range []string{"a", "b", "c"} {
+		s.addrs[name] = check.Unused(t)
+		begin = append(begin, "--voter", name+"="+s.addrs[name])
+	}
+	for name := range s.addrs {
+		s.file(name)
+		if err := s.call(name, nil, begin...); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.call(name, nil, begin...); err == nil {
+			t.Error("a voter has begun twice")
+		}
+		s.run(name)
+	}
+	stopped := s.there(3, "a", "b", "c")
+	var rest []string
+	for _, name := range []string{"a", "b", "c"} {
+		if name != stopped {
+			rest = append(rest, name)
+		}
+	}
+	if err := s.procs[stopped].Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	if next := s.there(3, rest...); next == stopped {
+		t.Errorf("%s leads, and is stopped", next)
+	}
+	if err := s.procs[stopped].Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	s.there(3, "a", "b", "c")
+
+	s.kill("a")
+	if err := os.RemoveAll(filepath.Join(s.dir, "group-a")); err != nil {
+		t.Fatal(err)
+	}
+	s.there(3, "b", "c")
+	if err := s.call("b", nil, "remove", "a"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.call("a", nil, "join"); err != nil {
+		t.Fatal(err)
+	}
+	id := check.Must[string](t)(cluster.Identity(filepath.Join(s.dir, "group-a")))
+	s.run("a")
+	if err := s.call("b", nil, "add", id, s.addrs["a"]); err != nil {
+		t.Fatal(err)
+	}
+	s.there(3, "a", "b", "c")
+	var all []told
+	check.Eventually(t, "the new voter knows what the others know", func() bool {
+		err := s.call("c", &all, "status")
+		return err == nil && len(all) == 3 && all[0].Told != nil && all[1].Told != nil && all[2].Told != nil &&
+			all[0].Told.Rev == all[1].Told.Rev && all[1].Told.Rev == all[2].Told.Rev
+	})
+	var out bytes.Buffer
+	cmd := root()
+	cmd.SetOut(&out)
+	cmd.SetArgs([]string{"cluster", "members", "-c", filepath.Join(s.dir, "b.toml")})
+	if err := cmd.ExecuteContext(t.Context()); err != nil || !strings.Contains(out.String(), id) || !strings.Contains(out.String(), "INSTANCE") {
+		t.Errorf("%v: %s", err, out.String())
+	}
+}
--- a/internal/cluster/call.go
+++ b/internal/cluster/call.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,8 +25,9 @@
 	maxReply = 64 << 20
 	// maxWait bounds how long a reader may wait for a change.
 	maxWait = 30 * time.Second
-	// askWithin is how long one voter may take, beside what a reader waits.
-	askWithin = 3 * time.Second
+	// askWithin is how long one voter may take, beside what a reader waits: one that is
+	// stopped is left for the next.
+	askWithin = time.Second
 	// pause is between two rounds of asking, at first; it doubles up to pauseMost.
 	pause     = 20 * time.Millisecond
 	pauseMost = 500 * time.Millisecond
@@ -40,6 +42,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/do", answer(v, func(_ context.Context, c group.Command) (group.Result, error) { return v.Do(c) }))
 	mux.HandleFunc("POST /v1/read", answer(v, v.Read))
+	mux.HandleFunc("POST /v1/status", answer(v, func(context.Context, struct{}) (Status, error) { return v.Status() }))
+	mux.HandleFunc("POST /v1/voters", answer(v, func(_ context.Context, c Change) (struct{}, error) { return struct{}{}, v.Change(c) }))
 	return mux
 }
 
@@ -61,6 +65,10 @@
 		if err == nil {
 			text, err = json.Marshal(out)
 		}
+		if errors.Is(err, ErrVoters) { // asking again does not help
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
@@ -91,7 +99,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("a client of the group: %w", err)
 	}
-	c := &Client{free: make(chan *session, sessions), voters: append([]string(nil), voters...)}
+	c := &Client{free: make(chan *session, sessions), voters: slices.Clone(voters)}
 	c.http = &http.Client{Transport: &http.Transport{
 		DialTLSContext:      func(ctx context.Context, _, addr string) (net.Conn, error) { return dialCalls(ctx, t, addr) },
 		MaxIdleConnsPerHost: sessions, IdleConnTimeout: 30 * time.Second,
@@ -135,6 +143,17 @@
 	return v, err
 }
 
+// Status asks the voter at an address how things stand.
+func (c *Client) Status(ctx context.Context, addr string) (s Status, err error) {
+	_, err = c.one(ctx, addr, "/v1/status", []byte("{}"), &s, askWithin)
+	return s, err
+}
+
+// Change has the voters changed. The error is ErrVoters where they cannot be.
+func (c *Client) Change(ctx context.Context, ch Change) error {
+	return c.ask(ctx, "/v1/voters", ch, &struct{}{}, 2*askWithin)
+}
+
 // ask asks one voter after another until one answers or ctx ends.
 func (c *Client) ask(ctx context.Context, path string, in, out any, within time.Duration) error {
 	text, err := json.Marshal(in)
@@ -144,7 +163,7 @@
 	wait := pause
 	for {
 		c.mu.Lock()
-		voters := append([]string(nil), c.voters...)
+		voters := slices.Clone(c.voters)
 		c.mu.Unlock()
 		for _, addr := range voters {
 			var leader string
@@ -158,6 +177,10 @@
 					return nil
 				}
 			}
+			if errors.Is(err, ErrVoters) {
+				return err
+			}
+			c.failed(addr)
 			if ctx.Err() != nil {
 				break
 			}
@@ -173,19 +196,25 @@
 	}
 }
 
+// failed puts a voter that has not answered last: the next call begins with another, also
+// where this one had no time left for it.
+func (c *Client) failed(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i := slices.Index(c.voters, addr); i >= 0 {
+		c.voters = append(slices.Delete(c.voters, i, i+1), addr)
+	}
+}
+
 // led puts the voter that has answered first. One that the group has taken in since is
 // remembered in place of the last.
 func (c *Client) led(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, a := range c.voters {
-		if a == addr {
-			copy(c.voters[1:i+1], c.voters[:i])
-			c.voters[0] = addr
-			return
-		}
+	if i := slices.Index(c.voters, addr); i >= 0 {
+		c.voters = slices.Delete(c.voters, i, i+1)
 	}
-	c.voters = append([]string{addr}, c.voters...)
+	c.voters = slices.Insert(c.voters, 0, addr)
 	if len(c.voters) > maxVoters {
 		c.voters = c.voters[:maxVoters]
 	}
@@ -211,6 +240,9 @@
 	if err != nil {
 		return "", fmt.Errorf("asking %s: %w", addr, err)
 	}
+	if resp.StatusCode == http.StatusConflict {
+		return "", fmt.Errorf("%w: %s answers %s", ErrVoters, addr, bytes.TrimSpace(body))
+	}
 	if resp.StatusCode != http.StatusOK {
 		return resp.Header.Get(leaderHeader), fmt.Errorf("%s answers %s: %s", addr, resp.Status, bytes.TrimSpace(body))
 	}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -312,14 +312,13 @@
 		t.Fatal(err)
 	}
 	again := g.start(lost)
-	g.mu.Lock()
-	leads := g.voters[lead]
-	g.mu.Unlock()
-	if err := leads.Remove(lost); err != nil {
-		t.Fatal(err)
+	for _, change := range []Change{{Remove: lost}, {Add: again.ID(), Addr: again.Addr()}} {
+		if err := c.Change(within(t, check.Soon), change); err != nil {
+			t.Fatal(err)
+		}
 	}
-	if err := leads.Add(again.ID(), again.Addr()); err != nil {
-		t.Fatal(err)
+	if err := c.Change(within(t, check.Soon), Change{Remove: lost + "?"}); !errors.Is(err, ErrVoters) {
+		t.Errorf("one that is no voter: %v", err)
 	}
 	check.Eventually(t, "the new voter knows what was agreed", func() bool {
 		again.machine.mu.Lock()
@@ -327,8 +326,8 @@
 		_, ok := again.machine.state.Entry("k")
 		return ok
 	})
-	all, err := leads.Members()
-	if err != nil || len(all) != 3 || slices.ContainsFunc(all, func(m Member) bool { return m.ID == lost }) {
+	all, err := c.Status(within(t, check.Soon), g.addrs[lead])
+	if err != nil || len(all.Voters) != 3 || !all.Leads || slices.ContainsFunc(all.Voters, func(m Member) bool { return m.ID == lost }) {
 		t.Errorf("voters: %+v %v", all, err)
 	}
 	check.Eventually(t, "the new voter has noted that it was taken in", func() bool {
--- a/internal/cluster/folder.go
+++ b/internal/cluster/folder.go
@@ -96,6 +96,12 @@
 	return d.Sync()
 }
 
+// Identity is that of a folder's voter.
+func Identity(dir string) (string, error) {
+	who, err := readIdentity(dir)
+	return who.ID, err
+}
+
 func readIdentity(dir string) (who identity, err error) {
 	text, err := os.ReadFile(filepath.Join(dir, identityFile))
 	if errors.Is(err, os.ErrNotExist) {
--- a/internal/cluster/voter.go
+++ b/internal/cluster/voter.go
@@ -54,6 +54,8 @@
 	ErrNotLeader = errors.New("this voter does not lead")
 	// ErrUnknown says that the command may have been carried out, and may yet be.
 	ErrUnknown = errors.New("it is not known what became of the command")
+	// ErrVoters says that the voters stay as they are.
+	ErrVoters = errors.New("the voters cannot be changed so")
 )
 
 // Options are what a voter is made of.
@@ -116,7 +118,7 @@
 		return v, ErrLogGone
 	}
 	if v.link, err = newLink(opt.Listen, t, v.log); err != nil {
-		return v, err
+		return v, busy(err)
 	}
 	v.addr = v.link.ln.Addr().String()
 	net := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
@@ -204,7 +206,7 @@
 		err = errors.Join(err, db.Close())
 	}
 	if errors.Is(err, bolterrors.ErrTimeout) {
-		return nil, fmt.Errorf("%s: another process has it open", path)
+		return nil, fmt.Errorf("%w: %s is open", ErrBusy, path)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrLogTorn, err)
@@ -404,18 +406,47 @@
 	Leads    bool
 }
 
-// Members are the group's voters.
-func (v *Voter) Members() ([]Member, error) {
+// Status is what a voter knows of the group.
+type Status struct {
+	ID                string // of the voter that tells
+	Term, Last, Known uint64 // the term, the log's last entry, and the last one carried out
+	Rev               uint64
+	Leads             bool // it leads, and a majority confirmed it
+	Voters            []Member
+}
+
+// Status tells how things stand, from where this voter is.
+func (v *Voter) Status() (Status, error) {
 	f := v.raft.GetConfiguration()
 	if err := f.Error(); err != nil {
-		return nil, fmt.Errorf("reading the voters: %w", err)
+		return Status{}, fmt.Errorf("reading the voters: %w", err)
 	}
+	v.machine.mu.Lock()
+	rev := v.machine.state.Rev()
+	v.machine.mu.Unlock()
+	s := Status{ID: v.id, Term: v.raft.CurrentTerm(), Last: v.raft.LastIndex(), Known: v.raft.AppliedIndex(), Rev: rev, Leads: v.confirm() == nil}
 	_, leader := v.raft.LeaderWithID()
-	var all []Member
-	for _, s := range f.Configuration().Servers {
-		all = append(all, Member{string(s.ID), string(s.Address), s.ID == leader})
+	for _, x := range f.Configuration().Servers {
+		s.Voters = append(s.Voters, Member{string(x.ID), string(x.Address), x.ID == leader})
+	}
+	return s, nil
+}
+
+// Change is a change of the voters: one to take in, or one to remove.
+type Change struct {
+	Add, Addr string `json:",omitempty"`
+	Remove    string `json:",omitempty"`
+}
+
+// Change changes the voters, one at a time. The leader alone can.
+func (v *Voter) Change(c Change) error {
+	if v.raft.State() != raft.Leader {
+		return ErrNotLeader
+	}
+	if c.Add != "" {
+		return v.Add(c.Add, c.Addr)
 	}
-	return all, nil
+	return v.Remove(c.Remove)
 }
 
 // Add takes a voter in that has joined and is reached at an address.
@@ -425,16 +456,16 @@
 
 // Remove has a voter leave for ever: its identity is not to come back.
 func (v *Voter) Remove(id string) error {
-	all, err := v.Members()
+	s, err := v.Status()
 	if err != nil {
 		return err
 	}
-	for _, m := range all {
+	for _, m := range s.Voters {
 		if m.ID == id || strings.HasPrefix(m.ID, id+"~") {
 			return changed(v.raft.RemoveServer(raft.ServerID(m.ID), 0, applyWithin))
 		}
 	}
-	return fmt.Errorf("%q is no voter", id)
+	return fmt.Errorf("%w: %q is none", ErrVoters, id)
 }
 
 func changed(f raft.IndexFuture) error {
@@ -443,7 +474,7 @@
 		return fmt.Errorf("%w: %w", ErrNotLeader, err)
 	}
 	if err != nil {
-		return fmt.Errorf("changing the voters: %w", err)
+		return fmt.Errorf("%w: %w", ErrVoters, err)
 	}
 	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,7 @@
 	Pools    []Pool
 	Role     Role
 	Planning Planning
+	Cluster  Cluster
 }
 
 // Role is a node's part in its tier.
@@ -150,7 +151,10 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, file := range []*string{&c.Planning.Certificate, &c.Planning.Key, &c.Planning.Authorities} {
+	for _, file := range []*string{
+		&c.Planning.Certificate, &c.Planning.Key, &c.Planning.Authorities,
+		&c.Cluster.Files.Certificate, &c.Cluster.Files.Key, &c.Cluster.Files.Authorities, &c.Cluster.Folder,
+	} {
 		if *file != "" && !filepath.IsAbs(*file) {
 			*file = filepath.Join(filepath.Dir(path), *file)
 		}
@@ -227,6 +231,7 @@
 
 	c.readPlanning(root)
 	c.readKeys(root)
+	c.readCluster(root)
 
 	pools := make(map[string]*Pool)
 	for _, t := range root.tables("pool") {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,12 +9,14 @@
 	"math"
 	"net"
 	"os"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"jasperpin/internal/cluster"
 	"jasperpin/internal/config"
 	"jasperpin/internal/core"
 	"jasperpin/internal/door"
@@ -75,7 +77,8 @@
 	door      *door.Door
 	figures   *figures.Board
 	draining  atomic.Bool
-	line      *succession.Line // of this node's processes; nil where it has no folder
+	group     *cluster.Instance // nil where the node belongs to none
+	line      *succession.Line  // of this node's processes; nil where it has no folder
 	shares    chan succession.Share
 	share     succession.Share
 	accepting bool
@@ -90,6 +93,9 @@
 	n := &Node{cfg: cfg, source: source, log: log, figures: figures.New(), shares: make(chan succession.Share, 1), share: succession.Share{Of: 1}}
 	if err := n.start(); err != nil {
 		n.unlisten()
+		if n.group != nil {
+			n.group.Close()
+		}
 		return nil, err
 	}
 	return n, nil
@@ -97,6 +103,14 @@
 
 func (n *Node) start() (err error) {
 	cfg, log := n.cfg, n.log
+	if c := cfg.Cluster; c.On() {
+		n.group, err = cluster.Open(cluster.InstanceOptions{
+			Name: cfg.Name, Voters: c.Voters, Listen: c.Listen, Folder: c.Folder, Files: c.Files, Lease: c.Lease, Log: log,
+		})
+		if err != nil {
+			return fmt.Errorf("the group: %w", err)
+		}
+	}
 	var guide service.MakeGuide
 	switch cfg.Role {
 	case config.Planner:
@@ -236,6 +250,9 @@
 	if n.door != nil {
 		n.door.Close()
 	}
+	if n.group != nil {
+		n.group.Close()
+	}
 	n.line.Close()
 	if n.planner != nil {
 		n.planner.close()
@@ -374,6 +391,10 @@
 		next.Control, next.Private = was.Control, was.Private
 		restart = append(restart, "node.control and private")
 	}
+	if !reflect.DeepEqual(was.Cluster, next.Cluster) {
+		next.Cluster = was.Cluster
+		restart = append(restart, "cluster")
+	}
 	keep("planning.listen", &was.Planning.Listen, &next.Planning.Listen)
 	w, is := was.Planning, &next.Planning
 	if w.Certificate != is.Certificate || w.Key != is.Key || w.Authorities != is.Authorities {
