Measure the group: proof cluster; leave voters that do not answer for the others

proof cluster plays three node processes: memory and processor time with the group on and off, compare-and-sets, and how long none is answered where the leader is killed or stopped. A client now asks those that have lately not answered only where there is no other.

Not taken: to ask two voters at a time. It would hide the second, and doubles every write.

--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -28,6 +28,7 @@
 	"planners":     {"forwarders with planners beside one level, calm, in a burst and failing", planners},
 	"planners-sim": {"one level beside shared views of a tier, in virtual time", plannersSim},
 	"operation":    {"the operators' door, long bodies beside httputil.ReverseProxy, and their memory", operation},
+	"cluster":      {"a group of three voters: memory, compare-and-sets, and leaders killed and stopped", clusterRun},
 	"overhead":     {"processor time and p99 beside httputil.ReverseProxy", overhead},
 }
 
--- a/internal/cluster/call.go
+++ b/internal/cluster/call.go
@@ -28,6 +28,9 @@
 	// askWithin is how long one voter may take, beside what a reader waits: one that is
 	// stopped is left for the next.
 	askWithin = time.Second
+	// silentFor is how long one that did not answer is asked after the others only. It may
+	// still be named as the one that leads, until another does.
+	silentFor = 2 * time.Second
 	// pause is between two rounds of asking, at first; it doubles up to pauseMost.
 	pause     = 20 * time.Millisecond
 	pauseMost = 500 * time.Millisecond
@@ -84,7 +87,8 @@
 	free chan *session
 
 	mu     sync.Mutex
-	voters []string // addresses, the one that led last first
+	voters []string             // addresses, the one that led last first
+	silent map[string]time.Time // those that took their time and did not answer, since when
 }
 
 // session numbers the commands of one call after another.
@@ -99,7 +103,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("a client of the group: %w", err)
 	}
-	c := &Client{free: make(chan *session, sessions), voters: slices.Clone(voters)}
+	c := &Client{free: make(chan *session, sessions), silent: make(map[string]time.Time), voters: slices.Clone(voters)}
 	c.http = &http.Client{Transport: &http.Transport{
 		DialTLSContext:      func(ctx context.Context, _, addr string) (net.Conn, error) { return dialCalls(ctx, t, addr) },
 		MaxIdleConnsPerHost: sessions, IdleConnTimeout: 30 * time.Second,
@@ -162,16 +166,16 @@
 	}
 	wait := pause
 	for {
-		c.mu.Lock()
-		voters := slices.Clone(c.voters)
-		c.mu.Unlock()
-		for _, addr := range voters {
+		for _, addr := range c.asked() {
 			var leader string
 			if leader, err = c.one(ctx, addr, path, text, out, within); err == nil {
 				c.led(addr)
 				return nil
 			}
-			if leader != "" && leader != addr {
+			c.mu.Lock()
+			follow := leader != "" && leader != addr && !c.isSilent(leader)
+			c.mu.Unlock()
+			if follow {
 				if _, err = c.one(ctx, leader, path, text, out, within); err == nil {
 					c.led(leader)
 					return nil
@@ -180,7 +184,6 @@
 			if errors.Is(err, ErrVoters) {
 				return err
 			}
-			c.failed(addr)
 			if ctx.Err() != nil {
 				break
 			}
@@ -196,14 +199,22 @@
 	}
 }
 
-// failed puts a voter that has not answered last: the next call begins with another, also
-// where this one had no time left for it.
-func (c *Client) failed(addr string) {
+// asked are the voters to ask, in order. Those that have lately taken their time and not
+// answered are left out, unless there is no other.
+func (c *Client) asked() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if i := slices.Index(c.voters, addr); i >= 0 {
-		c.voters = append(slices.Delete(c.voters, i, i+1), addr)
+	heard := slices.DeleteFunc(slices.Clone(c.voters), c.isSilent)
+	if len(heard) == 0 {
+		return slices.Clone(c.voters)
 	}
+	return heard
+}
+
+// isSilent says whether a voter has lately not answered. Called under the lock.
+func (c *Client) isSilent(addr string) bool {
+	since, ok := c.silent[addr]
+	return ok && time.Since(since) < silentFor
 }
 
 // led puts the voter that has answered first. One that the group has taken in since is
@@ -218,6 +229,7 @@
 	if len(c.voters) > maxVoters {
 		c.voters = c.voters[:maxVoters]
 	}
+	delete(c.silent, addr)
 }
 
 // maxVoters bounds the addresses that a client remembers.
@@ -231,8 +243,17 @@
 	if err != nil {
 		return "", fmt.Errorf("asking %s: %w", addr, err)
 	}
+	began := time.Now()
 	resp, err := c.http.Do(req)
 	if err != nil {
+		if time.Since(began) >= askWithin/2 {
+			c.mu.Lock()
+			if len(c.silent) >= maxVoters {
+				clear(c.silent)
+			}
+			c.silent[addr] = time.Now()
+			c.mu.Unlock()
+		}
 		return "", fmt.Errorf("asking %s: %w", addr, err)
 	}
 	defer resp.Body.Close()
