Open bbolt's files that may be damaged in a package of its own

The record of durable keys needs what the group's log has: a file that is cut off, overwritten or open elsewhere is told apart and told, and does not bring the process down.

Seen: the tests of lost and torn logs.

--- a/internal/cluster/voter.go
+++ b/internal/cluster/voter.go
@@ -9,9 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
-	"os"
 	"path/filepath"
-	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -20,8 +18,8 @@
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	"go.etcd.io/bbolt"
-	bolterrors "go.etcd.io/bbolt/errors"
 
+	"jasperpin/internal/boltfile"
 	"jasperpin/internal/group"
 	"jasperpin/internal/mtls"
 )
@@ -178,38 +176,14 @@
 }
 
 // openLog opens the log's file, and says where it is damaged.
-func openLog(path string) (s *raftboltdb.BoltStore, err error) {
-	// bbolt panics on some pages that it cannot read, and maps the file, so that a page that
-	// is not there is a fault.
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer func() {
-		if p := recover(); p != nil {
-			s, err = nil, fmt.Errorf("%w: %v", ErrLogTorn, p)
-		}
-	}()
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openWithin})
-	if err == nil {
-		err = db.View(func(tx *bbolt.Tx) error {
-			info, err := os.Stat(path)
-			if err != nil {
-				return err
-			}
-			if info.Size() < tx.Size() {
-				return fmt.Errorf("it is %d bytes long, and was %d", info.Size(), tx.Size())
-			}
-			var first error
-			for e := range tx.Check() { // to its end, or its goroutine stays
-				first = errors.Join(first, e)
-			}
-			return first
-		})
-		err = errors.Join(err, db.Close())
-	}
-	if errors.Is(err, bolterrors.ErrTimeout) {
-		return nil, fmt.Errorf("%w: %s is open", ErrBusy, path)
-	}
-	if err != nil {
+func openLog(path string) (*raftboltdb.BoltStore, error) {
+	switch err := boltfile.Check(path, openWithin); {
+	case errors.Is(err, boltfile.ErrBusy):
+		return nil, fmt.Errorf("%w: %w", ErrBusy, err)
+	case errors.Is(err, boltfile.ErrDamaged):
 		return nil, fmt.Errorf("%w: %w", ErrLogTorn, err)
+	case err != nil:
+		return nil, err
 	}
 	return raftboltdb.New(raftboltdb.Options{Path: path, BoltOptions: &bbolt.Options{Timeout: openWithin}})
 }
