Keep keys through crashes: the intent on the disk before a run, its end before any answer

A node that was killed forgot its keys, and a repeat had its effect twice. With keys.durable a file of bbolt has each key before its request runs, and how that ended before anybody is told; writes of one moment are one transaction, in the order in which they came. A process that starts knows what was answered, and tells repeats of what was under way that it may have run. Where the disk takes nothing new keys are refused; while another process has the file, as in an upgrade, too.

Ruled out: bbolt's Batch, which leaves the order of two writes under one key open.

--- /dev/null
+++ b/cmd/jasperpin/keys_test.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+// TestKeysThroughCrash kills the program between a request's effect and its answer: once it
+// is back, the repeat has the effect no second time, and is told that it may have run.
+// One that was answered before has its answer.
+func TestKeysThroughCrash(t *testing.T) {
+	held, release := make(chan struct{}), make(chan struct{})
+	server := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if string(body) == "held" {
+			close(held)
+			<-release
+		}
+		return standin.Echo(c, r, body)
+	})
+	defer close(release)
+	listen := check.Unused(t)
+	file := filepath.Join(t.TempDir(), "node.toml")
+	text := fmt.Sprintf(`[node]
+listen = [%q]
+[keys]
+durable = "keys.db"
+[[service]]
+name = "s"
+[[service.route]]
+pool = "p"
+[[pool]]
+name = "p"
+servers = [%q]
+[[pool.class]]
+name = "credit"
+repeat = "never"
+aim = "10s"
+deadline = "20s"
+[pool.class.keys]
+need = true
+`, listen, server.Addr)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run := func() *exec.Cmd {
+		cmd := exec.Command(os.Args[0], "serve", "-c", file)
+		cmd.Env = append(os.Environ(), "JASPERPIN_TEST_MAIN=1")
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		check.Eventually(t, "the node is up", func() bool {
+			resp, err := http.Get("http://" + listen + "/up")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+		return cmd
+	}
+	end := func(cmd *exec.Cmd) {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+	credit := func(body string) (status int, answer string, replayed bool) {
+		req := check.Must[*http.Request](t)(http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+listen+"/credit/1", strings.NewReader(body)))
+		req.Header.Set("Idempotency-Key", body)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0, "", false
+		}
+		defer resp.Body.Close()
+		text := check.Must[[]byte](t)(io.ReadAll(resp.Body))
+		return resp.StatusCode, string(text), resp.Header.Get("Idempotent-Replayed") != ""
+	}
+	first := run()
+	if status, answer, _ := credit("soon"); status != 200 || answer != " soon" {
+		t.Errorf("%d %q", status, answer)
+	}
+	cut := make(chan int, 1)
+	go func() {
+		status, _, _ := credit("held")
+		cut <- status
+	}()
+	<-held
+	end(first)
+	if status := <-cut; status != 0 {
+		t.Errorf("an answer of a process that is gone: %d", status)
+	}
+	second := run()
+	defer end(second)
+	if status, answer, replayed := credit("soon"); status != 200 || answer != " soon" || !replayed {
+		t.Errorf("what was answered: %d %q %v", status, answer, replayed)
+	}
+	if status, _, replayed := credit("held"); status != 502 || !replayed {
+		t.Errorf("what may have run: %d %v", status, replayed)
+	}
+	if got := server.Got.Load(); got != 2 {
+		t.Errorf("%d effects of 2 keys", got)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -153,7 +153,7 @@
 	}
 	for _, file := range []*string{
 		&c.Planning.Certificate, &c.Planning.Key, &c.Planning.Authorities,
-		&c.Cluster.Files.Certificate, &c.Cluster.Files.Key, &c.Cluster.Files.Authorities, &c.Cluster.Folder,
+		&c.Cluster.Files.Certificate, &c.Cluster.Files.Key, &c.Cluster.Files.Authorities, &c.Cluster.Folder, &c.Keys.Durable,
 	} {
 		if *file != "" && !filepath.IsAbs(*file) {
 			*file = filepath.Join(filepath.Dir(path), *file)
--- a/internal/config/keys.go
+++ b/internal/config/keys.go
@@ -14,6 +14,8 @@
 	TenantShare float64
 	LongAnswer  int64 // bytes of an answer, as kept, beyond which only its status is
 	Waiters     int   // of one key
+	// Durable is the file that keeps keys through the end of the process; "" for none.
+	Durable string
 }
 
 // KeyRule is what the node does about the keys of one class.
@@ -50,6 +52,7 @@
 		LongAnswer:  t.size("long_answer", defaultLongAnswer, 0, core.MaxBody),
 		Waiters:     t.count("waiters", defaultWaiters, 0, maxHeld),
 	}
+	c.Keys.Durable = t.text("durable", "", "the name of a file", func(s string) bool { return s != "" })
 	if most := c.Limits.Memory / keyMemoryShare; c.Keys.Memory > most {
 		t.fail("memory", "is more than a quarter of limits.memory: want %dMB at the most, or more there", most>>20)
 	}
--- a/internal/idem/idem.go
+++ b/internal/idem/idem.go
@@ -265,6 +265,7 @@
 
 // Settled is what follows from a run's end.
 type Settled struct {
+	Done    bool     // false where the ticket's was not the run, or had ended
 	Waiters []Ticket // that get the answer, and are done
 	Runner  Ticket   // one of those that waited, which runs now; 0 for none
 }
@@ -283,16 +284,16 @@
 		front := e.waiting.Front()
 		if front == nil {
 			s.forget(e)
-			return Settled{}
+			return Settled{Done: true}
 		}
 		e.owner = e.waiting.Remove(front).(Ticket)
 		next := s.tickets[e.owner]
 		next.place, e.digest = nil, next.read
 		e.until = now + e.class.RunMost
-		return Settled{Runner: e.owner}
+		return Settled{Done: true, Runner: e.owner}
 	}
 	s.ended(e, end == MayHaveRun, ans, now+e.class.Keep)
-	return Settled{Waiters: s.release(e)}
+	return Settled{Done: true, Waiters: s.release(e)}
 }
 
 // ended keeps a run's end until a moment.
--- a/internal/keys/holder.go
+++ b/internal/keys/holder.go
@@ -6,9 +6,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"log/slog"
 	"sync"
 	"time"
 
+	"jasperpin/internal/boltfile"
 	"jasperpin/internal/idem"
 )
 
@@ -24,15 +27,40 @@
 	Retry   time.Duration
 }
 
+// Options are what a Holder is made of.
+type Options struct {
+	Bounds idem.Settings
+	// File keeps keys through the end of the process; "" for none.
+	File string
+	Log  *slog.Logger
+}
+
+const (
+	// openWithin is how long a start waits for another process to let go of the file, and
+	// openEvery how often one that could not is tried again.
+	openWithin = 50 * time.Millisecond
+	openEvery  = 100 * time.Millisecond
+	// closedFor is when to come back while another process has the file.
+	closedFor = time.Second
+	// lost is what repeats are told of a run whose process has ended: 502, as of any that
+	// failed and may have run.
+	lost = 502
+)
+
 // Holder holds keys.
 type Holder struct {
 	start time.Time
+	log   *slog.Logger
+	file  string
+	stop  chan struct{}
+	ended sync.WaitGroup
 
 	mu      sync.Mutex
 	store   *idem.Store
 	waiting map[idem.Ticket]chan woken // each holds one
 	set     idem.Settings
-	copying int64 // bytes of answers that pass
+	copying int64    // bytes of answers that pass
+	journal *journal // nil without a file, or until it is open
 }
 
 // woken is what ended a wait.
@@ -41,13 +69,87 @@
 	answer  idem.Answer
 }
 
-// New makes a holder without a key.
-func New(set idem.Settings) (*Holder, error) {
-	store, err := idem.New(set)
+// New makes a holder. It knows what its file does, where it has one: a run that was under
+// way when the process before ended may have run. Where another process has the file, keys
+// are turned away until that one lets go of it.
+func New(opt Options) (*Holder, error) {
+	store, err := idem.New(opt.Bounds)
 	if err != nil {
 		return nil, err
 	}
-	return &Holder{start: time.Now(), store: store, set: set, waiting: make(map[idem.Ticket]chan woken)}, nil
+	h := &Holder{
+		start: time.Now(), log: opt.Log, file: opt.File, stop: make(chan struct{}),
+		store: store, set: opt.Bounds, waiting: make(map[idem.Ticket]chan woken),
+	}
+	if h.file == "" {
+		return h, nil
+	}
+	err = h.open()
+	if errors.Is(err, boltfile.ErrBusy) {
+		h.log.Info("keys wait for the process before", "file", h.file)
+		h.ended.Go(h.wait)
+		err = nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	return h, nil
+}
+
+// wait opens the file as soon as nobody else has it.
+func (h *Holder) wait() {
+	t := time.NewTicker(openEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-h.stop:
+			return
+		case <-t.C:
+		}
+		switch err := h.open(); {
+		case err == nil:
+			h.log.Info("keys are there", "file", h.file)
+			return
+		case !errors.Is(err, boltfile.ErrBusy):
+			h.log.Error("keys stay closed", "err", err)
+			return
+		}
+	}
+}
+
+// open opens the file and takes in what it holds.
+func (h *Holder) open() error {
+	j, all, err := openJournal(h.file, openWithin)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, k := range all {
+		r := idem.Record{Key: k.Key, Digest: k.Digest, Unknown: k.Unknown, Answer: k.Answer, Left: time.Until(time.Unix(0, k.Until))}
+		if k.Running {
+			r.Unknown, r.Answer = true, idem.Answer{Status: lost, Trimmed: true}
+			r.Left = h.set.Classes[k.Key.Class].Keep
+			j.put(r, time.Now()) // or it would be new with each start
+		}
+		if r.Left > 0 {
+			h.store.Adopt(h.now(), r)
+		}
+	}
+	h.journal = j
+	return nil
+}
+
+// Close lets go of the file. No request may be open.
+func (h *Holder) Close() {
+	close(h.stop)
+	h.ended.Wait()
+	h.mu.Lock()
+	j := h.journal
+	h.mu.Unlock()
+	if j != nil {
+		j.close()
+	}
 }
 
 // Configure puts other settings in force. Keys that are held stay as they were promised.
@@ -75,24 +177,53 @@
 // Arrive says what becomes of a request. The zero digest is for one whose body still comes.
 func (h *Holder) Arrive(k idem.Key, d idem.Digest) Turn {
 	h.mu.Lock()
+	if h.file != "" && h.journal == nil {
+		defer h.mu.Unlock()
+		if c, ok := h.set.Classes[k.Class]; !ok || c.MayPass {
+			return Turn{Verdict: idem.Pass}
+		}
+		return Turn{Verdict: idem.Full, Retry: closedFor}
+	}
 	verdict, ticket, kept := h.store.Arrive(h.now(), k, d)
 	turn := Turn{Verdict: verdict}
 	switch verdict {
 	case idem.Run:
-		turn.Claim = &Claim{h: h, ticket: ticket}
+		turn.Claim = &Claim{h: h, key: k, ticket: ticket}
 	case idem.Wait:
-		turn.Claim = &Claim{h: h, ticket: ticket, woken: make(chan woken, 1)}
+		turn.Claim = &Claim{h: h, key: k, ticket: ticket, woken: make(chan woken, 1)}
 		h.waiting[ticket] = turn.Claim.woken
 	case idem.Full:
 		turn.Retry = h.store.Room(h.now())
 	}
 	h.mu.Unlock()
-	if verdict == idem.Replay {
+	switch verdict {
+	case idem.Run:
+		return turn.Claim.intend(turn)
+	case idem.Replay:
 		turn.Answer = unpack(kept)
 	}
 	return turn
 }
 
+// intend has it on the disk that a key runs, before it does. Where the disk takes nothing
+// it does not run: nobody would know of it.
+func (c *Claim) intend(turn Turn) Turn {
+	h := c.h
+	h.mu.Lock()
+	j := h.journal
+	r, ok := h.store.Record(h.now(), c.key)
+	h.mu.Unlock()
+	if j == nil || !ok {
+		return turn
+	}
+	if err := <-j.put(r, time.Now()); err != nil {
+		h.log.Error("a key could not be written, and its request is refused", "err", err)
+		c.Settle(idem.NeverRan, Answer{})
+		return Turn{Verdict: idem.Full, Retry: closedFor}
+	}
+	return turn
+}
+
 // wake ends the waits of some. Called under the lock.
 func (h *Holder) wake(all []idem.Ticket, w woken) {
 	for _, t := range all {
@@ -106,6 +237,7 @@
 // Claim is a request's hold on a key: it runs, or waits for the one that does.
 type Claim struct {
 	h      *Holder
+	key    idem.Key
 	ticket idem.Ticket
 	woken  chan woken // nil for one that runs
 }
@@ -132,7 +264,10 @@
 		return Turn{}, err
 	}
 	turn := Turn{Verdict: w.verdict, Claim: c}
-	if w.verdict == idem.Replay {
+	switch w.verdict {
+	case idem.Run:
+		return c.intend(turn), nil
+	case idem.Replay:
 		turn.Answer = unpack(w.answer)
 	}
 	return turn, nil
@@ -160,17 +295,43 @@
 	c.h.wake(c.h.store.Digested(c.ticket, d), woken{verdict: idem.Mismatch})
 }
 
-// Settle tells how a run ended. Calls after the first change nothing.
+// Settle tells how a run ended. Calls after the first change nothing. Where there is a file
+// the end is on the disk before anybody is told of it; one that the disk does not take is
+// known to this process alone.
 func (c *Claim) Settle(end idem.End, a Answer) {
+	h := c.h
 	var kept idem.Answer
 	if end != idem.NeverRan {
 		kept = pack(a)
+		if err := h.record(c, end, kept); err != nil {
+			h.log.Error("the end of a key's run could not be written: after a restart it is not known", "err", err)
+		}
 	}
-	c.h.mu.Lock()
-	defer c.h.mu.Unlock()
-	done := c.h.store.Settle(c.h.now(), c.ticket, end, kept)
-	c.h.wake(done.Waiters, woken{idem.Replay, kept})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	done := h.store.Settle(h.now(), c.ticket, end, kept)
+	if done.Done && end == idem.NeverRan && done.Runner == 0 && h.journal != nil {
+		h.journal.forget(c.key) // under the lock: a new run under the key is written behind it
+	}
+	h.wake(done.Waiters, woken{idem.Replay, kept})
 	if done.Runner != 0 {
-		c.h.wake([]idem.Ticket{done.Runner}, woken{verdict: idem.Run})
+		h.wake([]idem.Ticket{done.Runner}, woken{verdict: idem.Run})
+	}
+}
+
+// record has the end of a run on the disk.
+func (h *Holder) record(c *Claim, end idem.End, kept idem.Answer) error {
+	h.mu.Lock()
+	j := h.journal
+	r, ok := h.store.Record(h.now(), c.key)
+	keep := h.set.Classes[c.key.Class].Keep
+	if len(kept.Body) > h.set.LongAnswer {
+		kept.Body, kept.Trimmed = nil, true
+	}
+	h.mu.Unlock()
+	if j == nil || !ok || !r.Running || r.Run != c.ticket {
+		return nil
 	}
+	r.Running, r.Run, r.Unknown, r.Answer, r.Left = false, 0, end == idem.MayHaveRun, kept, keep
+	return <-j.put(r, time.Now())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -395,6 +395,10 @@
 		next.Cluster = was.Cluster
 		restart = append(restart, "cluster")
 	}
+	if was.Keys.Durable != next.Keys.Durable {
+		next.Keys.Durable = was.Keys.Durable
+		restart = append(restart, "keys.durable")
+	}
 	keep("planning.listen", &was.Planning.Listen, &next.Planning.Listen)
 	w, is := was.Planning, &next.Planning
 	if w.Certificate != is.Certificate || w.Key != is.Key || w.Authorities != is.Authorities {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -339,7 +339,7 @@
 		return nil, nil
 	}
 	if s.keys == nil {
-		h, err := keys.New(set)
+		h, err := keys.New(keys.Options{Bounds: set, File: cfg.Keys.Durable, Log: s.log})
 		if err != nil {
 			return nil, err
 		}
@@ -457,4 +457,7 @@
 	for _, o := range old {
 		o.end()
 	}
+	if s.keys != nil {
+		s.keys.Close()
+	}
 }
