Back the group up and restore it: leases end, and fencing numbers go on beyond any given

A site that loses a majority's disks lost what was agreed. jasperpin cluster backup writes it to a new file with its digest, restore puts it in the place of what is there. Its revision jumps by 2^32, as numbers may have been given after the back-up; leases are free.

Seen: restored into the group that went on and into a new one; all voters have it, the next number is greater than the last one given; each altered byte is found.

--- a/cmd/jasperpin/cluster.go
+++ b/cmd/jasperpin/cluster.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -78,6 +79,24 @@
 		ask("add ID ADDRESS", "Take in a voter that has joined", cobra.ExactArgs(2), func(ctx context.Context, c *cluster.Client, _ *config.Config, _ io.Writer, w []string) error {
 			return c.Change(ctx, cluster.Change{Add: w[0], Addr: w[1]})
 		}),
+		ask("backup FILE", "Write what is agreed to a new file", cobra.ExactArgs(1), func(ctx context.Context, c *cluster.Client, _ *config.Config, _ io.Writer, w []string) error {
+			b, err := c.Backup(ctx)
+			if err != nil {
+				return err
+			}
+			return writeNew(w[0], b.Seal())
+		}),
+		ask("restore FILE", "Put a back-up in the place of what is agreed; leases end", cobra.ExactArgs(1), func(ctx context.Context, c *cluster.Client, _ *config.Config, _ io.Writer, w []string) error {
+			text, err := os.ReadFile(w[0])
+			if err != nil {
+				return fmt.Errorf("reading a back-up: %w", err)
+			}
+			b, err := cluster.Unseal(text)
+			if err != nil {
+				return fmt.Errorf("%s: %w", w[0], err)
+			}
+			return c.Revive(ctx, b)
+		}),
 		ask("remove ID", "Remove a voter for ever", cobra.ExactArgs(1), func(ctx context.Context, c *cluster.Client, _ *config.Config, _ io.Writer, w []string) error {
 			return c.Change(ctx, cluster.Change{Remove: w[0]})
 		}),
@@ -85,6 +104,20 @@
 	return cmd
 }
 
+// writeNew writes a file that is not there yet, and has it on the disk.
+func writeNew(path string, text []byte) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return fmt.Errorf("writing a back-up: %w", err)
+	}
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		_ = os.Remove(path) // half a back-up is none
+		return fmt.Errorf("writing a back-up: %w", err)
+	}
+	return nil
+}
+
 func (g *group) load() (*config.Config, error) {
 	cfg, err := config.Load(g.file)
 	if err == nil && !cfg.Cluster.On() {
--- a/internal/cluster/call.go
+++ b/internal/cluster/call.go
@@ -34,27 +34,34 @@
 	// pause is between two rounds of asking, at first; it doubles up to pauseMost.
 	pause     = 20 * time.Millisecond
 	pauseMost = 500 * time.Millisecond
+	// reviveWithin bounds how long a back-up takes, either way.
+	reviveWithin = 30 * time.Second
 	// sessions are the commands of one client that may be out at a time.
 	sessions = 16
 	// leaderHeader names who leads, where the voter asked does not.
 	leaderHeader = "Group-Leader"
 )
 
+// errFinal says that the group will give no other answer.
+var errFinal = errors.New("the group refuses")
+
 // handler answers other instances' calls.
 func (v *Voter) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/do", answer(v, func(_ context.Context, c group.Command) (group.Result, error) { return v.Do(c) }))
-	mux.HandleFunc("POST /v1/read", answer(v, v.Read))
-	mux.HandleFunc("POST /v1/status", answer(v, func(context.Context, struct{}) (Status, error) { return v.Status() }))
-	mux.HandleFunc("POST /v1/voters", answer(v, func(_ context.Context, c Change) (struct{}, error) { return struct{}{}, v.Change(c) }))
+	mux.HandleFunc("POST /v1/do", answer(v, maxCall, func(_ context.Context, c group.Command) (group.Result, error) { return v.Do(c) }))
+	mux.HandleFunc("POST /v1/read", answer(v, maxCall, v.Read))
+	mux.HandleFunc("POST /v1/status", answer(v, maxCall, func(context.Context, struct{}) (Status, error) { return v.Status() }))
+	mux.HandleFunc("POST /v1/voters", answer(v, maxCall, func(_ context.Context, c Change) (struct{}, error) { return struct{}{}, v.Change(c) }))
+	mux.HandleFunc("POST /v1/backup", answer(v, maxCall, func(context.Context, struct{}) (Backup, error) { return v.Backup() }))
+	mux.HandleFunc("POST /v1/revive", answer(v, maxReply, func(_ context.Context, b Backup) (struct{}, error) { return struct{}{}, v.Revive(b) }))
 	return mux
 }
 
 // answer makes a handler of a call: what it takes and gives is JSON.
-func answer[In, Out any](v *Voter, call func(context.Context, In) (Out, error)) http.HandlerFunc {
+func answer[In, Out any](v *Voter, most int64, call func(context.Context, In) (Out, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var in In
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCall)).Decode(&in); err != nil {
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, most)).Decode(&in); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
@@ -68,7 +75,7 @@
 		if err == nil {
 			text, err = json.Marshal(out)
 		}
-		if errors.Is(err, ErrVoters) { // asking again does not help
+		if errors.Is(err, ErrVoters) || errors.Is(err, ErrBackup) { // asking again does not help
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
 		}
@@ -155,7 +162,11 @@
 
 // Change has the voters changed. The error is ErrVoters where they cannot be.
 func (c *Client) Change(ctx context.Context, ch Change) error {
-	return c.ask(ctx, "/v1/voters", ch, &struct{}{}, 2*askWithin)
+	err := c.ask(ctx, "/v1/voters", ch, &struct{}{}, 2*askWithin)
+	if errors.Is(err, errFinal) {
+		return fmt.Errorf("%w: %w", ErrVoters, err)
+	}
+	return err
 }
 
 // ask asks one voter after another until one answers or ctx ends.
@@ -181,7 +192,7 @@
 					return nil
 				}
 			}
-			if errors.Is(err, ErrVoters) {
+			if errors.Is(err, errFinal) {
 				return err
 			}
 			if ctx.Err() != nil {
@@ -262,7 +273,7 @@
 		return "", fmt.Errorf("asking %s: %w", addr, err)
 	}
 	if resp.StatusCode == http.StatusConflict {
-		return "", fmt.Errorf("%w: %s answers %s", ErrVoters, addr, bytes.TrimSpace(body))
+		return "", fmt.Errorf("%w: %s answers: %s", errFinal, addr, bytes.TrimSpace(body))
 	}
 	if resp.StatusCode != http.StatusOK {
 		return resp.Header.Get(leaderHeader), fmt.Errorf("%s answers %s: %s", addr, resp.Status, bytes.TrimSpace(body))
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -363,6 +363,70 @@
 	}
 }
 
+// TestRevived puts a back-up into a group that has come further, and into a new one whose
+// predecessor is lost: entries are as they were, leases are free, and numbers go on growing.
+func TestRevived(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	c := g.client()
+	do := func(c *Client, cmd group.Command) group.Result {
+		t.Helper()
+		r, err := c.Do(within(t, check.Soon), cmd)
+		if err != nil {
+			t.Fatalf("%+v: %v", cmd, err)
+		}
+		return r
+	}
+	kept := do(c, group.Command{Op: group.Put, Name: "k", Value: []byte("then")})
+	do(c, group.Command{Op: group.Acquire, Name: "l", Holder: "one", TTL: time.Hour})
+	b, err := c.Backup(within(t, check.Soon))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sealed := b.Seal()
+	do(c, group.Command{Op: group.Put, Name: "k", If: kept.Rev, Value: []byte("later")})
+	last := do(c, group.Command{Op: group.Acquire, Name: "m", Holder: "one", TTL: time.Hour})
+
+	for i := range sealed { // every byte of the seal, and some behind it
+		if i > 200 && i%97 > 0 {
+			continue
+		}
+		bad := slices.Clone(sealed)
+		bad[i] ^= 1
+		if _, err := Unseal(bad); !errors.Is(err, ErrBackup) {
+			t.Fatalf("byte %d of %d is another: %v", i, len(sealed), err)
+		}
+	}
+	if b, err = Unseal(sealed); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []*Client{c, newGroup(t, "d").client()} {
+		if err := c.Revive(within(t, check.Soon), b); err != nil {
+			t.Fatal(err)
+		}
+		all := ""
+		v, err := c.Read(within(t, check.Soon), Ask{Leases: &all, Entries: &all})
+		if err != nil || len(v.Leases) != 0 || len(v.Entries) != 1 || string(v.Entries[0].Value) != "then" {
+			t.Fatalf("got %+v %v", v, err)
+		}
+		if r := do(c, group.Command{Op: group.Acquire, Name: "l", Holder: "two", TTL: time.Hour}); r.Fence <= last.Fence {
+			t.Errorf("fencing number %d after %d", r.Fence, last.Fence)
+		}
+	}
+	check.Eventually(t, "all voters have it", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, v := range g.voters {
+			v.machine.mu.Lock()
+			l, ok := v.machine.state.Lease("l")
+			v.machine.mu.Unlock()
+			if !ok || l.Holder != "two" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // TestStrangers has ends that are no voters speak to one: raft is for voters alone, calls
 // for the authority's, and a majority that is lost answers nobody.
 func TestStrangers(t *testing.T) {
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -73,3 +73,24 @@
 	}
 	return s, nil
 }
+
+// revived is how far a revived state's revision lies beyond its snapshot's: no group has
+// come further since, so that no fencing number is given twice.
+const revived = 1 << 32
+
+// Revive makes the state of a back-up go on, in a group that may have come further since.
+// Entries and sessions are as they were then. Leases are not: whoever held one then may not
+// have it now, and takes it anew under a greater number. Who watches is to read all anew.
+func Revive(b []byte) (*State, error) {
+	s, err := Restore(b)
+	if err != nil {
+		return nil, err
+	}
+	if s.rev >= 1<<63 {
+		return nil, fmt.Errorf("%w: it has been revived too often", ErrSnapshot)
+	}
+	s.rev += revived
+	s.forgot, s.events = s.rev, nil
+	clear(s.leases)
+	return s, nil
+}
--- a/internal/keys/journal.go
+++ b/internal/keys/journal.go
@@ -46,7 +46,7 @@
 	db      *bbolt.DB
 	commits atomic.Uint64
 	ended   sync.WaitGroup
-	stop  chan struct{}
+	stop    chan struct{}
 
 	mu     sync.Mutex
 	some   *sync.Cond
