--- a/internal/idem/idem.go
+++ b/internal/idem/idem.go
@@ -99,6 +99,7 @@
 	digest  Digest
 	state   state
 	owner   Ticket // of the run
+	runner  Asker  // who is to run it, where members share keys
 	waiting list.List
 	answer  Answer
 	bytes   int64
--- a/internal/idem/owner.go
+++ b/internal/idem/owner.go
@@ -75,6 +75,7 @@
 	Digest  Digest
 	Running bool
 	Run     Ticket // where it runs
+	Runner  Asker  // who is to run it
 	Unknown bool   // it failed and may have run
 	Answer  Answer
 	Left    time.Duration
@@ -88,7 +89,7 @@
 	}
 	r := Record{Key: k, Digest: e.digest, Running: e.state == running, Unknown: e.state == unknown, Answer: e.answer, Left: max(0, e.until-now)}
 	if r.Running {
-		r.Run = e.owner
+		r.Run, r.Runner = e.owner, e.runner
 	}
 	return r, true
 }
@@ -127,7 +128,7 @@
 	}
 	e.digest = r.Digest
 	if r.Running {
-		e.owner, e.until = r.Run, now+min(r.Left, c.RunMost)
+		e.owner, e.runner, e.until = r.Run, r.Runner, now+min(r.Left, c.RunMost)
 		s.tickets[r.Run] = &arrival{of: e}
 		return nil
 	}
