Test the group through splits of five voters: 2 and 3, 1 and 4, 1 and 1 and 3

Voters take a dialer from tests, which cut them into sides: a majority goes on, the others agree on nothing and read nothing older, and after the cut all know the same.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -31,11 +33,54 @@
 
 	mu     sync.Mutex
 	voters map[string]*Voter
+	side   map[string]int         // by address: voters of unlike sides are cut off from each other
+	wires  map[net.Conn][2]string // from one address to another
+}
+
+// split cuts the voters into sides; those that are not named are on side 0.
+func (g *testGroup) split(sides map[string]int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.side = make(map[string]int)
+	for name, side := range sides {
+		g.side[g.addrs[name]] = side
+	}
+	for c, ends := range g.wires {
+		if g.side[ends[0]] != g.side[ends[1]] {
+			c.Close()
+			delete(g.wires, c)
+		}
+	}
+}
+
+// dialFrom is the dialer of a voter at an address.
+func (g *testGroup) dialFrom(from string) dialer {
+	return func(ctx context.Context, t *tls.Config, to, speaks string) (net.Conn, error) {
+		cut := func() bool { return g.side[from] != g.side[to] }
+		g.mu.Lock()
+		away := cut()
+		g.mu.Unlock()
+		if away {
+			return nil, errors.New("cut off")
+		}
+		c, err := dial(ctx, t, to, speaks)
+		if err != nil {
+			return nil, err
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if cut() {
+			c.Close()
+			return nil, errors.New("cut off")
+		}
+		g.wires[c] = [2]string{from, to}
+		return c, nil
+	}
 }
 
 func newGroup(t *testing.T, names ...string) *testGroup {
 	t.Helper()
-	g := &testGroup{t: t, dir: t.TempDir(), addrs: make(map[string]string), voters: make(map[string]*Voter)}
+	g := &testGroup{t: t, dir: t.TempDir(), addrs: make(map[string]string), voters: make(map[string]*Voter), wires: make(map[net.Conn][2]string)}
 	g.auth = check.Must[*standin.Authority](t)(standin.NewAuthority(g.dir))
 	for _, n := range names {
 		g.addrs[n] = check.Unused(t)
@@ -67,7 +112,7 @@
 
 func (g *testGroup) options(name string) Options {
 	g.t.Helper()
-	return Options{Listen: g.addrs[name], Dir: g.folder(name), Files: g.files(VoterName), Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	return Options{Listen: g.addrs[name], Dir: g.folder(name), Files: g.files(VoterName), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), dial: g.dialFrom(g.addrs[name])}
 }
 
 func (g *testGroup) start(name string) *Voter {
@@ -427,6 +472,75 @@
 	})
 }
 
+// TestSplits cuts five voters into sides: the side of a majority goes on, on the others
+// nothing is agreed and nothing is read, and after the cut all know the same.
+func TestSplits(t *testing.T) {
+	g := newGroup(t, "a", "b", "c", "d", "e")
+	rev := uint64(0)
+	for _, few := range [][]string{{"leader", "other"}, {"leader"}, {"one", "other"}} {
+		lead := g.leader()
+		sides, n := make(map[string]int), 0
+		for _, who := range few {
+			name := lead
+			if who != "leader" {
+				for name = range g.addrs {
+					if name != lead && sides[name] == 0 {
+						break
+					}
+				}
+			}
+			if n++; len(few) > 1 && few[0] == "one" {
+				sides[name] = n // each alone: 1 + 1 + 3
+			} else {
+				sides[name] = 1 // together: 2 + 3
+			}
+		}
+		g.split(sides)
+		var most, least []string
+		for name, addr := range g.addrs {
+			if sides[name] == 0 {
+				most = append(most, addr)
+			} else {
+				least = append(least, addr)
+			}
+		}
+		major := check.Must[*Client](t)(NewClient(most, g.files("client")))
+		minor := check.Must[*Client](t)(NewClient(least, g.files("client")))
+		r, err := major.Do(within(t, check.Soon), group.Command{Op: group.Put, Name: "k", If: rev, Value: []byte("v")})
+		if err != nil {
+			t.Fatalf("%v: the majority: %v", few, err)
+		}
+		rev = r.Rev
+		for _, addr := range least { // each asked alone: whom it names is on the other side
+			var v View
+			ctx := within(t, 2*time.Second)
+			if _, err := minor.one(ctx, addr, "/v1/read", []byte(`{"Entries":""}`), &v, askWithin); err == nil && (len(v.Entries) != 1 || v.Entries[0].Rev != rev) {
+				t.Errorf("%v: %s reads %+v at %d", few, addr, v, rev)
+			}
+			var r group.Result
+			if _, err := minor.one(ctx, addr, "/v1/do", []byte(`{"Op":"put","Name":"lost"}`), &r, askWithin); err == nil {
+				t.Errorf("%v: %s agreed on %+v", few, addr, r)
+			}
+		}
+		g.split(nil)
+		check.Eventually(t, "all know the same", func() bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			for _, v := range g.voters {
+				v.machine.mu.Lock()
+				e, ok := v.machine.state.Entry("k")
+				v.machine.mu.Unlock()
+				if !ok || e.Rev != rev {
+					return false
+				}
+			}
+			return true
+		})
+		major.Close()
+		minor.Close()
+	}
+}
+
 // TestStrangers has ends that are no voters speak to one: raft is for voters alone, calls
 // for the authority's, and a majority that is lost answers nobody.
 func TestStrangers(t *testing.T) {
--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -103,7 +103,10 @@
 	to.put(c)
 }
 
-// dial connects to a voter.
+// dialer connects to a voter for one of the protocols.
+type dialer func(ctx context.Context, t *tls.Config, addr, speaks string) (net.Conn, error)
+
+// dial is the dialer of all but tests, which play a network that splits.
 func dial(ctx context.Context, t *tls.Config, addr, speaks string) (net.Conn, error) {
 	t = t.Clone()
 	t.NextProtos = []string{speaks}
@@ -113,13 +116,14 @@
 // stream is raft's side of the link.
 type stream struct {
 	*queue
-	tls *tls.Config
+	tls  *tls.Config
+	dial dialer
 }
 
 func (s stream) Dial(addr raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return dial(ctx, s.tls, string(addr), speaksRaft)
+	return s.dial(ctx, s.tls, string(addr), speaksRaft)
 }
 
 // queue is a listener whose connections come from elsewhere, no more than maxConns.
--- a/internal/cluster/voter.go
+++ b/internal/cluster/voter.go
@@ -62,6 +62,7 @@
 	Dir    string // its folder, made by Begin or Join
 	Files  mtls.Files
 	Log    *slog.Logger
+	dial   dialer // nil for dial
 }
 
 // Voter is an instance that keeps the log.
@@ -93,6 +94,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("starting a voter: %w", err)
 	}
+	if opt.dial == nil {
+		opt.dial = dial
+	}
 	v = &Voter{id: who.ID, log: opt.Log.With("voter", who.ID), machine: newMachine(), done: make(chan struct{})}
 	defer func() {
 		if err != nil {
@@ -120,7 +124,7 @@
 	}
 	v.addr = v.link.ln.Addr().String()
 	net := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
-		Stream: stream{v.link.raft, t}, MaxPool: 3, Timeout: 2 * time.Second, Logger: quiet,
+		Stream: stream{v.link.raft, t, opt.dial}, MaxPool: 3, Timeout: 2 * time.Second, Logger: quiet,
 	})
 	cfg := raft.DefaultConfig()
 	cfg.LocalID, cfg.Logger = raft.ServerID(who.ID), quiet
