Build the record of an ended run in one place; ask for no digest where there is no key

Read again: keys.Holder and idem.Member each made the record that a run's end leaves, and took the time it is kept from the settings in force, not from the class as it was when the key came, which is what its client was promised: a reload in between could have the file forget it early. Store.Ended serves both, with the entry's own class. Leases and entries under a prefix share one loop. A keyless request of a class without fingerprints has no digest taken any more.

--- a/internal/cluster/call.go
+++ b/internal/cluster/call.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/rand"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -112,7 +111,7 @@
 	}
 	c := &Client{free: make(chan *session, sessions), silent: make(map[string]time.Time), voters: slices.Clone(voters)}
 	c.http = &http.Client{Transport: &http.Transport{
-		DialTLSContext:      func(ctx context.Context, _, addr string) (net.Conn, error) { return dialCalls(ctx, t, addr) },
+		DialTLSContext:      func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, t, addr, speaksHTTP) },
 		MaxIdleConnsPerHost: sessions, IdleConnTimeout: 30 * time.Second,
 	}}
 	life := rand.Text() // no two clients share a session
@@ -122,10 +121,6 @@
 	return c, nil
 }
 
-func dialCalls(ctx context.Context, t *tls.Config, addr string) (net.Conn, error) {
-	return dial(ctx, t, addr, speaksHTTP)
-}
-
 // Close gives up connections at rest.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -323,16 +323,7 @@
 }
 
 // Leases are those whose names begin with a prefix, by their names.
-func (s *State) Leases(prefix string) []Lease {
-	var all []Lease
-	for name, l := range s.leases {
-		if strings.HasPrefix(name, prefix) {
-			all = append(all, l)
-		}
-	}
-	slices.SortFunc(all, func(a, b Lease) int { return strings.Compare(a.Name, b.Name) })
-	return all
-}
+func (s *State) Leases(prefix string) []Lease { return under(s.leases, prefix) }
 
 // Entry is an entry by its key.
 func (s *State) Entry(key string) (Entry, bool) {
@@ -341,13 +332,14 @@
 }
 
 // Entries are those whose keys begin with a prefix, by their keys.
-func (s *State) Entries(prefix string) []Entry {
-	var all []Entry
-	for key, e := range s.entries {
-		if strings.HasPrefix(key, prefix) {
-			all = append(all, e)
+func (s *State) Entries(prefix string) []Entry { return under(s.entries, prefix) }
+
+// under gives what stands under a prefix, in the order of the names; nil for nothing.
+func under[T any](m map[string]T, prefix string) (all []T) {
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		if strings.HasPrefix(name, prefix) {
+			all = append(all, m[name])
 		}
 	}
-	slices.SortFunc(all, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
 	return all
 }
--- a/internal/httpfront/keys.go
+++ b/internal/httpfront/keys.go
@@ -48,6 +48,9 @@
 // first, whether that is there or must be waited for. Both nil stand for one that has no
 // key, or whose class lets it run where there is no room for it.
 func (f *Front) claim(w http.ResponseWriter, hr *http.Request, target service.Target, text string, q *core.Request, up *upload) (own *claim, answered bool) {
+	if text == "" && !target.Keyed.Fingerprint {
+		return nil, false
+	}
 	streams := q.Rest != nil
 	digest := idem.NewDigester(q.Method, q.Target)
 	_, _ = digest.Write(q.Body)
@@ -58,8 +61,6 @@
 	}
 	if text == "" {
 		switch {
-		case !target.Keyed.Fingerprint:
-			return nil, false
 		case streams && len(q.Body) >= limit.KeptBody:
 			complain(w, &complaint{http.StatusRequestEntityTooLarge, "body too long for a class whose repeats are told by what they say"})
 			return nil, true
@@ -80,7 +81,7 @@
 	waited := turn.Verdict == idem.Wait
 	if waited {
 		var err error
-		turn, err = turn.Claim.Wait(hr.Context(), f.until(q, streams))
+		turn, err = turn.Claim.Wait(hr.Context(), until(q, streams))
 		switch {
 		case errors.Is(err, keys.ErrTimeUp):
 			own504(w, target, q.Class)
@@ -125,7 +126,7 @@
 }
 
 // until is when a client's time is up. That of one whose body streams begins with its end.
-func (f *Front) until(q *core.Request, streams bool) time.Time {
+func until(q *core.Request, streams bool) time.Time {
 	if streams {
 		return time.Now().Add(q.Wait)
 	}
--- a/internal/idem/member.go
+++ b/internal/idem/member.go
@@ -437,11 +437,11 @@
 	}
 	m.last++
 	c.to, c.letter = second, Letter{Kind: Copies, ID: m.last, Key: k}
-	if r, ok := m.store.Record(now, k); ok {
-		if c.ended != 0 {
-			r.Running, r.Run, r.Unknown, r.Answer = false, 0, c.how == MayHaveRun, c.end.answer
-			r.Left = m.store.set.Classes[k.Class].Keep
-		}
+	r, ok := m.store.Record(now, k)
+	if ended, is := m.store.Ended(now, k, c.ended, c.how, c.end.answer); is {
+		r = ended
+	}
+	if ok {
 		c.letter.Records = []Record{r}
 	}
 	m.copies[m.last] = c
--- a/internal/idem/owner.go
+++ b/internal/idem/owner.go
@@ -94,6 +94,20 @@
 	return r, true
 }
 
+// Ended gives the record that a key's run will leave when it ends so, and false where the
+// ticket is not that run's: who keeps a copy has it before the run is settled.
+func (s *Store) Ended(now time.Duration, k Key, run Ticket, how End, ans Answer) (Record, bool) {
+	r, ok := s.Record(now, k)
+	if !ok || !r.Running || r.Run != run {
+		return Record{}, false
+	}
+	if len(ans.Body) > s.set.LongAnswer {
+		ans.Body, ans.Trimmed = nil, true
+	}
+	r.Running, r.Run, r.Unknown, r.Answer, r.Left = false, 0, how == MayHaveRun, ans, s.entries[k].class.Keep
+	return r, true
+}
+
 // Keys are all keys held, in a fixed order.
 func (s *Store) Keys() []Key {
 	keys := make([]Key, 0, len(s.entries))
--- a/internal/keys/holder.go
+++ b/internal/keys/holder.go
@@ -334,15 +334,10 @@
 func (h *Holder) record(c *Claim, end idem.End, kept idem.Answer) error {
 	h.mu.Lock()
 	j := h.journal
-	r, ok := h.store.Record(h.now(), c.key)
-	keep := h.set.Classes[c.key.Class].Keep
-	if len(kept.Body) > h.set.LongAnswer {
-		kept.Body, kept.Trimmed = nil, true
-	}
+	r, ok := h.store.Ended(h.now(), c.key, c.ticket, end, kept)
 	h.mu.Unlock()
-	if j == nil || !ok || !r.Running || r.Run != c.ticket {
+	if j == nil || !ok {
 		return nil
 	}
-	r.Running, r.Run, r.Unknown, r.Answer, r.Left = false, 0, end == idem.MayHaveRun, kept, keep
 	return <-j.put(r, time.Now())
 }
