Make room in the policy: send takes the picked server, first call set where a node begins

Decisions are the same: a node begins its discovery in New, send turns no server down, and a request's work for shedding is one expression.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -63,13 +64,10 @@
 // taken from the lowest rank up, by chance within the rank it ends in.
 func (b *Balancer) shed(r *request) bool {
 	b.countKey(r.Key)
-	slot, w := r.Class+1, float64(r.Hint)
+	slot, w := r.Class+1, cmp.Or(float64(max(r.Hint, 0)), b.classes[r.Class].latency)
 	if r.Repeat {
 		slot = 0
 	}
-	if w <= 0 {
-		w = b.classes[r.Class].latency
-	}
 	rank, total, below, same := b.rank[slot], 0.0, 0.0, 0.0
 	b.mix[slot] += w
 	for i := range b.mix {
--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -56,7 +56,7 @@
 
 // step moves a request with nothing outstanding on: another attempt, or its end.
 func (b *Balancer) step(r *request) {
-	if (r.first() == nil || b.now < r.aimAt && b.budget >= 1) && b.another(r) {
+	if (r.first() == nil || b.now < r.aimAt && b.budget >= 1) && b.send(r, b.pick(r)) {
 		return
 	}
 	if len(r.attempts) > 0 && r.first() == nil {
@@ -65,12 +65,6 @@
 	b.finish(r)
 }
 
-// another sends an attempt to the best server there is for it.
-func (b *Balancer) another(r *request) bool {
-	s := b.pick(r)
-	return s != nil && b.send(r, s)
-}
-
 // pause is how long a refused client should stay away: until what is out now is
 // answered, or, its aim past, for as long as it will, as it brings nothing back.
 func (b *Balancer) pause(r *request) time.Duration {
@@ -80,9 +74,10 @@
 	return min(b.set.RetryAfterMost, time.Duration(b.classes[r.Class].latency))
 }
 
-// send is the only place that sends; the rules are checked here once more.
+// send is the only place that sends, to the server picked if there is one; the rules
+// are checked here once more.
 func (b *Balancer) send(r *request, s *server) bool {
-	if r.ended || s.Condition != Ready || b.now >= r.aimAt || !b.maySend(r, s) {
+	if s == nil || r.ended || s.Condition != Ready || b.now >= r.aimAt || !b.maySend(r, s) {
 		return false
 	}
 	if r.first() != nil { // where nothing ran, trying again costs no work
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -85,7 +85,9 @@
 	}
 	b.out.Wake(tokenTick, now+tickEvery)
 	b.out.Wake(tokenSweep, now+sweepEvery)
-	b.startDiscovery()
+	// First calls are spread over nodes: all may start at once, and the register serves few a second.
+	slot := time.Duration(set.Self)*askStep + time.Duration(b.rng.Float64()*float64(askStep))
+	b.out.Wake(tokenAsk, now+min(slot, time.Duration(askShare*float64(set.AskWithin))))
 	return b
 }
 
@@ -186,7 +188,7 @@
 		b.askDue()
 	case tokenCopy:
 		if r := b.reqs[RequestID(tok>>4)]; r != nil && b.now < r.copyAt+copyLate && r.pending() && b.quick() && b.budget >= 1 {
-			b.another(r)
+			b.send(r, b.pick(r))
 		}
 	case tokenDue:
 		if r := b.reqs[RequestID(tok>>4)]; r != nil && !r.ended && (!r.Streams || b.now >= r.Due) {
--- a/decide/members.go
+++ b/decide/members.go
@@ -152,13 +152,6 @@
 	return s.tokens >= 0
 }
 
-// startDiscovery makes the first call of a node that must ask: spread over nodes
-// by number, since all may start at once and the register serves few a second.
-func (b *Balancer) startDiscovery() {
-	slot := time.Duration(b.set.Self)*askStep + time.Duration(b.rng.Float64()*float64(askStep))
-	b.out.Wake(tokenAsk, b.now+min(slot, time.Duration(askShare*float64(b.set.AskWithin))))
-}
-
 func (b *Balancer) askDue() {
 	if b.set.Ask && !b.subscribed && !b.asking {
 		b.asking = true
