Give a cold server's budget by what the node's own zone answers

Seen on churn+huge, counted over 80 nodes by how warm servers are: cold ones got 0.02 to 0.6 of the work for their size and warmth while warm ones got 1.2 to 1.8 of it, were 1.6 times slower than expected and let 8 to 14% of attempts time out; at 50 s nodes shed more than half of what came. Cold ones answered as quickly as expected.

Cause: coldMay (decide/members.go) gave each node a part of the budget by its answers from all zones. Nodes keep to their zone, as crossing has a price, so two thirds of each budget lay with nodes that never came. A cold server of the own zone is now given by what that zone answers this node; others as before.

--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -134,6 +134,9 @@
 	if o.Result == Cancelled && r.ended && len(r.attempts) > 1 && took > copyAfter*a.expect {
 		o.Result = TimedOut // its second copy was answered first
 	}
+	if o.Result == OK && s.Zone == b.set.Zone {
+		b.local.answers.add(b.now, 1)
+	}
 	alive := s.lastAnswer > a.sentAt
 	if o.Result == OK || o.Result == TimedOut {
 		b.learn(r, a, float64(took), o.Result == TimedOut)
--- a/decide/cases_test.go
+++ b/decide/cases_test.go
@@ -215,6 +215,42 @@
 	}
 }
 
+// Nodes keep to their own zone: where each had a part of a cold server's budget after its
+// answers from all zones, two thirds lay with nodes that never came, and it stood idle
+// beside full ones.
+func TestColdBudgetFollowsTheZone(t *testing.T) {
+	b, _ := start(testSettings(), 0)
+	var list []Server
+	for id := range ServerID(30) {
+		list = append(list, Server{ID: id + 1, Zone: int(id % 3), Condition: Ready, Scale: 1})
+	}
+	b.Listed(b.now, ListFull, list)
+	for id := RequestID(1); id <= 1000; id++ { // 100 a second, in the own zone
+		b.now += 10 * time.Millisecond
+		r := &request{Request: Request{ID: id, Due: b.now + second}, aimAt: b.now + second}
+		if !b.send(r, b.local.list[id%10]) {
+			t.Fatal("not sent")
+		}
+		b.reqs[id] = r
+		b.Finished(b.now, Outcome{ID: id, Result: OK, Settled: true})
+	}
+	budget := func(zone int) float64 {
+		s := &server{Server: Server{Zone: zone, Scale: 1, Since: b.now}, cold: true, tokensAt: b.now}
+		b.now += 200 * time.Millisecond
+		b.coldMay(s)
+		return s.tokens
+	}
+	// 10 calls a second to each server here, 3.3 over all; a fifth of a second at some
+	// more than a fifth of that.
+	part := 0.2 * 0.2 * 3 * coldMargin
+	if got := budget(0); got < 9*part || got > 11*part {
+		t.Errorf("a cold server of the own zone has a budget of %.2f calls, want %.2f", got, 10*part)
+	}
+	if got := budget(1); got < 3*part || got > 4*part {
+		t.Errorf("one of another zone has a budget of %.2f calls, want %.2f", got, 3.3*part)
+	}
+}
+
 // Where full servers turn calls away, more is sent than anyone carries: a cold
 // server's budget that went by calls sent was exceeded eight times.
 func TestColdBudgetGoesByCallsAnswered(t *testing.T) {
--- a/decide/members.go
+++ b/decide/members.go
@@ -140,14 +140,19 @@
 }
 
 // coldMay says whether this node's share of a cold server's budget has room: what servers
-// of its size answer, times the multiple allowed and the capacity it has at the least.
+// of its size answer, times the multiple allowed and the capacity it has at the least. Nodes
+// keep to their zones: by answers from all, nodes that never come hold most of the budget. It
+// could do harm where most nodes are in one zone and most servers in another.
 func (b *Balancer) coldMay(s *server) bool {
 	w := b.warmth(s)
 	if s.cold = s.cold && w < 1; !s.cold {
 		return true
 	}
-	rate := b.okMeter.at(b.now) * s.Scale / max(b.warmScale, 1e-9)
-	rate *= min(1, b.set.FallMultiple*coldMargin*w)
+	rate := b.okMeter.at(b.now) / max(b.warmScale, 1e-9)
+	if s.Zone == b.set.Zone {
+		rate = max(rate, b.local.answers.at(b.now)/max(b.local.warm, 1e-9))
+	}
+	rate *= s.Scale * min(1, b.set.FallMultiple*coldMargin*w)
 	s.tokens, s.tokensAt = min(1, s.tokens+rate*(b.now-s.tokensAt).Seconds()), b.now
 	return s.tokens >= 0
 }
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -14,6 +14,7 @@
 	Servers []ServerMemory
 
 	OK, Bad, Sent float64 // answers, failures and attempts a second
+	Near          float64 // answers of the own zone, likewise
 	Budget        float64 // for retries
 	Fill, Crowd   float64
 	Window, Level float64
@@ -49,7 +50,7 @@
 func (b *Balancer) Memory(now time.Duration) Memory {
 	b.now = max(b.now, now)
 	m := Memory{
-		OK: b.okMeter.at(b.now), Bad: b.badMeter.at(b.now), Sent: b.sent.at(b.now), Budget: b.budget,
+		OK: b.okMeter.at(b.now), Bad: b.badMeter.at(b.now), Sent: b.sent.at(b.now), Near: b.local.answers.at(b.now), Budget: b.budget,
 		Fill: b.fill, Crowd: b.crowd, Window: b.window, Level: b.level, Steady: b.steady,
 	}
 	for _, c := range b.classes {
@@ -89,6 +90,7 @@
 	b.okMeter = meter{within(m.OK, 0, maxRate, 0), b.now}
 	b.badMeter = meter{within(m.Bad, 0, maxRate, 0), b.now}
 	b.sent = meter{within(m.Sent, 0, maxRate, 0), b.now}
+	b.local.answers = meter{within(m.Near, 0, maxRate, 0), b.now}
 	b.budget = within(m.Budget, 0, retryBurst, b.budget)
 	b.fill = within(m.Fill, 0, maxStretch, 0)
 	b.crowd = within(m.Crowd, 0, maxStretch, b.crowd)
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -44,6 +44,9 @@
 	list []*server
 	cum  []float64
 	slow float64 // mean stretch
+
+	answers meter   // of the own zone, a second
+	warm    float64 // the size of its servers not ejected, as far as warm
 }
 
 func (p *pool) draw(g *rand.Rand) *server {
@@ -68,16 +71,15 @@
 func (b *Balancer) reweigh() {
 	perServer := b.sent.at(b.now) * float64(b.set.Nodes) / float64(max(1, len(b.ready)))
 	b.linkCost = b.set.HandshakeCost + b.set.OpenCost/100*perServer*b.set.KeepAlive.Seconds()
-	b.warmScale = 0
 	for _, p := range [...]*pool{&b.local, &b.remote} {
-		p.cum, p.slow = p.cum[:0], 0
+		p.cum, p.slow, p.warm = p.cum[:0], 0, 0
 		sum := 0.0
 		for _, s := range p.list {
 			stretch := s.stretchAt(b.now)
 			p.slow += stretch / float64(len(p.list))
 			if !s.ejected {
 				w := s.Scale * b.warmth(s)
-				b.warmScale += w
+				p.warm += w
 				w /= stretch
 				if s.out == 0 && !s.cold && b.idleLinks(s) == 0 {
 					w /= unlinked
@@ -87,6 +89,7 @@
 			p.cum = append(p.cum, sum)
 		}
 	}
+	b.warmScale = b.local.warm + b.remote.warm
 }
 
 // saw takes a new latency ratio into a server's stretch.
