--- a/decide/outlier.go
+++ b/decide/outlier.go
@@ -125,7 +125,11 @@
 		s.closed, s.active = s.active, bucket{}
 	}
 	d.bySuccessRate(now, servers, g, out)
-	d.byFailurePercentage(now, servers, g, out)
+	// By failure percentage, a fixed threshold. Departure (common mode): not when most calls
+	// fail everywhere, as each ejection would only load the rest.
+	if d.badShare(now) <= commonMode {
+		d.judge("failure percentage", failureVolume, failureThreshold, now, servers, g, out)
+	}
 	for _, s := range servers {
 		// Departure (thin evidence): a window below the floor was not judged; its counts
 		// carry over at half weight, so that floors are met over a longer one.
@@ -164,14 +168,6 @@
 	d.judge("success rate", successVolume, 1-cut, now, servers, g, out)
 }
 
-// byFailurePercentage ejects servers by a fixed threshold. Departure (common mode):
-// not when most calls fail everywhere, as each ejection would only load the rest.
-func (d *detector) byFailurePercentage(now time.Duration, servers []*server, g *rand.Rand, out Effects) {
-	if d.badShare(now) <= commonMode {
-		d.judge("failure percentage", failureVolume, failureThreshold, now, servers, g, out)
-	}
-}
-
 // judge ejects servers that failed more than a share of their calls, where
 // minimumHosts reached the request volume and as far as the cap allows.
 func (d *detector) judge(why string, volume, share float64, now time.Duration, servers []*server, g *rand.Rand, out Effects) {
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -177,7 +177,8 @@
 }
 
 // keyed offers the servers that a key is kept on: those of the node's zone that
-// win it by hash, which every node computes alike; more for a hot key.
+// win it by hash, which every node computes alike; more for a hot key. Cold ones are among
+// them: they have most to gain from what a key saves, and their budget bounds what they get.
 func (b *Balancer) keyed(r *request, try func(*server, bool)) {
 	n := keyServers + int(2*float64(b.keys[r.Key])/float64(max(b.keySum, 200))*float64(len(b.local.list)))
 	for i := range uint64(min(n, len(b.local.list), keyMost)) {
@@ -188,8 +189,6 @@
 				home, most = s, v
 			}
 		}
-		if !home.cold {
-			try(home, true)
-		}
+		try(home, true)
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,6 +75,7 @@
 	keySaves   = 0.45
 	coldFrom   = 0.13
 	coldFor    = 23 * time.Second
+	listLate   = time.Second // how late the list tells of a restart
 	retries    = 1
 	retryPause = 100 * time.Millisecond
 )
@@ -108,6 +109,8 @@
 	Twice                          int // unsafe requests that ran twice
 	Open                           int // requests or attempts that never ended
 	Worth, WorthMissed             float64
+	ColdUse, WarmUse               float64         // the part of their cores' time that servers worked, while cold and otherwise
+	ColdMost                       float64         // the most sent to a cold server in a second, in what it could do then
 	Latencies                      []time.Duration // of answers, sorted
 }
 
@@ -161,6 +164,8 @@
 	res  Result
 	open int
 	last bool // no more arrivals
+
+	coldTime float64 // core seconds in which servers were cold
 }
 
 func (s *sim) after(d time.Duration, do func()) {
@@ -188,6 +193,37 @@
 	running []*job
 	waiting []*job
 	keys    map[uint64]time.Duration
+	sent    []time.Duration // when work came while it was cold, over the last second
+}
+
+// cold says whether a server has not been up for long.
+func (v *server) cold() bool { return v.born > 0 && v.sim.now-v.born < coldFor }
+
+// pace is how fast each of its cores works now.
+func (v *server) pace() float64 {
+	if !v.cold() {
+		return v.speed
+	}
+	return v.speed * (coldFrom + (1-coldFrom)*float64(v.sim.now-v.born)/float64(coldFor))
+}
+
+// watch notes how many requests of the mean work came to a cold server within a second,
+// against what it can do.
+func (v *server) watch() {
+	if !v.cold() || v.sim.now-v.born < listLate+time.Second {
+		return // nobody knew of it all that second
+	}
+	v.sent = append(v.sent, v.sim.now)
+	v.sent = slices.DeleteFunc(v.sent, func(at time.Duration) bool { return v.sim.now-at > time.Second })
+	v.sim.res.ColdMost = max(v.sim.res.ColdMost, float64(len(v.sent))*meanWork()/(v.pace()*float64(v.cores)))
+}
+
+// meanWork is that of a request, in core seconds of the yardstick.
+func meanWork() (mean float64) {
+	for _, c := range classes {
+		mean += c.share * c.work.Seconds()
+	}
+	return mean
 }
 
 // job is one attempt at its server.
@@ -200,6 +236,7 @@
 }
 
 func (v *server) arrive(j *job) {
+	v.watch()
 	switch {
 	case j.dead:
 	case v.busy < v.cores:
@@ -224,12 +261,13 @@
 		work *= 1 - keySaves
 	}
 	v.keys[j.req.key] = v.sim.now
-	speed := v.speed
-	if age := v.sim.now - v.born; v.born > 0 && age < coldFor {
-		speed *= coldFrom + (1-coldFrom)*float64(age)/float64(coldFor)
+	born, takes := v.born, time.Duration(work/v.pace())
+	if v.cold() {
+		v.sim.res.ColdUse += takes.Seconds()
+	} else {
+		v.sim.res.WarmUse += takes.Seconds()
 	}
-	born := v.born
-	v.sim.after(time.Duration(work/speed), func() {
+	v.sim.after(takes, func() {
 		if v.born != born {
 			return // it restarted meanwhile
 		}
@@ -248,7 +286,12 @@
 
 // restart ends all that the server holds; it comes back cold.
 func (v *server) restart() {
-	v.born, v.busy = v.sim.now, 0
+	left := max(v.sim.set.For-v.sim.now, 0) // of the run
+	if v.cold() {
+		v.sim.coldTime -= float64(v.cores) * min(v.born+coldFor-v.sim.now, left).Seconds()
+	}
+	v.sim.coldTime += float64(v.cores) * min(coldFor, left).Seconds()
+	v.born, v.busy, v.sent = v.sim.now, 0, nil
 	for _, j := range append(v.running, v.waiting...) {
 		j.done(decide.Reset)
 	}
@@ -496,11 +539,7 @@
 	s := &sim{set: set, rng: rand.New(rand.NewPCG(set.Seed, 2))}
 	capacity := s.build()
 	s.think()
-	mean := 0.0
-	for _, c := range classes {
-		mean += c.share * c.work.Seconds()
-	}
-	s.arrivals(set.Load * capacity / mean)
+	s.arrivals(set.Load * capacity / meanWork())
 	for _, f := range set.Faults {
 		s.after(f.At, func() { s.befall(f) })
 	}
@@ -517,6 +556,12 @@
 		s.res.Open += len(b.reqs)
 	}
 	s.planned()
+	whole := 0.0
+	for _, v := range s.servers {
+		whole += float64(v.cores) * set.For.Seconds()
+	}
+	s.res.ColdUse /= max(s.coldTime, 1)
+	s.res.WarmUse /= max(whole-s.coldTime, 1)
 	slices.Sort(s.res.Latencies)
 	return &s.res, nil
 }
@@ -613,8 +658,7 @@
 	}
 }
 
-// restarts has the next part of the servers restart, and the list tell of it a
-// second later.
+// restarts has the next part of the servers restart, and the list tell of it.
 func (s *sim) restarts() {
 	if s.last {
 		return
@@ -622,7 +666,7 @@
 	for range int(s.set.Restart * float64(len(s.servers))) {
 		s.servers[s.rng.IntN(len(s.servers))].restart()
 	}
-	s.after(time.Second, s.list)
+	s.after(listLate, s.list)
 	s.after(s.set.RestartEvery, s.restarts)
 }
 
