--- a/decide/members.go
+++ b/decide/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -11,6 +12,9 @@
 	// coldMargin is the part of a cold server's budget that the nodes use
 	// together: the rest is for chance and for servers slower than the mean.
 	coldMargin = 0.5
+	// coldSpan is how long a node may save its part up: saved for longer, the parts of eighty
+	// nodes came together when a key kept on a cold server grew hot.
+	coldSpan = time.Second
 	// askStep spreads first calls to discovery, within askShare of AskWithin.
 	askStep  = 250 * time.Millisecond
 	askShare = 0.6
@@ -51,7 +55,9 @@
 	if kind == ListFailed {
 		b.asking, b.subscribed = false, false
 		b.failures++
-		b.askAgain()
+		// Again after a pause with jitter, longer with each failure.
+		wait := float64(askRetry) * float64(min(b.failures, 3)) * (0.5 + b.rng.Float64())
+		b.out.Wake(tokenAsk, b.now+time.Duration(min(wait, askShare*float64(b.set.AskWithin))))
 		return
 	}
 	if b.asking && kind != ListCached {
@@ -153,7 +159,10 @@
 		rate = max(rate, b.local.answers.at(b.now)/max(b.local.warm, 1e-9))
 	}
 	rate *= s.Scale * min(1, b.set.FallMultiple*coldMargin*w)
-	s.tokens, s.tokensAt = min(1, s.tokens+rate*(b.now-s.tokensAt).Seconds()), b.now
+	s.tokens, s.tokensAt = s.tokens+rate*(b.now-s.tokensAt).Seconds(), b.now
+	if over := s.tokens - rate*coldSpan.Seconds(); over > 0 {
+		s.tokens -= math.Ceil(over) // a turn not taken passes, and what others hold is spread as before
+	}
 	return s.tokens >= 0
 }
 
@@ -163,9 +172,3 @@
 		b.out.Watch(true)
 	}
 }
-
-// askAgain backs off with jitter after a failed call or a broken subscription.
-func (b *Balancer) askAgain() {
-	wait := float64(askRetry) * float64(min(b.failures, 3)) * (0.5 + b.rng.Float64())
-	b.out.Wake(tokenAsk, b.now+time.Duration(min(wait, askShare*float64(b.set.AskWithin))))
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,6 +36,8 @@
 	// the rest. 0 stands for all of them.
 	SmallSite    float64
 	RestartEvery time.Duration
+	// Hot is the part of all requests that one key has in every other second.
+	Hot float64
 }
 
 // Fault is something that befalls a planner, or all of them.
@@ -680,6 +682,9 @@
 			return
 		}
 		r := &request{site: s.rng.IntN(sites), began: s.now, key: zipf.Uint64()*0x9e3779b97f4a7c15 + 1}
+		if s.set.Hot > 0 && s.now/time.Second%2 == 1 && s.rng.Float64() < s.set.Hot {
+			r.key = 1 + uint64(s.now/(2*time.Second)) // a new one each time
+		}
 		at := s.rng.Float64()
 		for r.class = range classes {
 			if at -= classes[r.class].share; at < 0 {
