--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -185,7 +185,10 @@
 		b.sweep(b.now, b.ready, b.rng, b.out)
 		b.out.Wake(tokenSweep, b.now+sweepEvery)
 	case tokenAsk:
-		b.askDue()
+		if b.set.Ask && !b.subscribed && !b.asking {
+			b.asking = true
+			b.out.Watch(true)
+		}
 	case tokenCopy:
 		if r := b.reqs[RequestID(tok>>4)]; r != nil && b.now < r.copyAt+copyLate && r.pending() && b.quick() && b.budget >= 1 {
 			b.send(r, b.pick(r))
--- a/decide/members.go
+++ b/decide/members.go
@@ -165,10 +165,3 @@
 	}
 	return s.tokens >= 0
 }
-
-func (b *Balancer) askDue() {
-	if b.set.Ask && !b.subscribed && !b.asking {
-		b.asking = true
-		b.out.Watch(true)
-	}
-}
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -109,11 +109,6 @@
 		!slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.srv == s })
 }
 
-// idle is the design's test: few of this node's own calls, against the mean.
-func (b *Balancer) idle(s *server) bool {
-	return float64(s.out) <= idleMargin+float64(b.outNow)/max(b.totalScale, 1e-9)*s.Scale
-}
-
 // cost estimates what sending a request to a server loses: the chance that the
 // answer comes too late, and the prices of crossing zones and of connecting.
 func (b *Balancer) cost(r *request, s *server, expect float64, warm bool) float64 {
@@ -144,8 +139,9 @@
 	expect := b.expected(r)
 	var best *server
 	bestCost := math.Inf(1)
+	few := float64(b.outNow) / max(b.totalScale, 1e-9) // the mean of own calls, by size
 	try := func(s *server, warm bool) {
-		if s == nil || s == best || !b.idle(s) || !b.usable(r, s) {
+		if s == nil || s == best || float64(s.out) > idleMargin+few*s.Scale || !b.usable(r, s) {
 			return
 		}
 		if s.probation && (s.out > 0 || b.set.Classes[r.Class].Effect == SingleShot) {
