Leave a server that takes no connection alone for half a second to four

The two other zones had room.

Cause: observe (decide/attempt.go) let a server that refuses connections stay ready; outlier detection judges none while most calls fail (commonMode, and improbable's runs grow to 88); cost stays below the price of crossing. All three attempts went to the lost zone. Ruled out: shedding (1 of 506), discovery, time-outs (none there).

--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -17,6 +17,9 @@
 	copyAfter = 4
 	// copyLate: a node that comes to it later than this is behind with answers, too.
 	copyLate = 10 * time.Millisecond
+	// connectRetry, doubled thrice at most, is how long a server that took no connection is
+	// not ready. Long against what a node without sockets waits for one, it could do harm.
+	connectRetry = 500 * time.Millisecond
 )
 
 // first returns the first attempt that may have run, or nil.
@@ -147,6 +150,8 @@
 		// A full server would look idle: it rests for as long as a call takes.
 		// Only a request that finds no room elsewhere (step) tells of overload.
 		s.restUntil = b.now + time.Duration(b.classes[r.Class].latency)
+	} else if o.Result == NoConnection {
+		s.restUntil = b.now + time.Duration(float64(connectRetry<<min(s.run, 3))*(0.5+b.rng.Float64()))
 	}
 	// A time-out at a server that answers others, and no sooner than it should, is
 	// load and no fault: it shows in the stretch and counts as no failure.
--- a/decide/cases_test.go
+++ b/decide/cases_test.go
@@ -251,6 +251,54 @@
 	}
 }
 
+// A zone that refuses all connections at once leaves too many failures for any server to be
+// ejected: each request made its three attempts there, as crossing has a price, and was
+// refused. Servers that take no connection are left alone for a while, and come back.
+func TestZoneThatTakesNoConnection(t *testing.T) {
+	set := testSettings()
+	set.CrossCost = 0.12
+	b, tape := start(set, 0)
+	var list []Server
+	for id := range ServerID(30) {
+		list = append(list, Server{ID: id + 1, Zone: int(id % 3), Condition: Ready, Scale: 1})
+	}
+	b.Listed(b.now, ListFull, list)
+	dead, id := true, RequestID(0)
+	serve := func(n int) (served int) {
+		for range n {
+			b.now += 20 * time.Millisecond
+			id++
+			tape.sends = nil
+			b.Arrive(b.now, Request{ID: id, Due: b.now + second})
+			for i := 0; i < len(tape.sends); i++ { // grows as attempts fail
+				if s := b.byID[tape.sends[i].srv]; dead && s.Zone == set.Zone {
+					b.Finished(b.now, Outcome{ID: id, Attempt: i, Result: NoConnection})
+					continue
+				}
+				served++
+				b.Finished(b.now, Outcome{ID: id, Attempt: i, Result: OK, Settled: true})
+			}
+		}
+		return served
+	}
+	serve(50) // one second to find out
+	if got := serve(150); got < 140 {
+		t.Errorf("%d of 150 requests served while one zone takes no connection", got)
+	}
+	dead = false
+	serve(400) // the longest rest, and some
+	crossed := 0
+	for range 100 {
+		serve(1)
+		if b.byID[tape.sends[0].srv].Zone != set.Zone {
+			crossed++
+		}
+	}
+	if crossed > 5 {
+		t.Errorf("%d of 100 requests leave a zone that is back", crossed)
+	}
+}
+
 // Where full servers turn calls away, more is sent than anyone carries: a cold
 // server's budget that went by calls sent was exceeded eight times.
 func TestColdBudgetGoesByCallsAnswered(t *testing.T) {
