--- a/cmd/jasperpin/keys_test.go
+++ b/cmd/jasperpin/keys_test.go
@@ -99,7 +99,14 @@
 	}
 	second := run()
 	defer end(second)
-	if status, answer, replayed := credit("soon"); status != 200 || answer != " soon" || !replayed {
+	var status int
+	var answer string
+	var replayed bool
+	check.Eventually(t, "the node has the keys of the one before", func() bool { // 503 until then
+		status, answer, replayed = credit("soon")
+		return status != http.StatusServiceUnavailable
+	})
+	if status != 200 || answer != " soon" || !replayed {
 		t.Errorf("what was answered: %d %q %v", status, answer, replayed)
 	}
 	if status, _, replayed := credit("held"); status != 502 || !replayed {
