Try servers that took no connection where there is none other

On a busy machine a connection can take longer than it may, and where a pool has few servers all of them rested: requests were refused with nobody asked. Such a server is now passed over only while another can be chosen (downUntil, apart from restUntil of full ones). A lost zone's nodes still go elsewhere: the module's test of it holds.

--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -151,7 +151,7 @@
 		// Only a request that finds no room elsewhere (step) tells of overload.
 		s.restUntil = b.now + time.Duration(b.classes[r.Class].latency)
 	} else if o.Result == NoConnection && b.now-s.lastAnswer > connectRetry { // not one among answers
-		s.restUntil = b.now + time.Duration(float64(connectRetry<<min(s.run, 3))*(0.5+b.rng.Float64()))
+		s.downUntil = b.now + time.Duration(float64(connectRetry<<min(s.run, 3))*(0.5+b.rng.Float64()))
 	}
 	// A time-out at a server that answers others, and no sooner than it should, is
 	// load and no fault: it shows in the stretch and counts as no failure.
--- a/decide/members.go
+++ b/decide/members.go
@@ -31,6 +31,7 @@
 	stretch    float64       // its latency over the expected one, smoothed
 	seenAt     time.Duration
 	restUntil  time.Duration // it said that it is full
+	downUntil  time.Duration // it took no connection: only where there is none other
 	tokens     float64       // slow-start budget, in average requests
 	tokensAt   time.Duration
 	cold       bool
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -141,7 +141,7 @@
 	bestCost := math.Inf(1)
 	few := float64(b.outNow) / max(b.totalScale, 1e-9) // the mean of own calls, by size
 	try := func(s *server, warm bool) {
-		if s == nil || s == best || float64(s.out) > idleMargin+few*s.Scale || !b.usable(r, s) {
+		if s == nil || s == best || b.now < s.downUntil || float64(s.out) > idleMargin+few*s.Scale || !b.usable(r, s) {
 			return
 		}
 		if s.probation && (s.out > 0 || b.set.Classes[r.Class].Effect == SingleShot) {
