--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -18,7 +18,7 @@
 	// copyLate: a node that comes to it later than this is behind with answers, too.
 	copyLate = 10 * time.Millisecond
 	// connectRetry, doubled thrice at most, is how long a server that took no connection is
-	// not ready. Long against what a node without sockets waits for one, it could do harm.
+	// passed over. It could do harm where a zone is back before discovery tells of it.
 	connectRetry = 500 * time.Millisecond
 )
 
