Drains: open requests end by the process's end, half-come ones are refused at the last moment

Cause: core.Pool.DrainBy (internal/core/pool.go) set the bound for requests that arrive later and left those open as they were: a class with a deadline of 6 s, taken just before SIGTERM, was still out when Front.Shutdown closed all that was open.

Change: decide.Balancer.Hasten moves an open request's deadline; the front reads nothing that is not whole from 0.45 s after the longest deadline on, refuses what has begun and waits for the client to read that; the end itself comes at 0.55 s, 0.15 s before SIGKILL.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -70,9 +70,6 @@
 			same += b.mix[i]
 		}
 	}
-	if b.window <= 0 {
-		return false
-	}
 	p := (b.pressure()*total - below) / same
 	return p > 0 && b.rng.Float64() < p
 }
--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -101,23 +101,23 @@
 	if r.ended {
 		return
 	}
-	r.ended = true
 	if b.mayRefuse(r) {
 		b.out.Refuse(r.ID, b.pause(r))
 	} else {
 		b.out.Fail(r.ID)
 	}
-	b.cancelOthers(r, -1)
-	b.release(r)
+	b.end(r, -1)
 }
 
-// cancelOthers calls off what is still out, but for one attempt.
-func (b *Balancer) cancelOthers(r *request, but int) {
+// end takes note that nothing more is owed, and calls off what is still out, but for one attempt.
+func (b *Balancer) end(r *request, but int) {
+	r.ended = true
 	for i := range r.attempts {
 		if b.set.Cancel && i != but && r.attempts[i].out {
 			b.out.Cancel(r.ID, i)
 		}
 	}
+	b.release(r)
 }
 
 // observe books an outcome with outlier detection, the picker and shedding.
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -139,6 +139,15 @@
 	return r.aimAt - b.now
 }
 
+// Hasten moves a request's deadline forward: its node ends by then.
+func (b *Balancer) Hasten(now time.Duration, id RequestID, due time.Duration) {
+	b.now = max(b.now, now)
+	if r := b.reqs[id]; r != nil && due < r.Due {
+		r.Due, r.aimAt = due, min(r.aimAt, due)
+		b.out.Wake(uint64(id)<<4|tokenDue, due)
+	}
+}
+
 // Finished takes the outcome of an attempt.
 func (b *Balancer) Finished(now time.Duration, o Outcome) {
 	b.now = max(b.now, now)
@@ -152,8 +161,7 @@
 	b.outNow--
 	b.observe(r, a, o)
 	if o.Settled {
-		r.ended = true
-		b.cancelOthers(r, o.Attempt)
+		b.end(r, o.Attempt)
 	}
 	if !r.ended && !r.pending() {
 		b.step(r)
@@ -165,9 +173,7 @@
 func (b *Balancer) ClientGone(now time.Duration, id RequestID) {
 	b.now = max(b.now, now)
 	if r := b.reqs[id]; r != nil {
-		r.ended = true
-		b.cancelOthers(r, -1)
-		b.release(r)
+		b.end(r, -1)
 	}
 }
 
--- a/decide/outlier.go
+++ b/decide/outlier.go
@@ -127,9 +127,7 @@
 		}
 		if !s.ejected {
 			s.multiplier = max(0, s.multiplier-1)
-			continue
-		}
-		if now > s.ejectedAt+min(baseEjection*time.Duration(s.multiplier), maxEjection) {
+		} else if now > s.ejectedAt+min(baseEjection*time.Duration(s.multiplier), maxEjection) {
 			d.ejectedCount--
 			s.ejected, s.probation, s.run = false, true, 0
 			s.active = bucket{}
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -420,9 +420,18 @@
 	}
 }
 
-// DrainBy moves all later deadlines forward: the process ends by then.
+// DrainBy moves all later deadlines forward, those of requests that are open as well: the
+// process ends by then.
 func (p *Pool) DrainBy(t time.Time) {
-	p.do(func(time.Duration) { p.endBy = p.since(t) })
+	p.do(func(now time.Duration) {
+		p.endBy = p.since(t)
+		for id, r := range p.reqs {
+			if r.due > p.endBy {
+				r.due = p.endBy
+				p.b.Hasten(now, id, r.due)
+			}
+		}
+	})
 }
 
 // Listed takes news of the servers.
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -63,6 +63,9 @@
 	return h, true
 }
 
+// Begun says whether a head has begun and not ended.
+func (s *Scanner) Begun() bool { return s.state == inHead && (s.first || len(s.line) > 0) }
+
 // Feed takes the bytes that came next.
 func (s *Scanner) Feed(p []byte) {
 	for len(p) > 0 {
--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -120,7 +120,7 @@
 	u.quit.Lock()
 	u.closed = true
 	if !u.ended { // else net/http reads by now, and would take it for the client's end
-		_ = u.rc.SetReadDeadline(time.Unix(1, 0))
+		_ = u.rc.SetReadDeadline(longAgo)
 	}
 	u.quit.Unlock()
 	u.mu.Lock()
--- a/internal/httpfront/conns.go
+++ b/internal/httpfront/conns.go
@@ -3,7 +3,10 @@
 import (
 	"container/list"
 	"context"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,10 +20,18 @@
 	clientStall = 20 * time.Second
 	// writePiece is the most that one deadline for writing is set for.
 	writePiece = 32 << 10
+	// farewell is how long a client that was cut short has to read why.
+	farewell = 500 * time.Millisecond
 	// waited tells a read that found its bytes there from one that they woke.
 	waited = time.Millisecond
 )
 
+// longAgo, as a deadline, ends reads at once.
+var longAgo = time.Unix(1, 0)
+
+// cutAnswer refuses a request that did not come whole before the node's end.
+const cutAnswer = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // conns keeps clients' connections within a cap. At the cap a newcomer takes the
 // place of one without a whole request; limit.Evict says whose.
 type conns struct {
@@ -35,6 +46,7 @@
 	resting  list.List // likewise: between requests
 	accepted atomic.Int64
 	closed   bool
+	ending   atomic.Bool // nothing more is read of what is not whole
 }
 
 func newConns(most int) *conns {
@@ -138,6 +150,19 @@
 	}
 }
 
+// end reads no more of requests that are not whole: what waits for a next one closes, and
+// one that has begun is refused.
+func (c *conns) end() {
+	c.ending.Store(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range []*list.List{&c.silent, &c.half, &c.writing, &c.resting} {
+		for e := l.Front(); e != nil; e = e.Next() {
+			_ = e.Value.(*clientConn).Conn.SetReadDeadline(longAgo)
+		}
+	}
+}
+
 // evict closes a connection and frees its place once the descriptor is closed,
 // not sooner. Called and left under the lock, which it gives up meanwhile; its
 // reader notices and closes it once more, to no effect.
@@ -210,10 +235,46 @@
 	return nil
 }
 
+// SetReadDeadline sets how long a read may wait. Once the front ends it may not, but for
+// what holds a whole request: its reader looks out for the client's end.
+func (cc *clientConn) SetReadDeadline(t time.Time) error {
+	err := cc.Conn.SetReadDeadline(t)
+	if c := cc.owner; c.ending.Load() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if cc.place != nil {
+			err = cc.Conn.SetReadDeadline(longAgo)
+		}
+	}
+	return err
+}
+
+// cutShort refuses a request whose head has begun, and leaves the client the time to read
+// that: a close with bytes of the request unread would take the answer back.
+func (cc *clientConn) cutShort() {
+	cc.mu.Lock()
+	begun := cc.heads.Begun()
+	cc.mu.Unlock()
+	if !begun {
+		return
+	}
+	_ = cc.Conn.SetDeadline(time.Now().Add(farewell))
+	if _, err := io.WriteString(cc.Conn, cutAnswer); err != nil {
+		return
+	}
+	if half, ok := cc.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_, _ = io.CopyN(io.Discard, cc.Conn, maxHead+limit.ShortBody)
+}
+
 func (cc *clientConn) Read(p []byte) (int, error) {
 	t := time.Now()
 	n, err := cc.Conn.Read(p)
 	if n == 0 {
+		if errors.Is(err, os.ErrDeadlineExceeded) && cc.owner.ending.Load() {
+			cc.cutShort()
+		}
 		return n, err
 	}
 	now := time.Now()
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -92,10 +92,11 @@
 }
 
 // Shutdown takes no connection any more and waits until those that are open have
-// been answered and closed, no longer than ctx lasts. Those that say nothing are not
+// been answered and closed, no longer than ctx lasts. Requests may become whole until
+// whole; one that is not by then is refused. Those that say nothing are not
 // waited for: a crowd of them would keep the node's place empty for as long as a head
 // may take.
-func (f *Front) Shutdown(ctx context.Context) error {
+func (f *Front) Shutdown(ctx context.Context, whole time.Time) error {
 	for _, ln := range f.listeners() {
 		_ = ln.Close() // it may be closed already
 	}
@@ -103,10 +104,14 @@
 	f.srv.SetKeepAlivesEnabled(false)
 	tick := time.NewTicker(muteEvery)
 	defer tick.Stop()
+	ends := time.NewTimer(time.Until(whole))
+	defer ends.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return f.close()
+		case <-ends.C:
+			f.conns.end()
 		case <-tick.C:
 			f.conns.closeMute()
 			if f.Conns() == 0 {
@@ -187,7 +192,11 @@
 	defer up.free()
 	body, whole, err := up.keep(hr.ContentLength)
 	if err != nil {
-		complain(w, &complaint{http.StatusBadRequest, "body cut short or malformed"})
+		fault := &complaint{http.StatusBadRequest, "body cut short or malformed"}
+		if f.conns.ending.Load() {
+			fault = &complaint{http.StatusServiceUnavailable, "the node ends"}
+		}
+		complain(w, fault)
 		return
 	}
 	if hr.Method == http.MethodGet && (len(body) > 0 || !whole) && !target.Plain {
@@ -231,7 +240,7 @@
 	}
 	pass, err := f.set.Enter(hr.Context(), target, service.Ask{Tenant: tenant(hr, target), Bytes: len(body), Due: q.At.Add(q.Wait)})
 	if err != nil {
-		if hr.Context().Err() != nil {
+		if hr.Context().Err() != nil && !f.conns.ending.Load() {
 			panic(http.ErrAbortHandler)
 		}
 		f.refuse(w, err, target.Plain)
@@ -269,7 +278,8 @@
 	case fin = <-x.Final():
 	case <-hr.Context().Done():
 		// One under a key goes on without its client: its repeat may wait for it.
-		if !up.ours() && first == nil {
+		// Nor is a client gone whose last byte crossed the end of the reading.
+		if !up.ours() && first == nil && !f.conns.ending.Load() {
 			target.Gone(x)
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -70,3 +73,113 @@
 		}
 	}
 }
+
+// TestDrainEndsWhatIsOpen sends SIGTERM with requests out that their clients would wait for
+// longer than the process may live: each gets an answer of the node's own, read to its end,
+// before it ends. One that may have run is not refused.
+func TestDrainEndsWhatIsOpen(t *testing.T) {
+	s := check.Raw(t, func(net.Conn, *http.Request, []byte) bool { select {} })
+	n := startNode(t, nil, s.Addr)
+	want := map[string]string{look("l"): "503", post("credit", "c", "", "x"): "502"}
+	type got struct {
+		text, status string
+	}
+	answers := make(chan got, len(want))
+	for text := range want {
+		go func() {
+			status, _, _ := strings.Cut(strings.TrimPrefix(n.exchange(text), "HTTP/1.1 "), " ")
+			answers <- got{text, status}
+		}()
+	}
+	check.Eventually(t, "the requests are out", func() bool { return int(s.Got.Load()) == len(want) })
+	n.term()
+	for range want {
+		if a := <-answers; a.status != want[a.text] {
+			t.Errorf("answered %q, want %s: %q", a.status, want[a.text], a.text)
+		}
+	}
+	n.gone()
+}
+
+// TestDrainAtTheLastMoment drains nodes beside clients whose requests become whole all
+// through the last moments, heads or bodies in pieces. Whoever has written the whole of one
+// gets one whole answer; the others get one too, or a clear end.
+func TestDrainAtTheLastMoment(t *testing.T) {
+	const clients, longest = 40, 300 * time.Millisecond
+	s := check.Raw(t, standin.Echo)
+	for round := range 4 {
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			t.Parallel()
+			n := startNode(t, func(raw map[string]any) {
+				for _, c := range raw["settings"].(map[string]any)["classes"].([]map[string]any) {
+					c["deadlineMs"], c["objectiveMs"] = longest.Milliseconds(), longest.Milliseconds()
+				}
+			}, s.Addr)
+			g := rand.New(rand.NewPCG(uint64(round), 1))
+			last := longest + lastDue
+			ends := make(chan string, clients)
+			began := time.Now()
+			for i := range clients {
+				text := look(fmt.Sprint(round, "-", i))
+				if i%2 == 1 {
+					text = post("order", fmt.Sprint(round, "-", i), fmt.Sprintf("Idempotency-Key: %d-%d\r\n", round, i), strings.Repeat("b", 400))
+				}
+				at, cut := last-150*time.Millisecond+time.Duration(g.Int64N(int64(350*time.Millisecond))), 1+g.IntN(len(text)-1)
+				c := n.dial()
+				go func() { ends <- lateClient(c, text, cut, began, at) }()
+			}
+			n.term()
+			count := make(map[string]int)
+			for range clients {
+				count[<-ends]++
+			}
+			n.gone()
+			t.Log(count)
+			if count["lost"] > 0 || count["spoilt"] > 0 {
+				t.Errorf("ends of requests: %v", count)
+			}
+			if count["200"]+count["503"] == 0 {
+				t.Error("no request was answered")
+			}
+		})
+	}
+}
+
+// lateClient writes a request in pieces, the last at a moment, and says what became of it:
+// a status, "cut" where the connection ended before the last piece was written, "lost" where it
+// did after that, or "spoilt".
+func lateClient(c net.Conn, text string, cut int, began time.Time, at time.Duration) string {
+	piece := max(1, cut/8)
+	for from := 0; from < cut; from += piece {
+		if _, err := io.WriteString(c, text[from:min(from+piece, cut)]); err != nil {
+			return "cut"
+		}
+		time.Sleep(at / 9)
+	}
+	early := make(chan struct{}) // an answer or an end before the last piece
+	br := bufio.NewReader(c)
+	go func() {
+		_, _ = br.Peek(1)
+		close(early)
+	}()
+	select {
+	case <-early:
+	case <-time.After(time.Until(began.Add(at))):
+		if _, err := io.WriteString(c, text[cut:]); err == nil {
+			cut = len(text)
+		}
+		<-early
+	}
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		if cut == len(text) {
+			return "lost"
+		}
+		return "cut"
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return "spoilt"
+	}
+	return fmt.Sprint(resp.StatusCode)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,8 +39,9 @@
 	quiet     = 100 * time.Millisecond // without a newcomer, for the accept queue to be empty
 	// Counted from the longest deadline on, of which longestCounted is the most.
 	longestCounted = 3 * time.Second
-	lastDue        = 400 * time.Millisecond
-	lastExit       = 500 * time.Millisecond
+	lastDue        = 400 * time.Millisecond // of a final answer
+	lastWhole      = 450 * time.Millisecond // for a request's last byte
+	lastExit       = 550 * time.Millisecond
 	// yieldMost is how long a new version leaves the clients to one that does not drain.
 	yieldMost = time.Second
 	// closing is how long before its end a process closes what is still at rest.
@@ -345,7 +346,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), last)
 	defer cancel()
-	err := n.front.Shutdown(ctx)
+	err := n.front.Shutdown(ctx, began.Add(n.longest()+lastWhole))
 	n.log.Info("drained", "after", time.Since(began).Round(time.Millisecond).String())
 	if err != nil {
 		return fmt.Errorf("closing clients' connections: %w", err)
