--- a/decide/admit.go
+++ b/decide/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"time"
 )
@@ -21,15 +22,20 @@
 	// crowdFull: where answers use up this much of the room, time-outs are load in
 	// full; where they come quicker, less: those are lost answers or silent servers.
 	crowdFull  = 0.15
-	windowGain = 0.5 // how fast the window of own calls follows the signal, per tick
+	crowdQuick = crowdFull / 2 // below, answers come quickly: what does not come is lost, and not late
+	// windowGain is how fast the window of own calls follows the signal, per tick; closeMost bounds
+	// the signal: it closes by a fifth at most.
+	windowGain = 0.5
+	closeMost  = 3 * fillAim
 	shedSpan   = 0.4 // by how much of itself the window may be exceeded until all is refused
 	// levelGain smooths the count of own calls, per tick: longer where they are few, by
 	// levelFew for each, as two calls more are chance there and no overload.
-	levelGain = 0.3
-	levelFew  = 0.08
-	shedMost  = 0.95
-	feelGain  = 1.0 / 16  // smooths the latency signal over some tens of answers
-	mixFade   = 1.0 / 512 // how fast the observed mix of traffic is renewed
+	levelGain  = 0.3
+	levelFew   = 0.08
+	steadyGain = 0.1 // smooths the pressure that the worthiest rank feels, per tick: not by chance
+	shedMost   = 0.95
+	feelGain   = 1.0 / 16  // smooths the latency signal over some tens of answers
+	mixFade    = 1.0 / 512 // how fast the observed mix of traffic is renewed
 )
 
 // Ranks of requests, the first to be shed first.
@@ -45,6 +51,7 @@
 	crowd  float64        // the same of answers alone, not squared
 	window float64        // own calls outstanding that the node allows itself, 0 for no limit
 	level  float64        // own calls outstanding, smoothed
+	steady float64        // pressure, smoothed
 	mix    []float64      // offered work: client's further tries, then by class
 	rank   []int          // of each of the mix
 	keys   map[uint64]int // fading counts of keys seen
@@ -70,8 +77,12 @@
 			same += b.mix[i]
 		}
 	}
-	p := (b.pressure()*total - below) / same
-	return p > 0 && b.rng.Float64() < p
+	share := b.pressure()
+	if rank == rankRest {
+		share = b.steady
+	}
+	p := (share*total - below) / same
+	return b.window > 0 && p > 0 && b.rng.Float64() < p
 }
 
 // pressure is the share of offered work to refuse for the calls now out.
@@ -102,35 +113,10 @@
 	b.fill += (x - b.fill) * feelGain
 }
 
-// quick says that answers come quickly: what does not come is lost, and not late.
-func (b *Balancer) quick() bool { return b.crowd < crowdFull/2 }
-
 // adjust moves the window of own calls. These rise as soon as servers slow
 // down, so it sheds in time; late answers only say how wide it may be.
 func (b *Balancer) adjust() {
-	b.chooseLow()
-	b.level += (float64(b.outNow) - b.level) * min(levelGain, levelFew*max(b.level, 1))
-	e := fillAim - b.fill
-	switch {
-	case b.window > 0:
-		// Late answers tell of sends long past: the window goes by them slowly and
-		// not below what is out, or nearly all is refused with the servers empty;
-		// but further where most are late, or a fleet at half speed stays late.
-		floor := b.level / (1 + shedSpan + fillOver*max(0, b.fill-fillMost))
-		b.window = max(1, floor, b.window*(1+windowGain*e))
-		if e > 0 && b.window > 2*b.level {
-			b.window = 0
-			b.out.Log("load shedding ends")
-		}
-	case e < 0:
-		b.window = 1.2 * max(1, b.level)
-		b.out.Log("load shedding begins")
-	}
-}
-
-// chooseLow finds the classes to shed first: those worth less for their work
-// than the traffic as a whole.
-func (b *Balancer) chooseLow() {
+	// The classes to shed first are worth less for their work than the traffic as a whole.
 	worth := func(i int) float64 {
 		if b.set.WorthByWork {
 			return b.set.Classes[i].Worth
@@ -147,6 +133,24 @@
 			b.rank[i+1] = rankLow
 		}
 	}
+	b.level += (float64(b.outNow()) - b.level) * min(levelGain, levelFew*max(b.level, 1))
+	b.steady += (b.pressure() - b.steady) * steadyGain
+	e := fillAim - b.fill
+	switch {
+	case b.window > 0:
+		// Late answers tell of sends long past: the window goes by them slowly and
+		// not below what is out, or nearly all is refused with the servers empty;
+		// but further where most are late, or a fleet at half speed stays late.
+		floor := b.level / (1 + shedSpan + fillOver*max(0, b.fill-fillMost))
+		b.window = max(1, floor, b.window*(1+windowGain*max(e, -closeMost)))
+		if e > 0 && b.window > 2*b.level {
+			b.window = 0
+			b.out.Log("load shedding ends")
+		}
+	case e < 0:
+		b.window = 1.2 * max(1, b.level)
+		b.out.Log("load shedding begins")
+	}
 }
 
 // countKey keeps a fading count of the keys seen.
@@ -159,10 +163,9 @@
 		return
 	}
 	b.keySum = 0
-	for k, n := range b.keys {
-		if b.keys[k] = n / 2; n < 2 {
-			delete(b.keys, k)
-		}
-		b.keySum += n / 2
+	for k := range b.keys {
+		b.keys[k] /= 2
+		b.keySum += b.keys[k]
 	}
+	maps.DeleteFunc(b.keys, func(_ uint64, n int) bool { return n == 0 })
 }
--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -27,8 +27,7 @@
 	return nil
 }
 
-// maySend is the effect rule: whether the attempts so far allow another one at
-// this server.
+// maySend is the effect rule: whether the attempts so far allow another one at this server.
 func (b *Balancer) maySend(r *request, s *server) bool {
 	if len(r.attempts) >= b.set.MaxAttempts || r.Streams && len(r.attempts) > 0 || r.pending() && !b.set.SecondCopies {
 		return false
@@ -65,17 +64,7 @@
 	b.finish(r)
 }
 
-// pause is how long a refused client should stay away: until what is out now is
-// answered, or, its aim past, for as long as it will, as it brings nothing back.
-func (b *Balancer) pause(r *request) time.Duration {
-	if b.now >= r.aimAt {
-		return b.set.RetryAfterMost
-	}
-	return min(b.set.RetryAfterMost, time.Duration(b.classes[r.Class].latency))
-}
-
-// send is the only place that sends, to the server picked if there is one; the rules
-// are checked here once more.
+// send is the only place that sends, to the server picked if any; it checks the rules once more.
 func (b *Balancer) send(r *request, s *server) bool {
 	if s == nil || r.ended || s.Condition != Ready || b.now >= r.aimAt || !b.maySend(r, s) {
 		return false
@@ -86,9 +75,8 @@
 	expect := time.Duration(b.expected(r))
 	s.tokens -= float64(expect) / max(b.classes[r.Class].latency, 1) // counts while it is cold
 	b.sent.add(b.now, 1)
-	s.links = max(0, b.idleLinks(s)-1)
 	s.out++
-	b.outNow++
+	b.poolOf(s).out++
 	r.attempts = append(r.attempts, attempt{srv: s, sentAt: b.now, expect: expect, out: true, mayRun: true})
 	b.out.Send(r.ID, s.ID, r.aimAt-b.now)
 	r.copyAt = b.now + max((r.aimAt-b.now)*2/3, copyAfter*expect)
@@ -98,11 +86,13 @@
 
 // finish is the only place that gives a final answer.
 func (b *Balancer) finish(r *request) {
-	if r.ended {
-		return
-	}
 	if b.mayRefuse(r) {
-		b.out.Refuse(r.ID, b.pause(r))
+		// Until what is out now is answered, or, its aim past, for as long as it will.
+		wait := time.Duration(b.classes[r.Class].latency)
+		if b.now >= r.aimAt {
+			wait = b.set.RetryAfterMost
+		}
+		b.out.Refuse(r.ID, min(b.set.RetryAfterMost, wait))
 	} else {
 		b.out.Fail(r.ID)
 	}
@@ -129,7 +119,7 @@
 			s.sureAt = b.now + listLate
 		}
 		s.lastAnswer = b.now
-		s.links, s.linkedAt = b.idleLinks(s)+1, b.now
+		s.linkedAt = b.now
 	}
 	if o.Result == Cancelled && r.ended && len(r.attempts) > 1 && took > copyAfter*a.expect {
 		o.Result = TimedOut // its second copy was answered first
@@ -155,7 +145,7 @@
 	// A full queue is the load's fault; own cancellations and moot attempts say nothing. A time-out
 	// where others are answered, and no sooner than it should, is load too: it shows in the stretch.
 	bad := o.Result == Failed || o.Result == TimedOut || o.Result == NoConnection || o.Result == Reset
-	if (bad || o.Result == OK) && (o.Result != TimedOut || !alive || b.quick()) {
-		b.record(s, bad, b.now, b.ready, b.out)
+	if (bad || o.Result == OK) && (o.Result != TimedOut || !alive || b.crowd < crowdQuick) {
+		b.record(s, bad)
 	}
 }
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -61,14 +61,13 @@
 	now  time.Duration
 	reqs map[RequestID]*request
 
-	byID    map[ServerID]*server
-	members // the list and what follows from it
-	detector
-	classes []classStat
+	byID              map[ServerID]*server
+	members                 // the list and what follows from it
+	okMeter, badMeter meter // what the node's calls came to, a second
+	classes           []classStat
 	admission
 	budget float64 // retry budget, in attempts
 	sent   meter   // attempts per second
-	outNow int     // own attempts outstanding
 }
 
 // New starts a node that knows no server yet.
@@ -89,6 +88,9 @@
 	return b
 }
 
+// outNow is how many of the node's own attempts are outstanding.
+func (b *Balancer) outNow() int { return b.local.out + b.remote.out }
+
 // Timer tokens: the low four bits say what for, the rest for which request.
 const (
 	tokenTick uint64 = iota
@@ -125,29 +127,23 @@
 	b.step(r)
 }
 
-// Written says that the last byte of a request that streams has gone and when its client
-// gives up, and gives the time that its attempt has from now on.
-func (b *Balancer) Written(now time.Duration, id RequestID, due time.Duration) time.Duration {
+// Due moves a request's deadline: its node ends by then, or the last byte of one that streams has
+// gone and its client's clock starts. It gives the time that an attempt has from now on.
+func (b *Balancer) Due(now time.Duration, id RequestID, due time.Duration) time.Duration {
 	b.now = max(b.now, now)
 	r := b.reqs[id]
-	if r == nil || !r.Streams || len(r.attempts) == 0 {
+	if r == nil {
 		return 0
 	}
-	r.Due, r.attempts[0].sentAt = due, b.now
-	b.setAim(r, 0)
+	if r.Due = due; r.Streams && len(r.attempts) > 0 {
+		r.attempts[0].sentAt = b.now
+		b.setAim(r, 0)
+	}
+	r.aimAt = min(r.aimAt, due)
 	b.out.Wake(uint64(id)<<4|tokenDue, due)
 	return r.aimAt - b.now
 }
 
-// Hasten moves a request's deadline forward: its node ends by then.
-func (b *Balancer) Hasten(now time.Duration, id RequestID, due time.Duration) {
-	b.now = max(b.now, now)
-	if r := b.reqs[id]; r != nil && due < r.Due {
-		r.Due, r.aimAt = due, min(r.aimAt, due)
-		b.out.Wake(uint64(id)<<4|tokenDue, due)
-	}
-}
-
 // Finished takes the outcome of an attempt.
 func (b *Balancer) Finished(now time.Duration, o Outcome) {
 	b.now = max(b.now, now)
@@ -158,7 +154,7 @@
 	a := &r.attempts[o.Attempt]
 	a.out, a.mayRun = false, !o.Result.neverRan()
 	a.srv.out--
-	b.outNow--
+	b.poolOf(a.srv).out--
 	b.observe(r, a, o)
 	if o.Settled {
 		b.end(r, o.Attempt)
@@ -186,7 +182,7 @@
 		b.adjust()
 		b.out.Wake(tokenTick, b.now+tickEvery)
 	case tokenSweep:
-		b.sweep(b.now, b.ready, b.out)
+		b.sweep()
 		b.out.Wake(tokenSweep, b.now+sweepEvery)
 	case tokenAsk:
 		if b.set.Ask && !b.subscribed && !b.asking {
@@ -194,7 +190,7 @@
 			b.out.Watch(true)
 		}
 	case tokenCopy:
-		if r := b.reqs[RequestID(tok>>4)]; r != nil && b.now < r.copyAt+copyLate && r.pending() && b.quick() && b.budget >= 1 {
+		if r := b.reqs[RequestID(tok>>4)]; r != nil && b.now < r.copyAt+copyLate && r.pending() && b.crowd < crowdQuick && b.budget >= 1 {
 			b.send(r, b.pick(r))
 		}
 	case tokenDue:
@@ -269,29 +265,21 @@
 	return m.rate * math.Exp(-float64(now-m.last)/float64(meterSpan))
 }
 
-// mix scatters the bits of a number (splitmix64's finish).
-func mix(z uint64) uint64 {
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
-}
-
 // age is how long ago the client first tried, as far as its patience tells: one
 // that has tried before stops waiting at its deadline over all tries, not after
 // the time that clients mostly give a try. Nodes that shed spare such tries.
 func (b *Balancer) age(r *request) time.Duration {
 	c := &b.classes[r.Class]
 	left := r.Due - b.now
-	if d := left - c.span; max(d, -d) <= ageSlack {
+	switch d := left - c.span; {
+	case max(d, -d) <= ageSlack:
 		c.votes = min(c.votes+ageFirst, ageVotes*4)
-		return 0
-	}
-	if c.votes--; c.votes < 0 {
+	case c.votes <= 0:
 		c.span, c.votes = left, 1
-		return 0
-	}
-	if c.votes < ageVotes || b.window <= 0 {
-		return 0
+	default:
+		if c.votes--; c.votes >= ageVotes && b.window > 0 {
+			return max(0, b.set.Classes[r.Class].Deadline-left)
+		}
 	}
-	return max(0, b.set.Classes[r.Class].Deadline-left)
+	return 0
 }
--- a/decide/cases_test.go
+++ b/decide/cases_test.go
@@ -12,12 +12,12 @@
 func book(s *server, ok, bad float64) { s.active = bucket{ok, bad} }
 
 func TestSweepEjectsBySuccessRate(t *testing.T) {
-	b, tape := start(testSettings(), 10)
+	b, _ := start(testSettings(), 10)
 	for _, s := range b.ready {
 		book(s, 20, 0)
 	}
 	book(b.ready[3], 11, 9)
-	b.sweep(b.now, b.ready, tape)
+	b.sweep()
 	for i, s := range b.ready {
 		if s.ejected != (i == 3) {
 			t.Errorf("server %d: ejected is %v", i, s.ejected)
@@ -29,54 +29,55 @@
 }
 
 func TestSweepNeedsHostsAndVolume(t *testing.T) {
-	b, tape := start(testSettings(), 10)
+	b, _ := start(testSettings(), 10)
 	for _, s := range b.ready[:minimumHosts-1] {
 		book(s, 0, 20)
 	}
-	b.sweep(b.now, b.ready, tape)
+	b.sweep()
 	for _, s := range b.ready[minimumHosts:] {
 		book(s, 0, 1)
 	}
-	b.sweep(b.now, b.ready, tape)
-	if b.ejectedCount != 0 {
-		t.Errorf("%d servers ejected without hosts or volume", b.ejectedCount)
+	b.sweep()
+	if ejected(b) != 0 {
+		t.Errorf("%d servers ejected without hosts or volume", ejected(b))
 	}
 }
 
 func TestEjectionCapAndOneMayGo(t *testing.T) {
 	for n, most := range map[int]int{2: 1, 10: 3, 40: 12} {
-		b, tape := start(testSettings(), n)
+		b, _ := start(testSettings(), n)
 		for _, s := range b.ready {
 			b.okMeter.add(b.now, 100) // the node as a whole is well
 			for range 10 {
-				b.record(s, true, b.now, b.ready, tape)
+				b.record(s, true)
 			}
 		}
-		if b.ejectedCount != most {
-			t.Errorf("%d servers: %d ejected, want %d", n, b.ejectedCount, most)
+		if ejected(b) != most {
+			t.Errorf("%d servers: %d ejected, want %d", n, ejected(b), most)
 		}
 	}
 }
 
 func TestEjectionEndsAndMultiplierFalls(t *testing.T) {
-	b, tape := start(testSettings(), 10)
+	b, _ := start(testSettings(), 10)
 	s := b.ready[0]
-	b.eject(s, b.now, "test", tape)
-	b.eject(s, b.now, "test", tape)
-	b.ejectedCount = 1
+	b.eject(s, "test")
+	b.eject(s, "test")
 	from := b.now
 	for b.now < from+2*baseEjection {
-		b.sweep(b.now, b.ready, tape)
+		b.sweep()
 		if !s.ejected {
 			t.Fatalf("returned after %v, want %v", b.now-from, 2*baseEjection)
 		}
 		b.now += sweepEvery
 	}
-	b.sweep(b.now+1, b.ready, tape)
-	if s.ejected || !s.probation || b.ejectedCount != 0 {
+	b.now++
+	b.sweep()
+	if s.ejected || !s.probation || ejected(b) != 0 {
 		t.Fatalf("not returned on probation: %+v", s.health)
 	}
-	b.sweep(b.now+2, b.ready, tape)
+	b.now++
+	b.sweep()
 	if s.multiplier != 1 {
 		t.Errorf("multiplier is %d after a sweep in service", s.multiplier)
 	}
@@ -85,7 +86,7 @@
 // A node among many sends a server a call every few seconds: without carrying
 // counts over, its floors would never be met.
 func TestThinEvidenceCarriesOver(t *testing.T) {
-	b, tape := start(testSettings(), 10)
+	b, _ := start(testSettings(), 10)
 	for range 3 {
 		for i, s := range b.ready {
 			if i == 2 {
@@ -95,40 +96,40 @@
 			}
 		}
 		b.now += sweepEvery
-		b.sweep(b.now, b.ready, tape)
+		b.sweep()
 	}
-	if !b.ready[2].ejected || b.ejectedCount != 1 {
-		t.Errorf("ejected: %v, in all %d", b.ready[2].ejected, b.ejectedCount)
+	if !b.ready[2].ejected || ejected(b) != 1 {
+		t.Errorf("ejected: %v, in all %d", b.ready[2].ejected, ejected(b))
 	}
 }
 
 // When everything fails alike, ejecting servers would only load the rest.
 func TestCommonModeEjectsNobody(t *testing.T) {
-	b, tape := start(testSettings(), 20)
+	b, _ := start(testSettings(), 20)
 	for range 200 {
 		for _, s := range b.ready {
-			b.record(s, b.rng.Float64() < 0.7, b.now, b.ready, tape)
+			b.record(s, b.rng.Float64() < 0.7)
 		}
 		b.now += 50 * time.Millisecond
 	}
 	for range 3 {
-		b.sweep(b.now, b.ready, tape)
+		b.sweep()
 	}
-	if b.ejectedCount > 1 {
-		t.Errorf("%d of 20 servers ejected while 70%% fail everywhere", b.ejectedCount)
+	if ejected(b) > 1 {
+		t.Errorf("%d of 20 servers ejected while 70%% fail everywhere", ejected(b))
 	}
 }
 
 func TestRunOfFailuresIsJudgedBetweenSweeps(t *testing.T) {
-	b, tape := start(testSettings(), 20)
+	b, _ := start(testSettings(), 20)
 	for range 200 {
 		for _, s := range b.ready {
-			b.record(s, false, b.now, b.ready, tape)
+			b.record(s, false)
 		}
 	}
 	bad := b.ready[5]
 	for range 4 {
-		b.record(bad, true, b.now, b.ready, tape)
+		b.record(bad, true)
 	}
 	if !bad.ejected {
 		t.Error("four failures in a row on a healthy node, and still in service")
@@ -136,14 +137,14 @@
 }
 
 func TestRestartedServerStartsClean(t *testing.T) {
-	b, tape := start(testSettings(), 10)
+	b, _ := start(testSettings(), 10)
 	s := b.ready[0]
-	b.eject(s, b.now, "test", tape)
+	b.eject(s, "test")
 	e := s.Server
 	e.Since = b.now
 	b.Listed(b.now, ListDelta, []Server{e})
-	if s.ejected || b.ejectedCount != 0 || !s.cold {
-		t.Errorf("after a restart: ejected %v, count %d, cold %v", s.ejected, b.ejectedCount, s.cold)
+	if s.ejected || ejected(b) != 0 || b.warmth(s) == 1 {
+		t.Errorf("after a restart: ejected %v, count %d, warmth %v", s.ejected, ejected(b), b.warmth(s))
 	}
 	e.Condition = Gone
 	b.Listed(b.now, ListDelta, []Server{e})
@@ -236,7 +237,7 @@
 		b.Finished(b.now, Outcome{ID: id, Result: OK, Settled: true})
 	}
 	budget := func(zone int) float64 {
-		s := &server{Server: Server{Zone: zone, Scale: 1, Since: b.now}, cold: true, tokensAt: b.now}
+		s := &server{Server: Server{Zone: zone, Scale: 1, Since: b.now}, tokensAt: b.now}
 		b.now += 200 * time.Millisecond
 		b.coldMay(s)
 		return s.tokens
@@ -430,7 +431,7 @@
 // Where full servers turn calls away, more is sent than anyone carries: a cold
 // server's budget that went by calls sent was exceeded eight times.
 func TestColdBudgetGoesByCallsAnswered(t *testing.T) {
-	b, tape := start(testSettings(), 9)
+	b, _ := start(testSettings(), 9)
 	b.Listed(b.now, ListDelta, []Server{{ID: 99, Condition: Ready, Scale: 1, Since: b.now}})
 	cold := b.byID[99]
 	got := 0
@@ -438,7 +439,7 @@
 		b.now += time.Millisecond
 		b.sent.add(b.now, 1) // 1000 a second are sent, 200 answered
 		if ms%5 == 0 {
-			b.record(b.ready[0], false, b.now, b.ready, tape)
+			b.record(b.ready[0], false)
 		}
 		if ms >= 2000 && b.coldMay(cold) {
 			cold.tokens--
@@ -465,7 +466,7 @@
 	b.Listed(0, ListFull, []Server{{ID: 1, Condition: Ready, Scale: -1, Since: 1 << 60}, {ID: 2, Condition: Ready}})
 	b.Arrive(0, Request{ID: 1, Class: 9})
 	b.Finished(0, Outcome{ID: 5, Attempt: -1})
-	b.Written(0, 5, 70000)
+	b.Due(0, 5, 70000)
 	b.Timer(0, 1<<63)
 	if tape.refused[1] != 1 {
 		t.Error("a request of no known class is not refused")
@@ -812,7 +813,7 @@
 func TestWindowGoesBelowWhatIsOutWhereMostIsLate(t *testing.T) {
 	for fill, most := range map[float64]float64{0.3: 100, 0.8: 45} {
 		b, _ := start(testSettings(), 6)
-		b.window, b.level, b.outNow = 200, 100, 100
+		b.window, b.level, b.local.out = 200, 100, 100
 		for range 100 {
 			b.fill = fill
 			b.adjust()
@@ -837,7 +838,7 @@
 	b.Timer(b.now+10*second, 1<<4|tokenCopy)
 	b.Timer(b.now, 1<<4|tokenDue)
 	due := b.now + 2*second
-	if got := b.Written(b.now, 1, due); got != set.Classes[1].Aim {
+	if got := b.Due(b.now, 1, due); got != set.Classes[1].Aim {
 		t.Errorf("from its last byte on it has %v", got)
 	}
 	b.Finished(b.now+set.Classes[1].Aim/2, Outcome{ID: 1, Result: NoConnection})
@@ -845,12 +846,12 @@
 		t.Errorf("%d sends, refused %v, %d held", len(tape.sends), tape.refused, len(b.reqs))
 	}
 	b.Arrive(b.now, Request{ID: 2, Class: 2, Due: far, Streams: true})
-	b.Written(b.now, 2, due)
+	b.Due(b.now, 2, due)
 	b.Timer(due, 2<<4|tokenDue)
 	if tape.failed[2] != 1 || len(tape.cancels) != 1 {
 		t.Errorf("after its deadline: %+v", tape)
 	}
-	if b.Written(b.now, 9, due) != 0 || b.Written(b.now, 1, due) != 0 {
+	if b.Due(b.now, 9, due) != 0 || b.Due(b.now, 1, due) != 0 {
 		t.Error("a request that is not there was written")
 	}
 }
@@ -949,7 +950,7 @@
 func TestFewCallsAreSmoothedLonger(t *testing.T) {
 	for _, c := range []struct{ calls, least, most float64 }{{2, 0.05, 0.2}, {40, 0.25, 0.35}} {
 		b, _ := start(testSettings(), 5)
-		b.level, b.outNow = c.calls, int(2*c.calls)
+		b.level, b.local.out = c.calls, int(2*c.calls)
 		b.adjust()
 		if rise := (b.level - c.calls) / c.calls; rise < c.least || rise > c.most {
 			t.Errorf("%v calls: level rose by %.2f of the rise in calls", c.calls, rise)
@@ -1073,9 +1074,9 @@
 		taken  bool
 	}{
 		"ready":    {func(*Balancer, *server) {}, true},
-		"shedding": {func(b *Balancer, _ *server) { b.window, b.outNow = 1, 1000 }, true},
+		"shedding": {func(b *Balancer, _ *server) { b.window, b.local.out = 1, 1000 }, true},
 		"cold": {func(b *Balancer, s *server) {
-			s.Since, s.cold, s.tokens, s.tokensAt = b.now, true, -5, b.now
+			s.Since, s.tokens, s.tokensAt = b.now, -5, b.now
 		}, true},
 		"draining": {func(_ *Balancer, s *server) { s.Condition = Draining }, false},
 		"ejected":  {func(_ *Balancer, s *server) { s.ejected = true }, false},
@@ -1106,3 +1107,29 @@
 		}
 	}
 }
+
+// A request whose node ends before its deadline is answered by then, as what became of it
+// allows: refused where nothing ran, failed where it may have.
+func TestNodeThatEndsBringsDeadlinesForward(t *testing.T) {
+	set := testSettings()
+	for i := range set.Classes {
+		set.Classes[i].Aim = 20 * second
+	}
+	b, tape := start(set, 6)
+	b.Arrive(b.now, Request{ID: 1, Class: 0, Due: b.now + 20*second})
+	b.Arrive(b.now, Request{ID: 2, Class: 2, Due: b.now + 20*second})
+	by := b.now + second
+	for id := RequestID(1); id <= 2; id++ {
+		if got := b.Due(b.now, id, by); got != second {
+			t.Errorf("request %d has %v left", id, got)
+		}
+		if !slices.ContainsFunc(tape.wakes, func(w wake) bool { return w.token == uint64(id)<<4|tokenDue && w.at == by }) {
+			t.Errorf("request %d is not woken for", id)
+		}
+	}
+	b.Timer(by, 1<<4|tokenDue)
+	b.Timer(by, 2<<4|tokenDue)
+	if tape.refused[1] != 1 || tape.failed[2] != 1 || len(tape.cancels) != 2 {
+		t.Errorf("refused %v, failed %v, %d called off", tape.refused, tape.failed, len(tape.cancels))
+	}
+}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -54,6 +54,9 @@
 func (t *tape) Watch(bool)                          { t.watches++ }
 func (t *tape) Log(s string)                        { t.logs = append(t.logs, s) }
 
+// ejected counts the servers that are ejected.
+func ejected(b *Balancer) int { return b.count(func(s *server) bool { return s.ejected }) }
+
 func testSettings() Settings {
 	return Settings{
 		MaxAttempts: 3, SecondCopies: false, Cancel: true, WorthByWork: true,
--- a/decide/long_test.go
+++ b/decide/long_test.go
@@ -33,7 +33,7 @@
 	b.Listed(b.now, ListFull, list)
 	step := 45 * time.Minute / (replaced / atOnce)
 	held := func() string {
-		return fmt.Sprint(len(b.byID), len(b.ready), len(b.reqs), b.ejectedCount)
+		return fmt.Sprint(len(b.byID), len(b.ready), len(b.reqs), ejected(b))
 	}
 	var after int64
 	var state string
@@ -54,7 +54,7 @@
 			b.Timer(b.now, tokenSweep)
 			id++
 			tape.sends = tape.sends[:0]
-			b.Arrive(b.now, Request{ID: id, Key: mix(uint64(id)), Hint: second / 10, Due: b.now + second})
+			b.Arrive(b.now, Request{ID: id, Key: uint64(id) * 0x9e3779b97f4a7c15, Hint: second / 10, Due: b.now + second})
 			for n := 0; n < len(tape.sends); n++ { // grows as attempts fail
 				result := OK
 				if n == 0 && i%6 == 0 {
@@ -75,7 +75,7 @@
 	}
 	end := heap()
 	t.Logf("%d bytes after a tenth, %d at the end; servers, ready ones, requests, ejected: %s, %s", after, end, state, held())
-	if len(b.byID) != servers || len(b.ready) != servers || len(b.reqs) != 0 || b.ejectedCount > servers/2 || len(tape.sends) > 3 {
+	if len(b.byID) != servers || len(b.ready) != servers || len(b.reqs) != 0 || ejected(b) > servers/2 || len(tape.sends) > 3 {
 		t.Errorf("held at the end: %s", held())
 	}
 	// The keys of the last thousand requests come and go: some 40 KB.
@@ -119,8 +119,8 @@
 		t.Errorf("200 requests and three lists of 5,000 servers took %v", took)
 	}
 	b.Listed(b.now, ListFull, servers(10))
-	if len(b.byID) != 10 || math.IsNaN(b.totalScale+b.warmScale+b.linkCost) {
-		t.Errorf("after a sound list: %d servers, sizes %v and %v, link %v", len(b.byID), b.totalScale, b.warmScale, b.linkCost)
+	if len(b.byID) != 10 || math.IsNaN(b.totalScale+b.local.warm+b.linkCost) {
+		t.Errorf("after a sound list: %d servers, sizes %v and %v, link %v", len(b.byID), b.totalScale, b.local.warm, b.linkCost)
 	}
 	tape.sends = nil
 	b.Arrive(b.now, Request{ID: 1000, Due: b.now + second})
--- a/decide/members.go
+++ b/decide/members.go
@@ -41,22 +41,18 @@
 	sureAt     time.Duration // by then the list has told of a start before its answer; 0 for none yet
 	tokens     float64       // slow-start budget, in average requests
 	tokensAt   time.Duration
-	cold       bool
-	hash       uint64
-	links      int // own connections idle, as of linkedAt
-	linkedAt   time.Duration
+	linkedAt   time.Duration // when a connection was last idle; 0 for never
 }
 
 // members is the list and what is drawn from it.
 type members struct {
-	ready                 []*server // may be sent to, by id
-	local, remote         pool
-	meanScale, totalScale float64
-	linkCost, warmScale   float64 // the latter of servers not ejected, as far as warm
-	sureScale             float64 // of those, the ones not doubted
-	silence               int     // connections that the own zone left silent, since it answered
-	subscribed, asking    bool
-	failures              int
+	ready               []*server // may be sent to, by id
+	local, remote       pool
+	totalScale          float64
+	linkCost, sureScale float64 // the latter of servers not ejected nor doubted, as far as warm
+	silence             int     // connections that the own zone left silent, since it answered
+	subscribed, asking  bool
+	failures            int // calls to discovery that failed in a row
 }
 
 // Listed takes discovery's news about the servers.
@@ -87,7 +83,7 @@
 }
 
 func (b *Balancer) drop(s *server) {
-	b.forget(s)
+	s.health = health{}
 	s.Condition = Gone // attempts still out hold the pointer
 	delete(b.byID, s.ID)
 }
@@ -101,29 +97,26 @@
 		return
 	}
 	if s == nil {
-		s = &server{stretch: 1, hash: mix(uint64(e.ID) + 1)}
+		s = &server{stretch: 1}
+		b.chill(s)
 		b.byID[e.ID] = s
 	} else if e.Since != s.Since {
 		// A restart: a new process owes nothing to the old one's record.
-		b.forget(s)
-		*s = server{stretch: 1, hash: s.hash, out: s.out}
+		*s = server{stretch: 1, out: s.out}
+		b.chill(s)
 	}
 	if !(e.Scale > 0) {
 		e.Scale = 1
 	}
 	s.Server = e
 	if s.Condition != Ready {
-		b.forget(s)
+		s.health = health{}
 	}
-	b.chill(s)
 }
 
-func (b *Balancer) chill(s *server) {
-	if b.warmth(s) < 1 && !s.cold {
-		// A random first share keeps nodes told at once from sending at once.
-		s.cold, s.tokens, s.tokensAt = true, -b.rng.Float64(), b.now
-	}
-}
+// chill begins a cold server's budget. A random first share keeps nodes told at once from
+// sending at once.
+func (b *Balancer) chill(s *server) { s.tokens, s.tokensAt = -b.rng.Float64(), b.now }
 
 // away notes that a server took no connection after so long. Only the list, later, says whether
 // it comes back cold: by all nodes at once it was taken for as warm as before.
@@ -133,12 +126,13 @@
 		b.silence++
 	}
 	// Without a watch no restart is told of, and one is enough.
-	zone := b.silence >= zoneSilent || near && b.set.Ask && !b.subscribed
-	for _, o := range b.ready {
-		if o == s || zone && o.Zone == b.set.Zone {
-			o.awayAt, o.sureAt = b.now, 0
-			b.chill(o)
-		}
+	doubt := []*server{s}
+	if b.silence >= zoneSilent || near && b.set.Ask && !b.subscribed {
+		doubt = b.local.list
+	}
+	for _, o := range doubt {
+		o.awayAt, o.sureAt = b.now, 0
+		b.chill(o)
 	}
 	b.reweigh()
 }
@@ -148,6 +142,14 @@
 	return s.awayAt > 0 && (s.sureAt == 0 || b.now < s.sureAt)
 }
 
+// poolOf is the pool of a server's zone.
+func (b *Balancer) poolOf(s *server) *pool {
+	if s.Zone == b.set.Zone {
+		return &b.local
+	}
+	return &b.remote
+}
+
 // rebuild sorts out what the picker draws from.
 func (b *Balancer) rebuild() {
 	b.ready = slices.SortedFunc(maps.Values(b.byID), func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
@@ -155,13 +157,9 @@
 	b.local.list, b.remote.list, b.totalScale = b.local.list[:0], b.remote.list[:0], 0
 	for _, s := range b.ready {
 		b.totalScale += s.Scale
-		if s.Zone == b.set.Zone {
-			b.local.list = append(b.local.list, s)
-		} else {
-			b.remote.list = append(b.remote.list, s)
-		}
+		p := b.poolOf(s)
+		p.list = append(p.list, s)
 	}
-	b.meanScale = b.totalScale / float64(max(1, len(b.ready)))
 	b.reweigh()
 }
 
@@ -182,14 +180,14 @@
 
 // coldMay says whether this node's share of a cold server's budget has room: what servers of its
 // size answer, times the multiple allowed and the capacity it has at the least. Nodes keep to their
-// zones: they go by what theirs answers, or share all there where it is just back. It could do harm
-// where most nodes are in one zone and most servers in another.
+// zones: they go by what theirs answers, or share all there where it is just back. It could do
+// harm where most nodes are in one zone and most servers in another.
 func (b *Balancer) coldMay(s *server) bool {
 	w := b.warmth(s)
-	if s.cold = s.cold && w < 1; !s.cold || b.doubted(s) && b.sureScale == 0 {
+	if w == 1 || b.doubted(s) && b.sureScale == 0 {
 		return true // the latter where no other is left
 	}
-	rate := b.okMeter.at(b.now) / max(b.warmScale, 1e-9)
+	rate := b.okMeter.at(b.now) / max(b.local.warm+b.remote.warm, 1e-9)
 	if s.Zone == b.set.Zone && !b.doubted(s) {
 		near, share := b.local.answers.at(b.now)/max(b.local.warm, 1e-9), rate*float64(min(b.set.Zones, b.set.Nodes))
 		if rate = max(rate, near); near < share/2 {
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -127,13 +127,12 @@
 			}
 			b.chill(s)
 		}
-		if s.cold { // what the other has sent it counts
+		if b.warmth(s) < 1 { // what the other has sent it counts
 			s.tokens, s.tokensAt = within(k.Tokens, -maxRate, 1, s.tokens), b.now
 		}
-		if k.Ejected && !s.ejected && b.mayEject(b.ready) {
+		if k.Ejected && !s.ejected && b.mayEject() {
 			s.ejected, s.ejectedAt = true, b.now-max(0, k.EjectedFor)
 			s.multiplier = max(1, s.multiplier)
-			b.ejectedCount++
 		}
 	}
 	b.reweigh()
--- a/decide/memory_test.go
+++ b/decide/memory_test.go
@@ -21,7 +21,7 @@
 	b.set.WarmWithin, b.set.StartShare, b.set.FallMultiple = 20*time.Second, 0.1, 2
 	b.Listed(now, ListCached, list)
 	b.byID[list[0].ID].saw(5, now)
-	b.eject(b.byID[list[1].ID], now, "test", b.out)
+	b.eject(b.byID[list[1].ID], "test")
 	b.byID[list[3].ID].tokens = -7
 	b.classes[0].latency, b.window, b.budget = float64(123*time.Millisecond), 17, 3
 	b.okMeter.add(now, 60)
@@ -45,14 +45,14 @@
 			t.Errorf("server %d: ejected %v, stretch %.2f; was %v, %.2f", i, is.ejected, is.stretchAt(now), was.ejected, was.stretchAt(now))
 		}
 	}
-	if is := next.byID[list[5].ID]; !next.doubted(is) || !is.cold || is.awayAt != now {
-		t.Errorf("one that took no connection at %v: doubted %v, cold %v, away at %v", now, next.doubted(is), is.cold, is.awayAt)
+	if is := next.byID[list[5].ID]; !next.doubted(is) || next.warmth(is) == 1 || is.awayAt != now {
+		t.Errorf("one that took no connection at %v: doubted %v, warmth %v, away at %v", now, next.doubted(is), next.warmth(is), is.awayAt)
 	}
 	if got := next.byID[list[3].ID].tokens; got != -7 {
 		t.Errorf("a cold server's budget is %v", got)
 	}
-	if next.ejectedCount != 1 || next.classes[0].latency != b.classes[0].latency || next.window != 17 || next.budget != 3 {
-		t.Errorf("%d ejected, latency %v, window %v, budget %v", next.ejectedCount, next.classes[0].latency, next.window, next.budget)
+	if ejected(next) != 1 || next.classes[0].latency != b.classes[0].latency || next.window != 17 || next.budget != 3 {
+		t.Errorf("%d ejected, latency %v, window %v, budget %v", ejected(next), next.classes[0].latency, next.window, next.budget)
 	}
 	if was, is := b.okMeter.at(now+time.Second), next.okMeter.at(now+time.Second); math.Abs(was-is) > 1e-6 {
 		t.Errorf("%v answers a second, %v before", is, was)
@@ -87,8 +87,8 @@
 			})
 		}
 		b.Recall(b.now, m)
-		if math.IsNaN(b.budget+b.fill+b.crowd+b.level+b.warmScale) || b.ejectedCount > 1 {
-			r.Fatalf("budget %v, fill %v, crowd %v, level %v, warm %v, %d ejected", b.budget, b.fill, b.crowd, b.level, b.warmScale, b.ejectedCount)
+		if math.IsNaN(b.budget+b.fill+b.crowd+b.level+b.local.warm) || ejected(b) > 1 {
+			r.Fatalf("budget %v, fill %v, crowd %v, level %v, warm %v, %d ejected", b.budget, b.fill, b.crowd, b.level, b.local.warm, ejected(b))
 		}
 		b.Arrive(b.now, Request{ID: 1, Due: b.now + time.Minute})
 		if len(rec.sends) != 1 {
--- a/decide/outlier.go
+++ b/decide/outlier.go
@@ -29,11 +29,9 @@
 
 	// A run of failures with no success between is judged at once when chance would bring
 	// it less often than falseRun, at the node's share of failures, or leastBad if less.
-	falseRun = 1e-4
-	leastBad = 0.01
-	// commonMode: above this share of failures over the node no one server is
-	// the cause, and none is judged on failures alone.
-	commonMode = 0.5
+	falseRun   = 1e-4
+	leastBad   = 0.01
+	commonMode = 0.5 // share of failures from which on no one server is the cause
 )
 
 type bucket struct{ ok, bad float64 }
@@ -50,75 +48,80 @@
 	probation      bool // returned from ejection, nothing answered since
 }
 
-// detector holds what outlier detection knows across servers.
-type detector struct {
-	ejectedCount      int
-	okMeter, badMeter meter
-}
-
 // badShare is the share of the node's calls that failed of late.
-func (d *detector) badShare(now time.Duration) float64 {
-	ok, bad := d.okMeter.at(now), d.badMeter.at(now)
+func (b *Balancer) badShare() float64 {
+	ok, bad := b.okMeter.at(b.now), b.badMeter.at(b.now)
 	return bad / max(ok+bad, 1e-9)
 }
 
 // improbable says whether chance alone hardly explains a run of failures. In a
 // failure common to all servers the runs needed grow long, and none is ejected.
-func (d *detector) improbable(run int, now time.Duration) bool {
-	share := min(max(d.badShare(now), leastBad), 0.9)
+func (b *Balancer) improbable(run int) bool {
+	share := min(max(b.badShare(), leastBad), 0.9)
 	return float64(run)*math.Log(share) < math.Log(falseRun)
 }
 
 // record books a call result; the run of failures may end in an ejection.
-func (d *detector) record(s *server, bad bool, now time.Duration, servers []*server, out Effects) {
+func (b *Balancer) record(s *server, bad bool) {
 	if !bad {
 		s.active.ok++
 		s.run, s.probation = 0, false
-		d.okMeter.add(now, 1)
+		b.okMeter.add(b.now, 1)
 		return
 	}
 	s.active.bad++
 	s.run++
-	d.badMeter.add(now, 1)
+	b.badMeter.add(b.now, 1)
 	// Departure (between sweeps): a server that only fails looks idle and draws calls. A run
 	// of failures is judged on the spot, one failure where it has just returned.
-	if !s.ejected && (d.improbable(s.run, now) || s.probation) && d.mayEject(servers) {
-		d.eject(s, now, "run of failures", out)
+	if !s.ejected && (b.improbable(s.run) || s.probation) && b.mayEject() {
+		b.eject(s, "run of failures")
 	}
 }
 
-// mayEject applies the cap: one server may always go.
-func (d *detector) mayEject(servers []*server) bool {
-	return d.ejectedCount == 0 || float64(d.ejectedCount+1) <= maxEjectionShare*float64(len(servers))
+// count counts the servers ready for which something holds.
+func (b *Balancer) count(holds func(*server) bool) (n int) {
+	for _, s := range b.ready {
+		if holds(s) {
+			n++
+		}
+	}
+	return n
 }
 
-func (d *detector) eject(s *server, at time.Duration, why string, out Effects) {
-	s.ejected, s.ejectedAt = true, at
-	s.multiplier++
-	d.ejectedCount++
-	out.Log(fmt.Sprintf("eject server %d: %s (x%d)", s.ID, why, s.multiplier))
+// mayEject applies the cap: one server may always go.
+func (b *Balancer) mayEject() bool {
+	n := b.count(func(s *server) bool { return s.ejected })
+	return n == 0 || float64(n+1) <= maxEjectionShare*float64(len(b.ready))
 }
 
-// forget drops a server from the count when it leaves or starts anew.
-func (d *detector) forget(s *server) {
-	if s.ejected {
-		d.ejectedCount--
-	}
-	s.health = health{}
+func (b *Balancer) eject(s *server, why string) {
+	s.ejected, s.ejectedAt = true, b.now
+	s.multiplier++
+	b.out.Log(fmt.Sprintf("eject server %d: %s (x%d)", s.ID, why, s.multiplier))
 }
 
 // sweep runs once an interval, in the paper's order.
-func (d *detector) sweep(now time.Duration, servers []*server, out Effects) {
-	for _, s := range servers {
+func (b *Balancer) sweep() {
+	// By success rate: below the mean by more than stdevFactor deviations, the population's, as the
+	// servers at hand are all there are.
+	var n, sum, sq float64
+	for _, s := range b.ready {
 		s.closed, s.active = s.active, bucket{}
+		if t := s.closed.total(); t >= successVolume {
+			rate := s.closed.ok / t
+			n, sum, sq = n+1, sum+rate, sq+rate*rate
+		}
 	}
-	d.bySuccessRate(now, servers, out)
+	mean := sum / max(n, 1)
+	cut := mean - stdevFactor*max(minDeviation, math.Sqrt(max(0, sq/max(n, 1)-mean*mean)))
+	b.judge("success rate", successVolume, 1-cut)
 	// By failure percentage, a fixed threshold. Departure (common mode): not when most calls
 	// fail everywhere, as each ejection would only load the rest.
-	if d.badShare(now) <= commonMode {
-		d.judge("failure percentage", failureVolume, failureThreshold, now, servers, out)
+	if b.badShare() <= commonMode {
+		b.judge("failure percentage", failureVolume, failureThreshold)
 	}
-	for _, s := range servers {
+	for _, s := range b.ready {
 		// Departure (thin evidence): a window below the floor was not judged; its counts
 		// carry over at half weight, so that floors are met over a longer one.
 		if s.closed.total() < successVolume {
@@ -127,50 +130,27 @@
 		}
 		if !s.ejected {
 			s.multiplier = max(0, s.multiplier-1)
-		} else if now > s.ejectedAt+min(baseEjection*time.Duration(s.multiplier), maxEjection) {
-			d.ejectedCount--
+		} else if b.now > s.ejectedAt+min(baseEjection*time.Duration(s.multiplier), maxEjection) {
 			s.ejected, s.probation, s.run = false, true, 0
 			s.active = bucket{}
-			out.Log(fmt.Sprintf("return server %d", s.ID))
+			b.out.Log(fmt.Sprintf("return server %d", s.ID))
 		}
 	}
 }
 
-// bySuccessRate ejects servers whose success rate lies below the mean by more
-// than stdevFactor deviations.
-func (d *detector) bySuccessRate(now time.Duration, servers []*server, out Effects) {
-	var n, sum, sq float64
-	for _, s := range servers {
-		if t := s.closed.total(); t >= successVolume {
-			rate := s.closed.ok / t
-			n, sum, sq = n+1, sum+rate, sq+rate*rate
-		}
-	}
-	// Population deviation: the servers at hand are all there are.
-	mean := sum / max(n, 1)
-	cut := mean - stdevFactor*max(minDeviation, math.Sqrt(max(0, sq/max(n, 1)-mean*mean)))
-	d.judge("success rate", successVolume, 1-cut, now, servers, out)
-}
-
 // judge ejects servers that failed more than a share of their calls, where
 // minimumHosts reached the request volume and as far as the cap allows.
-func (d *detector) judge(why string, volume, share float64, now time.Duration, servers []*server, out Effects) {
-	n := 0
-	for _, s := range servers {
-		if s.closed.total() >= volume {
-			n++
-		}
-	}
-	if n < minimumHosts {
+func (b *Balancer) judge(why string, volume, share float64) {
+	if b.count(func(s *server) bool { return s.closed.total() >= volume }) < minimumHosts {
 		return
 	}
-	for _, s := range servers {
+	for _, s := range b.ready {
 		t := s.closed.total()
-		if !d.mayEject(servers) {
+		if !b.mayEject() {
 			return
 		}
 		if t >= volume && !s.ejected && s.closed.bad > share*t {
-			d.eject(s, now, why, out)
+			b.eject(s, why)
 		}
 	}
 }
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -32,7 +32,6 @@
 	warmGain   = 0.85
 	keyServers = 2 // and keyMost the most
 	keyMost    = 16
-	keySalt    = 57   // the bits of the hash that tell a key's servers apart
 	keyWindow  = 1000 // requests over which a key's share is taken
 )
 
@@ -41,6 +40,7 @@
 	list []*server
 	cum  []float64
 	slow float64 // mean stretch
+	out  int     // own attempts outstanding
 
 	answers meter   // of the own zone, a second
 	warm    float64 // the size of its servers not ejected, as far as warm
@@ -55,13 +55,8 @@
 	return p.list[min(sort.SearchFloat64s(p.cum, x), n-1)]
 }
 
-// idleLinks is how many connections to a server are idle and so open still.
-func (b *Balancer) idleLinks(s *server) int {
-	if b.now-s.linkedAt >= b.set.KeepAlive {
-		return 0
-	}
-	return s.links
-}
+// linked says whether a connection to a server is idle and so open still, as far as is known.
+func (b *Balancer) linked(s *server) bool { return s.out == 0 && b.now-s.linkedAt < b.set.KeepAlive }
 
 // reweigh sets the servers' weights, size over stretch and little while cold,
 // and what a new connection costs, in requests: handshake and time held open.
@@ -76,13 +71,14 @@
 			stretch := s.stretchAt(b.now)
 			p.slow += stretch / float64(len(p.list))
 			if !s.ejected {
-				w := s.Scale * b.warmth(s)
+				warmth := b.warmth(s)
+				w := s.Scale * warmth
 				p.warm += w
 				if !b.doubted(s) {
 					b.sureScale += w
 				}
 				w /= stretch
-				if s.out == 0 && !s.cold && b.idleLinks(s) == 0 {
+				if s.out == 0 && warmth == 1 && !b.linked(s) {
 					w /= unlinked
 				}
 				sum += w
@@ -90,7 +86,6 @@
 			p.cum = append(p.cum, sum)
 		}
 	}
-	b.warmScale = b.local.warm + b.remote.warm
 }
 
 // saw takes a new latency ratio into a server's stretch.
@@ -113,7 +108,7 @@
 // cost estimates what sending a request to a server loses: the chance that the
 // answer comes too late, and the prices of crossing zones and of connecting.
 func (b *Balancer) cost(r *request, s *server, expect float64, warm bool) float64 {
-	m := s.stretchAt(b.now) + ownLoad*float64(s.out)*b.meanScale/s.Scale
+	m := s.stretchAt(b.now) + ownLoad*float64(s.out)*b.totalScale/(s.Scale*float64(len(b.ready)))
 	crowded := b.window > 0 && b.remote.slow > 0 && b.local.slow > crowdedBy*b.remote.slow
 	if warm && crowded { // the wait for others is not saved
 		m -= warmGain * min(m, 1)
@@ -125,7 +120,7 @@
 	if s.Zone != b.set.Zone && !crowded {
 		c += b.set.CrossCost
 	}
-	if b.idleLinks(s) == 0 {
+	if !b.linked(s) {
 		c += b.linkCost
 	}
 	return c
@@ -140,7 +135,7 @@
 	expect := b.expected(r)
 	var best *server
 	bestCost := math.Inf(1)
-	few := float64(b.outNow) / max(b.totalScale, 1e-9) // the design's idle test: few own calls, against their mean
+	few := float64(b.outNow()) / max(b.totalScale, 1e-9) // the design's idle test: few own calls, against their mean
 	try := func(s *server, warm bool) {
 		if s == nil || s == best || b.now < s.downUntil || float64(s.out) > idleMargin+few*s.Scale || !b.usable(r, s) {
 			return
@@ -180,7 +175,7 @@
 	for i := range uint64(min(n, len(b.local.list), keyMost)) {
 		home, most := b.local.list[0], 0.0
 		for _, s := range b.local.list {
-			u := float64(mix(s.hash^r.Key^i<<keySalt)>>11)/(1<<53) + 1e-18
+			u := float64(rand.NewPCG(uint64(s.ID)|i<<32, r.Key).Uint64()>>11)/(1<<53) + 1e-18
 			if v := s.Scale / -math.Log(u); v > most {
 				home, most = s, v
 			}
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -428,7 +428,7 @@
 		for id, r := range p.reqs {
 			if r.due > p.endBy {
 				r.due = p.endBy
-				p.b.Hasten(now, id, r.due)
+				p.b.Due(now, id, r.due)
 			}
 		}
 	})
@@ -698,7 +698,7 @@
 	p.do(func(now time.Duration) {
 		r := a.req
 		r.due = p.within(now + r.Wait)
-		if left := p.b.Written(now, r.id, r.due); left > 0 {
+		if left := p.b.Due(now, r.id, r.due); left > 0 {
 			a.timer.Reset(left)
 		}
 	})
