A node that begins tries its own zone one call at a time until that is as quick as others

Noted at each server that fell what its senders knew: nothing, in their first quarter second, each with one request. A list kept from before says nothing of what has begun since.

Change: decide holds the list of a node that begins to be of unknown age (provenBy). To its zone's warm servers it has one call out at a time, spread over nodes by a sequence of low discrepancy, fewer where nodes are more than servers; two answers there no more than twice as slow as elsewhere end that, work for work, by the mean of logarithms; else it ends when a list must have told.

--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -81,6 +81,9 @@
 	for i := range b.classes {
 		b.classes[i] = classStat{latency: float64(set.Classes[i].Aim) / 4, base: float64(set.Classes[i].Aim) / 2, hint: float64(set.Classes[i].Aim) / 8}
 	}
+	if set.Ask { // else the list is as new as can be
+		b.provenBy = now + askMost + listLate
+	}
 	b.out.Wake(tokenTick, now+tickEvery)
 	b.out.Wake(tokenSweep, now+sweepEvery)
 	slot := (float64(set.Self) + b.rng.Float64()) * min(float64(askStep), float64(askMost)/float64(max(1, set.Nodes)))
@@ -234,6 +237,9 @@
 func (b *Balancer) learn(r *request, a *attempt, took float64, late bool) {
 	c := &b.classes[r.Class]
 	ratio := min(took/float64(max(a.expect, time.Millisecond)), maxStretch)
+	if b.now < b.provenBy && b.warmth(a.srv) == 1 {
+		b.prove(r, a.srv, took)
+	}
 	if late {
 		ratio = max(ratio, 1)
 	} else {
--- a/decide/cases_test.go
+++ b/decide/cases_test.go
@@ -1108,6 +1108,90 @@
 	}
 }
 
+// A node that begins has a list of unknown age: its own zone may have begun anew beside it, cold.
+// Seventy such nodes at once pushed servers over before any of them had an answer. One call at a
+// time goes there until the zone's answers are as quick as those of others.
+func TestNodeThatBeginsTriesItsZoneFirst(t *testing.T) {
+	const nodes, zones, each = 90, 3, 20
+	list := make([]Server, zones*each)
+	for i := range list {
+		list[i] = Server{ID: ServerID(i + 1), Zone: i % zones, Condition: Ready, Scale: 2}
+	}
+	set := testSettings()
+	set.Ask, set.CrossCost, set.Nodes, set.Zones = true, 0.12, nodes, zones
+	begin := func(self int, list []Server) (*Balancer, *tape) {
+		set.Self = self
+		tape := newTape()
+		b := New(set, uint64(self), 100*second, tape)
+		b.Listed(b.now, ListCached, list)
+		return b, tape
+	}
+	// play has a node take requests, 20 a second, for a time, and counts those sent to its own zone.
+	play := func(b *Balancer, tape *tape, span time.Duration, own time.Duration) (near, most int) {
+		type end struct {
+			at time.Duration
+			id RequestID
+		}
+		var ends []end
+		for id, until := RequestID(1), b.now+span; b.now < until; id++ {
+			tape.sends = tape.sends[:0]
+			b.Arrive(b.now, Request{ID: id, Due: b.now + 20*second, Hint: second / 10})
+			took := 100 * time.Millisecond
+			if len(tape.sends) > 0 && b.byID[tape.sends[0].srv].Zone == set.Zone {
+				took = own
+				near++
+			}
+			most = max(most, b.local.out)
+			ends = append(ends, end{b.now + took, id})
+			b.now += 50 * time.Millisecond
+			for i := 0; i < len(ends); i++ {
+				if ends[i].at <= b.now {
+					b.Finished(b.now, Outcome{ID: ends[i].id, Result: OK, Settled: true})
+					ends = slices.Delete(ends, i, i+1)
+					i--
+				}
+			}
+		}
+		return near, most
+	}
+	b, tape := begin(0, list)
+	if play(b, tape, 2*second, 100*time.Millisecond); b.provenBy != 0 {
+		t.Error("a zone that answers as quickly as others is not proven within two seconds")
+	}
+	if near, _ := play(b, tape, second, 100*time.Millisecond); near < 15 {
+		t.Errorf("%d of 20 requests stay in a zone that is proven", near)
+	}
+	b, tape = begin(0, list)
+	if near, most := play(b, tape, 2*second, 600*time.Millisecond); b.provenBy == 0 || most > 1 || near == 0 {
+		t.Errorf("a zone six times slower got %d calls, %d at a time; proven: %v", near, most, b.provenBy == 0)
+	}
+	if play(b, tape, askMost+listLate, 600*time.Millisecond); b.barred(b.local.list[0]) || b.barred(b.local.list[1]) {
+		t.Error("a zone is spared for longer than the list is late")
+	}
+	alone := slices.DeleteFunc(slices.Clone(list), func(s Server) bool { return s.Zone != set.Zone })
+	b, tape = begin(0, alone)
+	if near, _ := play(b, tape, second, 100*time.Millisecond); near < 20 {
+		t.Errorf("%d of 20 requests served where there is one zone alone", near)
+	}
+	// All nodes of a zone begin at once, and each gets three requests before any is answered.
+	got, most := make(map[ServerID]int), 0
+	for self := 0; self < nodes; self += zones {
+		b, tape := begin(self, list)
+		for id := range RequestID(3) {
+			b.Arrive(b.now, Request{ID: id + 1, Due: b.now + second, Hint: second / 10})
+		}
+		for _, s := range tape.sends {
+			if b.byID[s.srv].Zone == set.Zone {
+				got[s.srv]++
+				most = max(most, got[s.srv])
+			}
+		}
+	}
+	if most > 4 || len(got) < each/2 {
+		t.Errorf("%d nodes that begin at once try %d servers of their zone, one %d times", nodes/zones, len(got), most)
+	}
+}
+
 // A request whose node ends before its deadline is answered by then, as what became of it
 // allows: refused where nothing ran, failed where it may have.
 func TestNodeThatEndsBringsDeadlinesForward(t *testing.T) {
--- a/decide/members.go
+++ b/decide/members.go
@@ -25,6 +25,9 @@
 	// silent is longer than a refusal takes; zoneSilent such in a row say that the zone is away.
 	silent     = 100 * time.Millisecond
 	zoneSilent = 3
+	// proofCalls of each show whether the own zone is slower by proofSlower: it may have begun anew.
+	proofCalls  = 2
+	proofSlower = 2
 )
 
 // server is what the node knows of one server.
@@ -52,7 +55,9 @@
 	linkCost, sureScale float64 // the latter of servers not ejected nor doubted, as far as warm
 	silence             int     // connections that the own zone left silent, since it answered
 	subscribed, asking  bool
-	failures            int // calls to discovery that failed in a row
+	provenBy            time.Duration // until then the own zone may have begun anew, as the list is old
+	sample              *server       // the one of its servers that is tried meanwhile
+	samples, failures   int           // so many so far; calls to discovery that failed in a row
 }
 
 // Listed takes discovery's news about the servers.
@@ -137,6 +142,22 @@
 	b.reweigh()
 }
 
+// prove takes a call's latency while the own zone is unproven, against what is expected of the
+// request at first: what has been learned since would tell early calls from later ones.
+func (b *Balancer) prove(r *request, s *server, took float64) {
+	part := b.set.Classes[r.Class].Aim / 8
+	p, near, far := b.poolOf(s), &b.local, &b.remote
+	p.calls, p.logs = p.calls+1, p.logs+math.Log(max(took, 1)/float64(max(1, part+cmp.Or(r.Hint, part))))
+	if min(near.calls, far.calls) >= proofCalls && near.logs/near.calls <= far.logs/far.calls+math.Log(proofSlower) {
+		b.provenBy = 0
+	}
+}
+
+// barred says whether a server's zone is unproven, and another of it tried, one call at a time.
+func (b *Balancer) barred(s *server) bool {
+	return b.now < b.provenBy && s.Zone == b.set.Zone && b.warmth(s) == 1 && b.remote.warm > 0 && (s != b.sample || b.local.out > 0)
+}
+
 // doubted says whether a server may have begun anew: not once it answers and the list had time.
 func (b *Balancer) doubted(s *server) bool {
 	return s.awayAt > 0 && (s.sureAt == 0 || b.now < s.sureAt)
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -110,6 +110,7 @@
 		is.answers = min(max(c.Answers, 0), maxRemains)
 		is.span, is.votes = max(0, c.Span), min(max(c.Votes, 0), ageVotes*4)
 	}
+	b.provenBy = 0
 	for _, k := range m.Servers {
 		s := b.byID[k.ID]
 		if s == nil || s.Since != k.Since || s.Condition != Ready {
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -42,6 +42,8 @@
 	slow float64 // mean stretch
 	out  int     // own attempts outstanding
 
+	calls, logs float64 // while the own zone is unproven, and their latencies' logarithms over the expected
+
 	answers meter   // of the own zone, a second
 	warm    float64 // the size of its servers not ejected, as far as warm
 }
@@ -101,7 +103,7 @@
 
 // usable says whether a request may go to a server at all.
 func (b *Balancer) usable(r *request, s *server) bool {
-	return s.Condition == Ready && !s.ejected && b.now >= s.restUntil && b.maySend(r, s) && b.coldMay(s) &&
+	return s.Condition == Ready && !s.ejected && b.now >= s.restUntil && b.maySend(r, s) && !b.barred(s) && b.coldMay(s) &&
 		!slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.srv == s })
 }
 
@@ -147,6 +149,16 @@
 			best, bestCost = s, c
 		}
 	}
+	if b.now < b.provenBy {
+		// Nodes that begin together spread evenly (low discrepancy); some wait, if more than servers.
+		_, part := math.Modf(float64(b.set.Self+b.samples*max(1, b.set.Nodes)) * math.Phi)
+		i := int(part * float64(max(len(b.local.list), b.set.Nodes/max(1, b.set.Zones))))
+		if b.sample = nil; i < len(b.local.list) {
+			b.sample = b.local.list[i]
+		}
+		b.samples++
+		try(b.sample, false)
+	}
 	if b.set.WarmKeys && r.Key != 0 {
 		b.keyed(r, try)
 	}
