--- a/decide/cases_test.go
+++ b/decide/cases_test.go
@@ -1217,3 +1217,19 @@
 		t.Errorf("refused %v, failed %v, %d called off", tape.refused, tape.failed, len(tape.cancels))
 	}
 }
+
+// A server that was never connected to has no connection, however early on the clock it is.
+func TestNoConnectionBeforeTheFirst(t *testing.T) {
+	set := testSettings()
+	set.KeepAlive = 10 * second
+	b := New(set, 1, 0, newTape())
+	b.Listed(0, ListCached, servers(2))
+	b.Arrive(second, Request{ID: 1, Due: 2 * second})
+	if b.linked(b.ready[0]) || b.linked(b.ready[1]) {
+		t.Fatal("linked before anything was answered")
+	}
+	b.Finished(second, Outcome{ID: 1, Result: OK, Settled: true})
+	if b.linked(b.ready[0]) == b.linked(b.ready[1]) {
+		t.Error("not one of two is linked after one answer")
+	}
+}
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -58,7 +58,9 @@
 }
 
 // linked says whether a connection to a server is idle and so open still, as far as is known.
-func (b *Balancer) linked(s *server) bool { return s.out == 0 && b.now-s.linkedAt < b.set.KeepAlive }
+func (b *Balancer) linked(s *server) bool {
+	return s.out == 0 && s.linkedAt > 0 && b.now-s.linkedAt < b.set.KeepAlive
+}
 
 // reweigh sets the servers' weights, size over stretch and little while cold,
 // and what a new connection costs, in requests: handshake and time held open.
