--- /dev/null
+++ b/internal/peers/members/members.go
@@ -0,0 +1,346 @@
+// Package members is what a node knows of the other nodes of its fleet: who is heard, who may
+// still be serving, and which part of a bound over all of them is the node's own. It is pure:
+// records and the reader's own monotonic time go in, and nothing else is asked.
+//
+// Two questions are never mixed up. Heard is for what goes better with more hands. MayServe is
+// what every bound is divided by: whoever has once been heard of is in it until proven gone,
+// however long it says nothing. A part shrinks as soon as another is heard of, and grows, or
+// begins, by proof alone.
+package members
+
+import (
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Bounds of what others may make grow.
+const (
+	// MaxMembers is how many lives a view holds. Beyond, nobody new is taken in, and so none new
+	// gets a part.
+	MaxMembers = 4096
+	// MaxText bounds a name or a site, in bytes.
+	MaxText = 128
+	// MaxWeight bounds a member's weight, against others'.
+	MaxWeight = 1e6
+)
+
+// Why a record changed nothing.
+var (
+	ErrRecord = errors.New("the record cannot be used")
+	ErrName   = errors.New("another process is a member under this name")
+	ErrFull   = errors.New("the view has no room for another member")
+)
+
+// State is what a member says of itself.
+type State uint8
+
+// A member that Joins has no part yet. One that Leaves has given its own up, and is proven gone.
+const (
+	Joining State = iota + 1
+	Serving
+	Leaving
+)
+
+// ID is one life of a member. A process that begins anew has a greater life under its name.
+type ID struct {
+	Name string
+	Life uint64
+}
+
+func (a ID) compare(b ID) int {
+	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Life, b.Life))
+}
+
+// Record is what a member tells of itself. Of two of one life that with the greater Seq holds,
+// so that records may be lost, doubled, late or out of order.
+type Record struct {
+	ID
+	Seq    uint64
+	Site   string
+	Weight float64 // of its part, against others'
+	State  State
+	// Ended says that all lives of this name up to it have ended, as the process knows of its
+	// own machine; 0 for none.
+	Ended uint64
+	// Digest stands for the set of lives that the member counts, itself among them.
+	Digest uint64
+}
+
+// check says whether a record can be used. What a stranger or a fault made changes nothing.
+func (r *Record) check() error {
+	switch {
+	case r.Seq == 0 || r.Seq == math.MaxUint64:
+		return fmt.Errorf("%w: a number above 0 and below the greatest is wanted", ErrRecord)
+	case r.Name == "" || len(r.Name) > MaxText || len(r.Site) > MaxText:
+		return fmt.Errorf("%w: a name of 1 to %d bytes and a site of as many at most are wanted", ErrRecord, MaxText)
+	case r.Life == 0 || r.Ended >= r.Life:
+		return fmt.Errorf("%w: a life above 0 and above those that have ended is wanted", ErrRecord)
+	case !(r.Weight > 0) || r.Weight > MaxWeight:
+		return fmt.Errorf("%w: a weight above 0 and up to %.0f is wanted", ErrRecord, float64(MaxWeight))
+	case r.State < Joining || r.State > Leaving:
+		return fmt.Errorf("%w: no state %d", ErrRecord, r.State)
+	}
+	return nil
+}
+
+// Member is one life as a view shows it.
+type Member struct {
+	ID
+	Site   string // "" where only others have told of it
+	Weight float64
+	State  State
+	Heard  time.Duration // by the reader's clock; 0 for never
+	Part   float64       // of a bound over all, as the view has it; 0 without one
+}
+
+// member is what is held of a life.
+type member struct {
+	rec    Record
+	heard  time.Duration // when it last told something new; 0 for never
+	gone   bool          // it has left, or was not heard for as long as the operator states
+	counts bool          // it is known to count this member
+}
+
+// Options are what a view goes by.
+type Options struct {
+	// Silent is how long a member may say nothing and still be heard.
+	Silent time.Duration
+	// Gone is how long one may say nothing before it counts as gone, as the operator states; 0
+	// for never. A member that was cut off for longer, and serves, is then counted by nobody.
+	Gone time.Duration
+	// Alone says that there is nobody to join: this life serves from its start. It must be true
+	// of one of a fleet's first lives, and of no other: joiners wait for one that serves.
+	Alone bool
+}
+
+// View is what one member knows. It is not safe for use by several goroutines at once.
+type View struct {
+	opts  Options
+	self  ID
+	lives map[ID]*member    // those gone are kept, so that their old records count them no more
+	ended map[string]uint64 // by name, the greatest life proven to have ended
+	whole bool              // one that serves was known to count the same: nobody whom it counts is missing here
+}
+
+// New begins a life. Its record's Seq, State and Digest are the view's own from here on.
+func New(o Options, self Record, now time.Duration) (*View, error) {
+	self.Seq, self.State, self.Digest = 1, Joining, self.digest()
+	if err := self.check(); err != nil {
+		return nil, err
+	}
+	v := &View{opts: o, self: self.ID, lives: make(map[ID]*member), ended: make(map[string]uint64)}
+	if o.Alone {
+		self.State = Serving
+	}
+	v.lives[self.ID] = &member{rec: self, heard: now}
+	v.end(self.Name, self.Ended)
+	return v, nil
+}
+
+// All is what this member holds of everybody, for a full exchange.
+func (v *View) All() []Record {
+	all := make([]Record, 0, len(v.lives))
+	for _, m := range v.lives {
+		if m.rec.Seq < math.MaxUint64 { // else it is a proof, which is for this member alone
+			all = append(all, m.rec)
+		}
+	}
+	return all
+}
+
+// Record is what there is to tell of this member now.
+func (v *View) Record() Record {
+	return v.lives[v.self].rec
+}
+
+// Hear takes a record that came from wherever. With ErrRecord or ErrFull nothing has changed;
+// ErrName says that a second process goes by this one's name, and is counted as one more.
+func (v *View) Hear(now time.Duration, r Record) error {
+	if err := r.check(); err != nil {
+		return err
+	}
+	if r.ID == v.self {
+		return nil // its own, on its way back
+	}
+	m := v.lives[r.ID]
+	switch {
+	case m != nil && r.Seq <= m.rec.Seq || r.Life <= v.ended[r.Name]:
+		return nil // known, or of a life that has ended
+	case m != nil && m.rec.Weight != r.Weight:
+		return fmt.Errorf("%w: the weight of %s is another than it was; it takes a new life", ErrRecord, r.Name)
+	}
+	if m == nil {
+		if len(v.lives) >= MaxMembers {
+			return ErrFull
+		}
+		m = &member{}
+		v.lives[r.ID] = m
+	}
+	m.rec, m.heard, m.gone = r, now, r.State == Leaving
+	v.end(r.Name, r.Ended)
+	v.step()
+	if r.Name == v.self.Name && r.State != Leaving && r.Ended < v.self.Life && v.self.Life < r.Life {
+		return fmt.Errorf("%w: %s, life %d beside this one's %d", ErrName, r.Name, r.Life, v.self.Life)
+	}
+	return nil
+}
+
+// Ended takes the proof of others, such as the group's, that a life has ended.
+func (v *View) Ended(id ID) {
+	if m := v.lives[id]; m != nil {
+		if m.gone = true; id != v.self {
+			m.rec.Seq = math.MaxUint64 // whatever it told before comes too late
+		}
+	} else if len(v.lives) < MaxMembers {
+		v.lives[id] = &member{gone: true, rec: Record{ID: id, Seq: math.MaxUint64}}
+	}
+	v.step()
+}
+
+// end forgets the lives of a name up to one.
+func (v *View) end(name string, life uint64) {
+	if life <= v.ended[name] {
+		return
+	}
+	v.ended[name] = life
+	for id, m := range v.lives {
+		if id.Name != name || id.Life > life {
+			continue
+		}
+		if m.gone = true; id != v.self {
+			delete(v.lives, id)
+		}
+	}
+}
+
+// Leave gives this member's part up, for good. The record that says so has to be told.
+func (v *View) Leave() {
+	v.lives[v.self].rec.State = Leaving
+	v.lives[v.self].rec.Seq++
+}
+
+// Tick lets time pass: members that have said nothing for as long as the operator states are gone.
+func (v *View) Tick(now time.Duration) {
+	for id, m := range v.lives {
+		if v.opts.Gone > 0 && id != v.self && now-m.heard > v.opts.Gone {
+			m.gone = true
+		}
+	}
+	v.step()
+}
+
+// step draws what follows: who is known to count the same lives as this member, and so itself,
+// and whether its part begins.
+func (v *View) step() {
+	self := &v.lives[v.self].rec
+	state, digest := self.State, uint64(0)
+	for _, m := range v.lives {
+		if !m.gone {
+			digest += m.rec.digest()
+		}
+	}
+	for id, m := range v.lives {
+		if id != v.self && m.rec.Digest == digest {
+			m.counts = true
+			v.whole = v.whole || m.rec.State == Serving
+		}
+	}
+	if self.State == Joining && v.whole && v.counted() {
+		self.State = Serving
+	}
+	if self.State != state || self.Digest != digest {
+		self.Digest = digest
+		self.Seq++
+	}
+}
+
+// counted says whether all others that may be serving are known to count this member. What a
+// member has said of that once holds: none is forgotten without proof.
+func (v *View) counted() bool {
+	for other, m := range v.lives {
+		if other != v.self && !m.gone && !m.counts {
+			return false
+		}
+	}
+	return true
+}
+
+// digest stands for a life in the digest of a set of them.
+func (id ID) digest() uint64 { return hash(id.Life, id.Name) }
+
+// hash is the same at all members.
+func hash(n uint64, text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, n))
+	_, _ = io.WriteString(h, text)
+	return h.Sum64()
+}
+
+// Part is which part of a bound over all members this one may use, from 0 to 1: its weight
+// against that of all who may be serving, and 0 until it has joined or once it leaves.
+func (v *View) Part() float64 {
+	self := v.lives[v.self].rec
+	if self.State != Serving || v.lives[v.self].gone {
+		return 0
+	}
+	return self.Weight / v.weights()
+}
+
+// weights are those of all who may be serving.
+func (v *View) weights() (sum float64) {
+	for _, m := range v.lives {
+		if !m.gone {
+			sum += m.rec.Weight
+		}
+	}
+	return sum
+}
+
+// Heard are the members that have said something of late, by name: this one, and who else is
+// there to do something together.
+func (v *View) Heard(now time.Duration) []Member {
+	return slices.DeleteFunc(v.MayServe(), func(m Member) bool {
+		return m.ID != v.self && (m.Heard == 0 || now-m.Heard > v.opts.Silent)
+	})
+}
+
+// MayServe are the members that may be serving, by name: all that were ever heard of and are not
+// proven gone.
+func (v *View) MayServe() []Member {
+	sum := v.weights()
+	all := make([]Member, 0, len(v.lives))
+	for _, id := range slices.SortedFunc(maps.Keys(v.lives), ID.compare) {
+		m := v.lives[id]
+		if m.gone {
+			continue
+		}
+		shown := Member{ID: id, Site: m.rec.Site, Weight: m.rec.Weight, State: m.rec.State, Heard: m.heard}
+		if m.rec.State == Serving {
+			shown.Part = m.rec.Weight / sum
+		}
+		all = append(all, shown)
+	}
+	return all
+}
+
+// Rank orders members for a key, the same at all who know the same: a join or leave moves only
+// the keys that it wins or lost. Weights count, by weighted rendezvous hashing.
+func Rank(key uint64, of []Member) []Member {
+	score := make(map[ID]float64, len(of))
+	for _, m := range of {
+		u := rand.New(rand.NewPCG(hash(0, m.Name), key)).Float64()
+		score[m.ID] = -math.Log(u+1e-18) / m.Weight
+	}
+	ranked := slices.Clone(of)
+	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Or(cmp.Compare(score[a.ID], score[b.ID]), a.compare(b.ID)) })
+	return ranked
+}
