--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -33,7 +33,7 @@
 	MaxWeight = 1e6
 )
 
-// Why a record changed nothing.
+// What is wrong with a record. ErrName alone changes something: see Hear.
 var (
 	ErrRecord = errors.New("the record cannot be used")
 	ErrName   = errors.New("another process is a member under this name")
