--- a/cmd/jasperpin/ctl.go
+++ b/cmd/jasperpin/ctl.go
@@ -34,15 +34,7 @@
 			"Exit 0 where the node says done, 1 where it says error or does not answer.",
 		Example: "  jasperpin ctl ready --at 127.0.0.1:9800\n  jasperpin ctl exclude s-5be2a07c\n  jasperpin ctl watch --at unix:/run/jasperpin/door.sock",
 	}
-	f := cmd.PersistentFlags()
-	f.StringVar(&c.at, "at", "", "the door: an address and port, or unix:/PATH")
-	f.BoolVar(&c.asJSON, "json", false, "answer in JSON")
-	f.DurationVar(&c.wait, "wait", 2*time.Second, "for the answer")
-	call := func(use, about, name string, args cobra.PositionalArgs) *cobra.Command {
-		return &cobra.Command{Use: use, Short: about, Args: args, RunE: func(cmd *cobra.Command, words []string) error {
-			return c.call(cmd.Context(), cmd.OutOrStdout(), strings.Join(append([]string{name}, words...), " "))
-		}}
-	}
+	c.flags(cmd)
 	watch := &cobra.Command{Use: "watch", Short: "Show the figures with rates, each second, until interrupted", Args: cobra.NoArgs}
 	every := watch.Flags().Duration("every", time.Second, "how often")
 	times := watch.Flags().Int("times", 0, "how often in all; 0 for no end")
@@ -52,17 +44,32 @@
 		return c.watch(ctx, cmd.OutOrStdout(), max(*every, 100*time.Millisecond), *times)
 	}
 	cmd.AddCommand(
-		call("ready", "Whether the process is ready to serve", "readyz", cobra.NoArgs),
+		c.command("ready", "Whether the process is ready to serve", "readyz", cobra.NoArgs),
 		&cobra.Command{Use: "figures", Short: "The figures, once", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 			return c.figures(cmd.Context(), cmd.OutOrStdout())
 		}},
-		call("exclude ID", "Send nothing more to a server (POOL/ID where the node has pools)", "exclude", cobra.ExactArgs(1)),
-		call("include ID", "Let a server serve again", "include", cobra.ExactArgs(1)),
+		c.command("exclude ID", "Send nothing more to a server (POOL/ID where the node has pools)", "exclude", cobra.ExactArgs(1)),
+		c.command("include ID", "Let a server serve again", "include", cobra.ExactArgs(1)),
 		watch,
 	)
 	return cmd
 }
 
+// flags are those that all calls have.
+func (c *ctl) flags(cmd *cobra.Command) {
+	f := cmd.PersistentFlags()
+	f.StringVar(&c.at, "at", "", "the door: an address and port, or unix:/PATH")
+	f.BoolVar(&c.asJSON, "json", false, "answer in JSON")
+	f.DurationVar(&c.wait, "wait", 2*time.Second, "for the answer")
+}
+
+// command is a command that makes one call.
+func (c *ctl) command(use, about, name string, args cobra.PositionalArgs) *cobra.Command {
+	return &cobra.Command{Use: use, Short: about, Args: args, RunE: func(cmd *cobra.Command, words []string) error {
+		return c.call(cmd.Context(), cmd.OutOrStdout(), strings.Join(append([]string{name}, words...), " "))
+	}}
+}
+
 // door says where to call.
 func (c *ctl) door() (string, error) {
 	at := cmp.Or(c.at, os.Getenv("GW_CONTROL"))
--- a/cmd/jasperpin/ctl_test.go
+++ b/cmd/jasperpin/ctl_test.go
@@ -21,6 +21,9 @@
 	_, err := fmt.Fprintf(w, "svc.fulfilled.look=%d\nsvc.open_requests=3\n", d.served.Add(10))
 	return err
 }
+func (*desk) Members(w *bytes.Buffer) error    { w.WriteString("{}\n"); return nil }
+func (*desk) BeginFleet() error                { return nil }
+func (*desk) MemberEnded(string, string) error { return nil }
 func (*desk) Exclude(id string) error {
 	if id != "s-1" {
 		return fmt.Errorf("no such server is listed")
--- a/decide/admit.go
+++ b/decide/admit.go
@@ -133,7 +133,7 @@
 			b.rank[i+1] = rankLow
 		}
 	}
-	b.level += (float64(b.outNow()) - b.level) * min(levelGain, levelFew*max(b.level, 1))
+	b.level += (float64(b.local.out+b.remote.out) - b.level) * min(levelGain, levelFew*max(b.level, 1))
 	b.steady += (b.pressure() - b.steady) * steadyGain
 	e := fillAim - b.fill
 	switch {
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -91,8 +91,10 @@
 	return b
 }
 
-// outNow is how many of the node's own attempts are outstanding.
-func (b *Balancer) outNow() int { return b.local.out + b.remote.out }
+// Stand tells which of so many nodes this one is, and how much of its part of their bounds is withheld.
+func (b *Balancer) Stand(self, nodes int, withheld float64) {
+	b.set.Self, b.set.Nodes, b.set.Withheld = self, nodes, withheld
+}
 
 // Timer tokens: the low four bits say what for, the rest for which request.
 const (
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -139,7 +139,7 @@
 	expect := b.expected(r)
 	var best *server
 	bestCost := math.Inf(1)
-	few := float64(b.outNow()) / max(b.totalScale, 1e-9) // the design's idle test: few own calls, against their mean
+	few := float64(b.local.out+b.remote.out) / max(b.totalScale, 1e-9) // the design's idle test: few own calls, against their mean
 	try := func(s *server, warm bool) {
 		if s == nil || s == best || b.now < s.downUntil || float64(s.out) > idleMargin+few*s.Scale || !b.usable(r, s) {
 			return
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,6 +47,7 @@
 	Role     Role
 	Planning Planning
 	Cluster  Cluster
+	Members  Members
 }
 
 // Role is a node's part in its tier.
@@ -153,7 +154,7 @@
 	}
 	for _, file := range []*string{
 		&c.Planning.Certificate, &c.Planning.Key, &c.Planning.Authorities,
-		&c.Cluster.Files.Certificate, &c.Cluster.Files.Key, &c.Cluster.Files.Authorities, &c.Cluster.Folder, &c.Keys.Durable,
+		&c.Cluster.Files.Certificate, &c.Cluster.Files.Key, &c.Cluster.Files.Authorities, &c.Cluster.Folder, &c.Keys.Durable, &c.Members.Folder,
 	} {
 		if *file != "" && !filepath.IsAbs(*file) {
 			*file = filepath.Join(filepath.Dir(path), *file)
@@ -209,6 +210,11 @@
 	c.Control = node.text("control", "", "an address and port such as 127.0.0.1:9800, or unix:/PATH", isDoor)
 	c.Private = node.text("private", "", "the absolute path of a folder", filepath.IsAbs)
 	number, nodes := node.count("number", 0, 0, math.MaxUint16), node.count("nodes", 1, 1, math.MaxUint16)
+	for _, key := range []string{"number", "nodes"} {
+		if root.m["members"] != nil && node.m[key] != nil {
+			node.fail(key, "stands beside [members], by which the node knows it: want one of the two")
+		}
+	}
 	if number >= nodes {
 		node.fail("number", "is %d of %d nodes: want 0 to %d", number, nodes, nodes-1)
 	}
@@ -232,6 +238,7 @@
 	c.readPlanning(root)
 	c.readKeys(root)
 	c.readCluster(root)
+	c.readMembers(root)
 
 	pools := make(map[string]*Pool)
 	for _, t := range root.tables("pool") {
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -434,6 +434,17 @@
 	})
 }
 
+// Standing is a node's place in its fleet.
+type Standing struct {
+	Number, Of int
+	Withheld   float64 // of its part of bounds over all nodes, 0 to 1
+}
+
+// Stand takes the node's place in its fleet, which may change at any time.
+func (p *Pool) Stand(s Standing) {
+	p.do(func(time.Duration) { p.b.Stand(s.Number, s.Of, s.Withheld) })
+}
+
 // Listed takes news of the servers.
 func (p *Pool) Listed(kind decide.ListKind, hosts []Host) {
 	p.do(func(now time.Duration) {
--- a/internal/door/client.go
+++ b/internal/door/client.go
@@ -14,8 +14,8 @@
 // ErrRefused marks an answer that begins with "error".
 var ErrRefused = errors.New("the node says")
 
-// maxAnswer bounds an answer, in bytes: a class has four figures of some 40 each.
-const maxAnswer = 1 << 20
+// maxAnswer bounds an answer, in bytes: a class has four figures of some 40 each, a member some 200.
+const maxAnswer = 2 << 20
 
 // Call makes a call at a door, an address and port or "unix:" and a path, and gives the
 // lines between the answer's first and its end.
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -38,6 +38,11 @@
 	// Exclude takes a server out, Include puts it back.
 	Exclude(id string) error
 	Include(id string) error
+	// Members writes the members of the fleet, a line of JSON each.
+	Members(w *bytes.Buffer) error
+	// BeginFleet takes the word that no member serves, MemberEnded that one's life has ended.
+	BeginFleet() error
+	MemberEnded(name, life string) error
 }
 
 // Door serves operators' calls.
@@ -147,11 +152,11 @@
 		return "error an empty call\n"
 	}
 	name, args := words[0], words[1:]
-	want := map[string]int{"readyz": 0, "telemetry": 0, "exclude": 1, "include": 1}
+	want := map[string]int{"readyz": 0, "telemetry": 0, "exclude": 1, "include": 1, "members": 0, "begin-fleet": 0, "member-ended": 2}
 	n, known := want[name]
 	switch {
 	case !known:
-		return fmt.Sprintf("error unknown call %.40q: readyz, telemetry, exclude ID or include ID\n", name)
+		return fmt.Sprintf("error unknown call %.40q: readyz, telemetry, exclude ID, include ID, members, begin-fleet or member-ended NAME LIFE\n", name)
 	case len(args) != n:
 		return fmt.Sprintf("error %s takes %d words, not %d\n", name, n, len(args))
 	}
@@ -159,11 +164,19 @@
 	switch name {
 	case "readyz":
 		err = op.Ready()
-	case "telemetry":
+	case "telemetry", "members":
+		write := op.Figures
+		if name == "members" {
+			write = op.Members
+		}
 		text := bytes.NewBufferString("done\n")
-		if err = op.Figures(text); err == nil {
+		if err = write(text); err == nil {
 			return text.String() + "end\n"
 		}
+	case "begin-fleet":
+		err = op.BeginFleet()
+	case "member-ended":
+		err = op.MemberEnded(args[0], args[1])
 	case "exclude":
 		err = op.Exclude(args[0])
 	case "include":
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -19,6 +19,9 @@
 	_, err := fmt.Fprintf(w, "svc.open_requests=%d\n", len(d.out))
 	return err
 }
+func (*desk) Members(w *bytes.Buffer) error    { w.WriteString("{}\n"); return nil }
+func (*desk) BeginFleet() error                { return nil }
+func (*desk) MemberEnded(string, string) error { return nil }
 func (d *desk) Exclude(id string) error {
 	if strings.HasPrefix(id, "s-") {
 		d.out[id] = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 	"jasperpin/internal/httpfront"
 	"jasperpin/internal/httpup"
 	"jasperpin/internal/limit"
+	"jasperpin/internal/peers/gossip"
 	"jasperpin/internal/plan"
 	"jasperpin/internal/planlink"
 	"jasperpin/internal/platform"
@@ -78,6 +80,8 @@
 	door      *door.Door
 	figures   *figures.Board
 	draining  atomic.Bool
+	fleet     *gossip.Gossip    // nil where it meets no others
+	lives     *gossip.Lives     // likewise
 	group     *cluster.Instance // nil where the node belongs to none
 	line      *succession.Line  // of this node's processes; nil where it has no folder
 	shares    chan succession.Share
@@ -97,6 +101,7 @@
 		if n.group != nil {
 			n.group.Close()
 		}
+		n.closeMembers()
 		return nil, err
 	}
 	return n, nil
@@ -138,6 +143,9 @@
 	if err != nil {
 		return err
 	}
+	if err := n.join(); err != nil {
+		return fmt.Errorf("the members: %w", err)
+	}
 	n.front = httpfront.New(n.set, n.machine(), log)
 	n.served = make(chan error, len(n.listeners))
 	n.part(n.share)
@@ -254,6 +262,7 @@
 	if n.group != nil {
 		n.group.Close()
 	}
+	n.closeMembers()
 	n.line.Close()
 	if n.planner != nil {
 		n.planner.close()
@@ -334,6 +343,8 @@
 	n.log.Info("draining", "successor", heir)
 	n.draining.Store(true)
 	n.front.Drain()
+	var left sync.WaitGroup
+	left.Go(n.leave) // what is out is ended without a part: it begins nothing more at cold servers
 	n.set.DrainBy(began.Add(n.longest() + lastDue))
 	last := began.Add(n.longest() + lastExit)
 	if heir {
@@ -347,6 +358,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), last)
 	defer cancel()
 	err := n.front.Shutdown(ctx, began.Add(n.longest()+lastWhole))
+	left.Wait()
 	n.log.Info("drained", "after", time.Since(began).Round(time.Millisecond).String())
 	if err != nil {
 		return fmt.Errorf("closing clients' connections: %w", err)
@@ -396,6 +408,10 @@
 		next.Cluster = was.Cluster
 		restart = append(restart, "cluster")
 	}
+	if !reflect.DeepEqual(was.Members, next.Members) {
+		next.Members = was.Members
+		restart = append(restart, "members")
+	}
 	if was.Keys.Durable != next.Keys.Durable {
 		next.Keys.Durable = was.Keys.Durable
 		restart = append(restart, "keys.durable")
--- /dev/null
+++ b/internal/peers/gossip/gossip.go
@@ -0,0 +1,459 @@
+// Package gossip tells the members of a fleet of each other, and feeds a members.View with what
+// comes. Who is asked, suspected and told is github.com/hashicorp/memberlist's; what the words
+// mean is the view's.
+package gossip
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"jasperpin/internal/peers/members"
+)
+
+const (
+	// beatEach is how often a member says that it is there, for each member of the fleet: the
+	// words of all then come at a steady rate, however many they are.
+	beatEach  = 20 * time.Millisecond
+	beatLeast = time.Second
+	// silentBeats is how many of its words may be lost before a member is not heard any more.
+	silentBeats = 5
+	tick        = 200 * time.Millisecond
+	// rejoin is how often a member that is known of and not there is called again.
+	rejoin     = 2 * time.Second
+	streamWait = 2 * time.Second
+	// lost bounds the addresses kept of members that are not there.
+	maxLost = 256
+	// farewells is how many are told of a leave at once: words go on from them.
+	farewells = 8
+	// maxState bounds what another may tell at a full exchange, in bytes.
+	maxState = members.MaxMembers * maxRecord
+	// repeats is how often a word is passed on, times the logarithm of the members' number.
+	repeats = 3
+)
+
+// Options are what a member needs.
+type Options struct {
+	Self      members.Record // its name, site, weight and life
+	Listen    netip.AddrPort // for packets and streams
+	Advertise netip.AddrPort // where others reach it; the zero value stands for Listen
+	Seeds     []string       // addresses of some others, which may be dead or itself
+	Keys      [][]byte       // of 16, 24 or 32 bytes; the first encrypts, each decrypts; none for plain words
+	Bytes     int            // a second each way
+	Gone      time.Duration  // as members.Options has it
+	Alone     bool           // likewise
+	Before    func() uint64  // see Lives
+	Changed   func(Standing) // is called, one call at a time, when the standing has changed
+	Log       *slog.Logger
+}
+
+// Standing is this member's place in its fleet.
+type Standing struct {
+	Number int // its place among all that may be serving, by name
+	Of     int // how many these are
+	Heard  int // how many of them are heard
+	Part   float64
+}
+
+// Gossip is a member that talks to others.
+type Gossip struct {
+	opts Options
+	born time.Time
+	net  *transport
+	list *memberlist.Memberlist
+	out  memberlist.TransmitLimitedQueue
+
+	mu      sync.Mutex
+	view    *members.View
+	told    uint64            // the number of its record that was told last
+	lost    map[string]string // the addresses of members that are not there, by the library's name
+	rivals  map[members.ID]bool
+	beatAt  time.Time
+	seen    Standing
+	leaving bool
+
+	there   atomic.Int64  // how many the library knows, with this one
+	strange atomic.Uint64 // words that could not be used
+	done    chan struct{}
+	ended   sync.WaitGroup
+}
+
+// Join begins to listen, and to look for others in the background.
+func Join(o Options) (*Gossip, error) {
+	if !o.Advertise.IsValid() {
+		o.Advertise = o.Listen
+	}
+	g := &Gossip{opts: o, born: time.Now().Add(-time.Second), lost: make(map[string]string), rivals: make(map[members.ID]bool), done: make(chan struct{})}
+	if o.Before != nil {
+		o.Self.Ended = o.Before()
+	}
+	var err error
+	if g.view, err = members.New(members.Options{Silent: silentBeats * beatLeast, Gone: o.Gone, Alone: o.Alone}, o.Self, g.now()); err != nil {
+		return nil, err
+	}
+	// The library writes much that is for its developers; what members need to know is told here.
+	quiet := log.New(io.Discard, "", 0)
+	if g.net, err = listen(o.Listen, o.Bytes, quiet); err != nil {
+		return nil, fmt.Errorf("listening for members: %w", err)
+	}
+	cfg := memberlist.DefaultLANConfig()
+	cfg.Name = o.Self.Name + "/" + strconv.FormatUint(o.Self.Life, 36)
+	cfg.Transport, cfg.Logger = g.net, quiet
+	cfg.BindAddr, cfg.BindPort = o.Listen.Addr().String(), g.net.GetAutoBindPort()
+	cfg.AdvertiseAddr, cfg.AdvertisePort = o.Advertise.Addr().String(), int(o.Advertise.Port())
+	if cfg.AdvertisePort == 0 {
+		cfg.AdvertisePort = cfg.BindPort
+	}
+	cfg.TCPTimeout, cfg.PushPullInterval = streamWait, 10*time.Second
+	cfg.Delegate, cfg.Events = (*delegate)(g), (*delegate)(g)
+	cfg.EnableCompression = false // words are short, and it is no more work on the way
+	if len(o.Keys) > 0 {
+		if cfg.Keyring, err = memberlist.NewKeyring(o.Keys, o.Keys[0]); err != nil {
+			return nil, errors.Join(fmt.Errorf("the keys of members: %w", err), g.net.Shutdown())
+		}
+	}
+	g.out.RetransmitMult = repeats
+	g.out.NumNodes = g.others
+	if g.list, err = memberlist.Create(cfg); err != nil {
+		return nil, errors.Join(fmt.Errorf("joining the members: %w", err), g.net.Shutdown())
+	}
+	g.step()
+	g.ended.Go(g.run)
+	g.ended.Go(g.look)
+	return g, nil
+}
+
+// Addr is where others reach it.
+func (g *Gossip) Addr() string { return g.list.LocalNode().Address() }
+
+func (g *Gossip) now() time.Duration { return time.Since(g.born) }
+
+// others is how many the library knows, with this one. The library's own count would be asked for
+// under locks that it holds itself as it calls the delegate.
+func (g *Gossip) others() int { return int(g.there.Load()) }
+
+// run lets time pass for the view, and tells what there is to tell.
+func (g *Gossip) run() {
+	every := time.NewTicker(tick)
+	defer every.Stop()
+	for {
+		select {
+		case <-every.C:
+			g.step()
+		case <-g.done:
+			return
+		}
+	}
+}
+
+// step brings the view up to the moment and tells of what has changed.
+func (g *Gossip) step() {
+	before := uint64(0)
+	if g.opts.Before != nil {
+		before = g.opts.Before()
+	}
+	g.mu.Lock()
+	g.view.Before(before)
+	g.view.Tick(g.now())
+	if now := time.Now(); now.Sub(g.beatAt) >= max(beatLeast, time.Duration(g.others())*beatEach) {
+		g.beatAt = now
+		g.view.Beat()
+	}
+	g.say()
+	g.mu.Unlock()
+}
+
+// say passes the own record on where it has changed, and the standing. The lock is held.
+func (g *Gossip) say() {
+	if r := g.view.Record(); r.Seq != g.told && !g.leaving {
+		g.told = r.Seq
+		g.pass(r)
+	}
+	all, s := g.view.MayServe(), Standing{Part: g.view.Part(), Heard: len(g.view.Heard(g.now()))}
+	s.Of = len(all)
+	s.Number = max(0, slices.IndexFunc(all, func(m members.Member) bool { return m.ID == g.opts.Self.ID }))
+	if s == g.seen {
+		return
+	}
+	g.seen = s
+	g.opts.Log.Info("members", "may_serve", s.Of, "heard", s.Heard, "number", s.Number, "part", s.Part)
+	if g.opts.Changed != nil {
+		g.opts.Changed(s)
+	}
+}
+
+// hear takes a record, and passes it on where it was news. The lock is held.
+func (g *Gossip) hear(r members.Record) {
+	news, err := g.view.Hear(g.now(), r)
+	switch {
+	case errors.Is(err, members.ErrName):
+		if !g.rivals[r.ID] && len(g.rivals) < maxLost {
+			g.rivals[r.ID] = true
+			g.opts.Log.Error("another process goes by this member's name: give each its own, in node.name", "name", r.Name, "site", r.Site, "life", r.Life)
+		}
+	case err != nil:
+		g.strange.Add(1)
+	}
+	if news {
+		g.pass(r)
+	}
+}
+
+// pass gives a record to the words that go out, in place of an older one of the same life.
+func (g *Gossip) pass(r members.Record) {
+	g.out.QueueBroadcast(broadcast{r.ID, encode(r)})
+}
+
+// look calls members that are known of and not there: the seeds, and those that were lost.
+func (g *Gossip) look() {
+	wait := time.Duration(0)
+	for {
+		select {
+		case <-time.After(wait):
+		case <-g.done:
+			return
+		}
+		wait = rejoin/2 + rand.N(rejoin)
+		if g.others() == 1 {
+			wait /= 4
+		}
+		there := make(map[string]bool)
+		for _, n := range g.list.Members() {
+			there[n.Address()] = true
+		}
+		g.mu.Lock()
+		calls := slices.Concat(g.opts.Seeds, slices.Collect(maps.Values(g.lost)))
+		g.mu.Unlock()
+		calls = slices.DeleteFunc(calls, func(at string) bool { return there[at] })
+		if len(calls) > 0 {
+			// One that does not answer is called again; which ones are, the figures tell.
+			_, _ = g.list.Join([]string{calls[rand.IntN(len(calls))]})
+		}
+	}
+}
+
+// Member is one that may be serving, as it is shown.
+type Member struct {
+	Name  string        `json:"name"`
+	Life  uint64        `json:"life"`
+	Site  string        `json:"site"`
+	State string        `json:"state"`
+	Heard bool          `json:"heard"`
+	Age   time.Duration `json:"age_ns"` // since it was heard last; -1 for never
+	Part  float64       `json:"part"`   // as this member has it
+	Self  bool          `json:"self"`
+}
+
+var states = map[members.State]string{0: "untold", members.Joining: "joining", members.Serving: "serving", members.Leaving: "leaving"}
+
+// Members are all that may be serving, by name.
+func (g *Gossip) Members() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	heard := g.view.Heard(now)
+	var all []Member
+	for _, m := range g.view.MayServe() {
+		shown := Member{
+			Name: m.Name, Life: m.Life, Site: m.Site, State: states[m.State], Age: now - m.Heard, Part: m.Part, Self: m.ID == g.opts.Self.ID,
+			Heard: slices.ContainsFunc(heard, func(h members.Member) bool { return h.ID == m.ID }),
+		}
+		switch {
+		case shown.Self:
+			shown.Age, shown.Part = 0, g.view.Part()
+		case m.Heard == 0:
+			shown.Age = -1
+		}
+		if !shown.Heard {
+			shown.State = "unheard"
+		}
+		all = append(all, shown)
+	}
+	return all
+}
+
+// Standing is this member's place now.
+func (g *Gossip) Standing() Standing {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.seen
+}
+
+// Ended takes an operator's word that a life has ended, and has all members know.
+func (g *Gossip) Ended(id members.ID) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r, err := g.view.Given(id)
+	if err != nil {
+		return err
+	}
+	g.hear(r)
+	g.say()
+	return nil
+}
+
+// Begin takes an operator's word that no member serves.
+func (g *Gossip) Begin() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	err := g.view.Begin()
+	g.say()
+	return err
+}
+
+// Counts are what has gone over the network.
+type Counts struct {
+	Sent, Got uint64 // bytes
+	Dropped   uint64 // packets, by the cap on bytes
+	Strange   uint64 // words that could not be used
+}
+
+// Counts tells what has gone over the network so far.
+func (g *Gossip) Counts() Counts {
+	return Counts{g.net.sent.Load(), g.net.got.Load(), g.net.dropped.Load(), g.strange.Load()}
+}
+
+// Leave gives the part up and tells others, within about the time. Close is still to come.
+func (g *Gossip) Leave(within time.Duration) {
+	g.mu.Lock()
+	g.view.Leave()
+	g.say()
+	g.leaving = true
+	word := encode(g.view.Record())
+	g.mu.Unlock()
+	all := slices.DeleteFunc(g.list.Members(), func(n *memberlist.Node) bool { return n.Name == g.list.LocalNode().Name })
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, n := range all[:min(len(all), farewells)] {
+		_ = g.list.SendBestEffort(n, word) // one that is not reached hears of it from another
+	}
+	if len(all) > 0 {
+		_ = g.list.Leave(within)
+	}
+}
+
+// Close ends it without a word, as a crash would.
+func (g *Gossip) Close() {
+	close(g.done)
+	_ = g.list.Shutdown()
+	g.ended.Wait()
+}
+
+// broadcast is a record on its way out.
+type broadcast struct {
+	id   members.ID
+	word []byte
+}
+
+func (b broadcast) Invalidates(o memberlist.Broadcast) bool {
+	old, ok := o.(broadcast)
+	return ok && old.id == b.id
+}
+
+func (b broadcast) Message() []byte { return b.word }
+func (broadcast) Finished()         {}
+
+// delegate is what the library calls.
+type delegate Gossip
+
+func (d *delegate) NodeMeta(int) []byte { return nil }
+
+func (d *delegate) NotifyMsg(b []byte) {
+	r, err := decode(b)
+	if err != nil {
+		d.strange.Add(1)
+		return
+	}
+	g := (*Gossip)(d)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hear(r)
+	g.say()
+}
+
+func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
+	return d.out.GetBroadcasts(overhead, limit)
+}
+
+func (d *delegate) LocalState(bool) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := d.view.All()
+	words := make([]json.RawMessage, 0, len(all))
+	for _, r := range all {
+		words = append(words, encode(r))
+	}
+	b, err := json.Marshal(words)
+	if err != nil {
+		panic(err) // each is a word of its own making
+	}
+	return b
+}
+
+func (d *delegate) MergeRemoteState(b []byte, _ bool) {
+	var words []json.RawMessage
+	if len(b) > maxState || json.Unmarshal(b, &words) != nil {
+		d.strange.Add(1)
+		return
+	}
+	g := (*Gossip)(d)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range words {
+		if r, err := decode(w); err != nil {
+			g.strange.Add(1)
+		} else {
+			g.hear(r)
+		}
+	}
+	g.say()
+}
+
+func (d *delegate) NotifyJoin(n *memberlist.Node) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.lost, n.Name)
+	d.there.Add(1)
+}
+
+// NotifyLeave keeps the address of one that is not there, until it is known to have ended.
+func (d *delegate) NotifyLeave(n *memberlist.Node) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.there.Add(-1)
+	for name := range d.lost {
+		if !d.counted(name) {
+			delete(d.lost, name)
+		}
+	}
+	if len(d.lost) < maxLost && d.counted(n.Name) {
+		d.lost[n.Name] = n.Address()
+	}
+}
+
+func (d *delegate) NotifyUpdate(*memberlist.Node) {}
+
+// counted says whether a life, by the library's name, may be serving.
+func (d *delegate) counted(name string) bool {
+	at := strings.LastIndexByte(name, '/')
+	if at < 0 {
+		return false
+	}
+	life, err := strconv.ParseUint(name[at+1:], 36, 64)
+	return err == nil && slices.ContainsFunc(d.view.MayServe(), func(m members.Member) bool {
+		return m.ID == members.ID{Name: name[:at], Life: life}
+	})
+}
--- /dev/null
+++ b/internal/peers/gossip/life.go
@@ -0,0 +1,126 @@
+package gossip
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// lifePrefix begins the names of the files by which processes of one member know of each other.
+const lifePrefix = "life-"
+
+// Lives are the lives of one member on its machine: a file each, locked for as long as its process
+// runs. Whoever can lock another's knows that it has ended, however it ended.
+type Lives struct {
+	Own    uint64
+	Again  bool // there was one before
+	folder string
+	file   *os.File
+}
+
+// Begin begins a life, greater than all that have left a file in the folder. Without a folder
+// it goes by the clock, and nothing is known of others.
+func Begin(folder string) (*Lives, error) {
+	l := &Lives{Own: uint64(max(1, time.Now().UnixMicro())), folder: folder}
+	if folder == "" {
+		return l, nil
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, fmt.Errorf("the folder of a member's lives: %w", err)
+	}
+	for {
+		all, err := l.others()
+		if err != nil {
+			return nil, err
+		}
+		for _, life := range all {
+			l.Own, l.Again = max(l.Own, life+1), true
+		}
+		l.file, err = os.OpenFile(l.path(l.Own), os.O_CREATE|os.O_EXCL|os.O_RDWR, 0o600)
+		if errors.Is(err, os.ErrExist) {
+			continue // another began at this moment
+		}
+		if err != nil {
+			return nil, fmt.Errorf("the file of a member's life: %w", err)
+		}
+		if err := syscall.Flock(int(l.file.Fd()), syscall.LOCK_EX); err != nil {
+			l.End()
+			return nil, fmt.Errorf("locking %s: %w", l.file.Name(), err)
+		}
+		if l.there() {
+			return l, nil
+		}
+		l.End() // another took it for one that has ended, before it was locked
+		l.file = nil
+	}
+}
+
+// there says whether the own file still goes by its name.
+func (l *Lives) there() bool {
+	is, err := l.file.Stat()
+	named, gone := os.Stat(l.file.Name())
+	return err == nil && gone == nil && os.SameFile(is, named)
+}
+
+func (l *Lives) path(life uint64) string {
+	return filepath.Join(l.folder, lifePrefix+strconv.FormatUint(life, 10))
+}
+
+// others are the lives that have a file, but for the own one.
+func (l *Lives) others() (all []uint64, err error) {
+	entries, err := os.ReadDir(l.folder)
+	if err != nil {
+		return nil, fmt.Errorf("the folder of a member's lives: %w", err)
+	}
+	for _, e := range entries {
+		if text, ok := strings.CutPrefix(e.Name(), lifePrefix); ok {
+			if life, err := strconv.ParseUint(text, 10, 64); err == nil && (l.file == nil || life != l.Own) {
+				all = append(all, life)
+			}
+		}
+	}
+	return all, nil
+}
+
+// Before is the greatest life up to which all before the own one are known to have ended; 0 for none.
+// The files of those that have are removed.
+func (l *Lives) Before() uint64 {
+	if l.folder == "" {
+		return 0
+	}
+	all, err := l.others()
+	if err != nil {
+		return 0
+	}
+	ended := l.Own - 1
+	for _, life := range all {
+		if life < l.Own && !l.ended(life) {
+			ended = min(ended, life-1)
+		}
+	}
+	return ended
+}
+
+func (l *Lives) ended(life uint64) bool {
+	f, err := os.Open(l.path(life))
+	if err != nil {
+		return errors.Is(err, os.ErrNotExist) // removed by one that knew
+	}
+	defer f.Close()
+	if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) != nil {
+		return false
+	}
+	return os.Remove(f.Name()) == nil
+}
+
+// End gives the own file up. It is left to the next life, which so knows that there was one.
+func (l *Lives) End() {
+	if l.file != nil {
+		l.file.Close()
+	}
+}
--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -105,6 +105,7 @@
 // member is what is held of a life.
 type member struct {
 	rec    Record
+	mark   uint64        // what stands for it in digests
 	heard  time.Duration // when it last told something new; 0 for never
 	gone   bool          // it has left, or was not heard for as long as the operator states
 	counts bool          // it is known to count this member
@@ -141,7 +142,7 @@
 	if o.Alone {
 		self.State = Serving
 	}
-	v.lives[self.ID] = &member{rec: self, heard: now}
+	v.lives[self.ID] = &member{rec: self, mark: self.digest(), heard: now}
 	v.end(self.Name, self.Ended)
 	return v, nil
 }
@@ -162,36 +163,40 @@
 	return v.lives[v.self].rec
 }
 
-// Hear takes a record that came from wherever. With ErrRecord or ErrFull nothing has changed;
-// ErrName says that a second process goes by this one's name, and is counted as one more.
-func (v *View) Hear(now time.Duration, r Record) error {
+// Hear takes a record that came from wherever, and says whether it was news. With ErrRecord or
+// ErrFull nothing has changed; ErrName says that a second process goes by this one's name, and is
+// counted as one more.
+func (v *View) Hear(now time.Duration, r Record) (news bool, err error) {
 	if err := r.check(); err != nil {
-		return err
+		return false, err
 	}
 	if r.ID == v.self {
-		return nil // its own, on its way back
+		if r.State == Leaving && r.Seq > v.Record().Seq { // all others count it no more: see Given
+			v.lives[v.self].gone = true
+		}
+		return false, nil // else its own, on its way back
 	}
 	m := v.lives[r.ID]
 	switch {
 	case m != nil && r.Seq <= m.rec.Seq || r.Life <= v.ended[r.Name]:
-		return nil // known, or of a life that has ended
+		return false, nil // known, or of a life that has ended
 	case m != nil && m.rec.Weight != r.Weight:
-		return fmt.Errorf("%w: the weight of %s is another than it was; it takes a new life", ErrRecord, r.Name)
+		return false, fmt.Errorf("%w: the weight of %s is another than it was; it takes a new life", ErrRecord, r.Name)
 	}
 	if m == nil {
 		if len(v.lives) >= MaxMembers {
-			return ErrFull
+			return false, ErrFull
 		}
-		m = &member{}
+		m = &member{mark: r.digest()}
 		v.lives[r.ID] = m
 	}
 	m.rec, m.heard, m.gone = r, now, r.State == Leaving
 	v.end(r.Name, r.Ended)
 	v.step()
 	if r.Name == v.self.Name && r.State != Leaving && r.Ended < v.self.Life && v.self.Life < r.Life {
-		return fmt.Errorf("%w: %s, life %d beside this one's %d", ErrName, r.Name, r.Life, v.self.Life)
+		return true, fmt.Errorf("%w: %s, life %d beside this one's %d", ErrName, r.Name, r.Life, v.self.Life)
 	}
-	return nil
+	return true, nil
 }
 
 // Ended takes the proof of others, such as the group's, that a life has ended.
@@ -201,11 +206,23 @@
 			m.rec.Seq = math.MaxUint64 // whatever it told before comes too late
 		}
 	} else if len(v.lives) < MaxMembers {
-		v.lives[id] = &member{gone: true, rec: Record{ID: id, Seq: math.MaxUint64}}
+		v.lives[id] = &member{gone: true, mark: id.digest(), rec: Record{ID: id, Seq: math.MaxUint64}}
 	}
 	v.step()
 }
 
+// Given is the record with which an operator, who knows that a life has ended and cannot say so
+// itself, has all members count it no more. Where it goes on after all, it has no part.
+func (v *View) Given(id ID) (Record, error) {
+	m := v.lives[id]
+	if m == nil || id == v.self {
+		return Record{}, fmt.Errorf("no other member %s of life %d is known", id.Name, id.Life)
+	}
+	r := m.rec
+	r.Seq, r.State, r.Weight = math.MaxUint64-1, Leaving, cmp.Or(r.Weight, 1)
+	return r, nil
+}
+
 // end forgets the lives of a name up to one.
 func (v *View) end(name string, life uint64) {
 	if life <= v.ended[name] {
@@ -222,6 +239,34 @@
 	}
 }
 
+// Before takes the proof of this member's own machine that all lives of its name up to one, which
+// is before its own, have ended. It is told to all.
+func (v *View) Before(life uint64) {
+	self := &v.lives[v.self].rec
+	if life <= self.Ended || life >= v.self.Life {
+		return
+	}
+	self.Ended = life
+	self.Seq++
+	v.end(v.self.Name, life)
+	v.step()
+}
+
+// Begin takes an operator's word that no member serves, as after the loss of a whole fleet: this
+// one does from now on, and the others join it. A wrong word makes two fleets until they meet.
+func (v *View) Begin() error {
+	self := &v.lives[v.self].rec
+	if self.State != Joining {
+		return fmt.Errorf("%s is no joiner any more", self.Name)
+	}
+	self.State = Serving
+	self.Seq++
+	return nil
+}
+
+// Beat says that this member is still there, though it has nothing else to tell.
+func (v *View) Beat() { v.lives[v.self].rec.Seq++ }
+
 // Leave gives this member's part up, for good. The record that says so has to be told.
 func (v *View) Leave() {
 	v.lives[v.self].rec.State = Leaving
@@ -245,7 +290,7 @@
 	state, digest := self.State, uint64(0)
 	for _, m := range v.lives {
 		if !m.gone {
-			digest += m.rec.digest()
+			digest += m.mark
 		}
 	}
 	for id, m := range v.lives {
--- a/internal/peers/members/members_test.go
+++ b/internal/peers/members/members_test.go
@@ -45,7 +45,7 @@
 
 func (f *fleet) tell(to *process, records ...Record) {
 	for _, r := range records {
-		if err := to.v.Hear(f.now, r); err != nil && !errors.Is(err, ErrName) {
+		if _, err := to.v.Hear(f.now, r); err != nil && !errors.Is(err, ErrName) {
 			f.t.Fatalf("%v of %+v", err, r)
 		}
 	}
@@ -156,7 +156,7 @@
 		for _, a := range all {
 			for _, b := range all {
 				for _, r := range b.All() {
-					if err := a.Hear(1, r); err != nil {
+					if _, err := a.Hear(1, r); err != nil {
 						t.Fatal(err)
 					}
 				}
@@ -181,10 +181,10 @@
 		"for as long":     {gone, func(*View, ID) {}, gone + 2, 1},
 		"proof":           {0, func(v *View, other ID) { v.Ended(other) }, 0, 0.5},
 		"an earlier life": {0, func(v *View, other ID) { v.Ended(ID{other.Name, other.Life - 1}) }, 0, 1.0 / 3},
-		"its leave":       {0, func(v *View, other ID) { _ = v.Hear(2, Record{ID: other, Seq: 1000, Weight: 1, State: Leaving}) }, 0, 0.5},
-		"a new life":      {0, func(v *View, o ID) { _ = v.Hear(2, Record{ID: ID{o.Name, 2}, Seq: 1, Weight: 1, State: Joining}) }, 0, 0.25},
+		"its leave":       {0, func(v *View, other ID) { _, _ = v.Hear(2, Record{ID: other, Seq: 1000, Weight: 1, State: Leaving}) }, 0, 0.5},
+		"a new life":      {0, func(v *View, o ID) { _, _ = v.Hear(2, Record{ID: ID{o.Name, 2}, Seq: 1, Weight: 1, State: Joining}) }, 0, 0.25},
 		"in its place": {0, func(v *View, o ID) {
-			_ = v.Hear(2, Record{ID: ID{o.Name, 2}, Seq: 1, Weight: 1, State: Joining, Ended: 1})
+			_, _ = v.Hear(2, Record{ID: ID{o.Name, 2}, Seq: 1, Weight: 1, State: Joining, Ended: 1})
 		}, 0, 1.0 / 3},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -223,7 +223,7 @@
 		t.Run(name, func(t *testing.T) {
 			before, r := fmt.Sprint(v.MayServe(), v.Record()), good
 			c.bad(&r)
-			if err := v.Hear(2, r); !errors.Is(err, c.want) {
+			if _, err := v.Hear(2, r); !errors.Is(err, c.want) {
 				t.Errorf("got %v, want %v", err, c.want)
 			}
 			if after := fmt.Sprint(v.MayServe(), v.Record()); after != before {
@@ -267,7 +267,7 @@
 			t.Fatal(err)
 		}
 		for i := range uint64(3) {
-			_ = v.Hear(1, Record{ID: ID{name, life + i}, Seq: seq + i, Weight: weight, State: State(state), Ended: ended, Digest: digest})
+			_, _ = v.Hear(1, Record{ID: ID{name, life + i}, Seq: seq + i, Weight: weight, State: State(state), Ended: ended, Digest: digest})
 			if part := v.Part(); !(part >= 0 && part <= 1) {
 				t.Fatalf("a part of %v", part)
 			}
--- a/internal/service/owned.go
+++ b/internal/service/owned.go
@@ -69,6 +69,9 @@
 		o.pool = core.NewPool(set)
 		o.heard = o.feed.Start(o.pool.Listed)
 	}
+	if s.stand != nil {
+		o.pool.Stand(*s.stand)
+	}
 	return &Pool{Pool: o.pool, Name: c.Name, Plain: c.Plain, Body: c.Body, classes: c.Classes, counts: counts, own: o}
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -240,6 +240,7 @@
 	keys  *keys.Holder           // from the first configuration on that has keys
 	known map[string]core.Memory // of the process before, until the first Apply
 	endBy time.Time
+	stand *core.Standing  // nil where the configuration says it
 	old   map[*owned]bool // pools that drain
 }
 
@@ -422,6 +423,19 @@
 	}
 }
 
+// Stand tells all pools, and those to come, of the node's place in its fleet.
+func (s *Set) Stand(st core.Standing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stand = &st
+	for _, p := range s.now.Load().pools {
+		p.Stand(st)
+	}
+	for o := range s.old {
+		o.pool.Stand(st)
+	}
+}
+
 // Resize lays what the pools share out anew, for other limits of the machine. What is
 // held stays held until it is given back.
 func (s *Set) Resize(m limit.Machine) error {
