--- /dev/null
+++ b/cmd/jasperpin/members_test.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"jasperpin/internal/peers/gossip"
+	"jasperpin/internal/standin/check"
+	"jasperpin/internal/standin/stand"
+)
+
+// fleet is a stand of many nodes whose parts are added up at the end, by their own logs.
+func fleet(t *testing.T, o stand.FleetOptions) *stand.Fleet {
+	t.Helper()
+	o.Dir, o.Seed = t.TempDir(), 11
+	o.Node = func(dir, name, file string) (*stand.Process, error) {
+		return stand.Program{Path: os.Args[0], Env: []string{"JASPERPIN_TEST_MAIN=1"}}.Start(dir, name, "serve", "-c", file)
+	}
+	f := check.Must[*stand.Fleet](t)(stand.NewFleet(o))
+	t.Cleanup(func() {
+		f.Close()
+		most, at, err := f.MostParts()
+		if err != nil || most > 1+1e-9 || most == 0 {
+			t.Errorf("seed %d: parts add up to %v at %v: %v", o.Seed, most, at, err)
+		}
+		if t.Failed() {
+			t.Log(f.Logged())
+		}
+	})
+	return f
+}
+
+func up(from, to int) (all []int) {
+	for i := from; i < to; i++ {
+		all = append(all, i)
+	}
+	return all
+}
+
+func agree(t *testing.T, f *stand.Fleet, what string, members ...int) {
+	t.Helper()
+	var err error
+	defer func() {
+		if t.Failed() {
+			t.Log(what, err)
+		}
+	}()
+	check.Eventually(t, what, func() bool {
+		err = f.Agree(members...)
+		return err == nil
+	})
+}
+
+func start(t *testing.T, f *stand.Fleet, members ...int) {
+	t.Helper()
+	if err := f.Start(members...); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// state is what one member says of another: its state and part.
+func state(f *stand.Fleet, of, by int) (string, float64) {
+	all, _ := f.Members(by)
+	for _, m := range all {
+		if m.Name == f.Name(of) {
+			return m.State, m.Part
+		}
+	}
+	return "none", 0
+}
+
+// TestFleetThroughFaults has a dozen processes meet at once and go through what parts them: each
+// that is not proven gone is counted all the while, nobody's part begins before all count it, and
+// never do the parts add up to more than one.
+func TestFleetThroughFaults(t *testing.T) {
+	t.Parallel()
+	f := fleet(t, stand.FleetOptions{Members: 12, Seeds: []string{check.Unused(t), check.Unused(t)}})
+	start(t, f, up(0, 10)...)
+	agree(t, f, "ten processes, started at once, of which some seeds are dead", up(0, 10)...)
+
+	// A half hears nothing of the other. One that begins there has no part until they heal.
+	f.Split(func(i int) bool { return i < 5 || i == 10 }, true)
+	start(t, f, 10)
+	check.Eventually(t, "the other half is not heard", func() bool {
+		s, _ := state(f, 7, 0)
+		return s == "unheard"
+	})
+	if _, part := state(f, 0, 0); part != 1.0/11 {
+		t.Errorf("beside ten others, half of them unheard, a part of %v", part)
+	}
+	if s, part := state(f, 10, 10); s != "joining" || part != 0 {
+		t.Errorf("one that half of the fleet has not heard of is %s with a part of %v", s, part)
+	}
+	f.Split(func(i int) bool { return i < 5 || i == 10 }, false)
+	agree(t, f, "both halves and the newcomer after the heal", up(0, 11)...)
+
+	// One that was killed is counted until it is back, and proves its own end.
+	f.Kill(3)
+	check.Eventually(t, "the killed one is not heard", func() bool {
+		s, _ := state(f, 3, 6)
+		return s == "unheard"
+	})
+	if _, part := state(f, 6, 6); part != 1.0/11 {
+		t.Errorf("a part of %v after another was killed", part)
+	}
+	start(t, f, 3)
+	agree(t, f, "the killed one is back", up(0, 11)...)
+
+	// Paused ones are counted; A hears B and B does not hear A; packets are lost.
+	if err := f.Pause(true, 4, 5); err != nil {
+		t.Fatal(err)
+	}
+	f.Set(1, 2, stand.Way{Cut: true})
+	check.Eventually(t, "the paused ones are not heard", func() bool {
+		a, _ := state(f, 4, 1)
+		b, _ := state(f, 5, 2)
+		return a == "unheard" && b == "unheard"
+	})
+	if err := f.Pause(false, 4, 5); err != nil {
+		t.Fatal(err)
+	}
+	agree(t, f, "the paused ones go on, over a way that is cut one way", up(0, 11)...)
+	f.All(stand.Way{Loss: 0.3, Double: 0.1, Jitter: 20e6})
+	if err := f.End(8, 9, 10); err != nil {
+		t.Error("members told to end:", err)
+	}
+	agree(t, f, "three have left, with a third of all packets lost", up(0, 8)...)
+}
+
+// TestTwoOfOneName has a second process go by a member's name, from another folder: it is said, and
+// the second waits until the first has left, of which nothing is taken.
+func TestTwoOfOneName(t *testing.T) {
+	t.Parallel()
+	f := fleet(t, stand.FleetOptions{Members: 3})
+	text := check.Must[[]byte](t)(os.ReadFile(f.File(2)))
+	text = bytes.Replace(text, []byte(`name = "n02"`), []byte(`name = "n01"`), 1)
+	if err := os.WriteFile(f.File(2), text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	start(t, f, 0, 1)
+	agree(t, f, "two members", 0, 1)
+	start(t, f, 2)
+	check.Eventually(t, "the first says that there is a second", func() bool {
+		return strings.Contains(f.Process(1).Logged(), "a second process goes by a member's name")
+	})
+	all, err := f.Members(2)
+	if err != nil || slices.ContainsFunc(all, func(m gossip.Member) bool { return m.Self && m.Part > 0 }) {
+		t.Errorf("the second tells of %+v: %v", all, err)
+	}
+	agree(t, f, "the first two are as before", 0, 1)
+	if err := f.End(1); err != nil {
+		t.Error(err)
+	}
+	check.Eventually(t, "the second has the first one's place once it has left", func() bool {
+		all, err := f.Members(2)
+		return err == nil && len(all) == 2 && all[1].State == "serving" && all[1].Part == 0.5
+	})
+}
+
+// TestStrangers floods a member with what is not of its fleet: it is counted, and changes nothing.
+func TestStrangers(t *testing.T) {
+	t.Parallel()
+	f := fleet(t, stand.FleetOptions{Members: 3, Table: `keys = ["MDEyMzQ1Njc4OWFiY2RlZg=="]`})
+	start(t, f, 0, 1, 2)
+	agree(t, f, "three with a key", 0, 1, 2)
+	c := check.Must[*net.UDPConn](t)(net.DialUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(f.Addr(), 0)), net.UDPAddrFromAddrPort(f.Own(0))))
+	defer c.Close()
+	forged := []byte(`\x08{"n":"n01","l":99999999999999999,"q":9,"w":1000000,"t":2,"d":1}`)
+	for i := range 20_000 {
+		_, _ = c.Write(append(forged, bytes.Repeat([]byte{byte(i)}, i%1000)...))
+	}
+	s := check.Must[net.Conn](t)(net.Dial("tcp4", f.Own(0).String()))
+	defer s.Close()
+	_, _ = s.Write(bytes.Repeat([]byte("x"), 1<<20))
+	agree(t, f, "the three are as before", 0, 1, 2)
+}
+
+// TestWordsOfOperators has operators say what members cannot know: that one that is lost for good
+// has ended, and that a fleet of which all have ended begins anew.
+func TestWordsOfOperators(t *testing.T) {
+	t.Parallel()
+	f := fleet(t, stand.FleetOptions{Members: 3})
+	start(t, f, 0, 1, 2)
+	agree(t, f, "three members", 0, 1, 2)
+	all, err := f.Members(0)
+	if err != nil || len(all) != 3 {
+		t.Fatal(all, err)
+	}
+	f.Kill(2)
+	var out bytes.Buffer
+	run := func(words ...string) error {
+		out.Reset()
+		cmd := root()
+		cmd.SetOut(&out)
+		cmd.SetArgs(append([]string{"members"}, words...))
+		return cmd.ExecuteContext(t.Context())
+	}
+	if err := run("ended", "n02", fmt.Sprint(all[2].Life+1), "--at", f.Door(0)); err == nil {
+		t.Error("an unknown life was said to have ended")
+	}
+	if err := run("ended", "n02", fmt.Sprint(all[2].Life), "--at", f.Door(0)); err != nil {
+		t.Error(err)
+	}
+	agree(t, f, "two, as the third was said to have ended", 0, 1)
+	f.Kill(0, 1)
+	start(t, f, 0, 1)
+	check.Eventually(t, "both are back, and nobody serves", func() bool {
+		s, part := state(f, 1, 0)
+		return s == "joining" && part == 0
+	})
+	if err := run("begin", "--at", f.Door(1)); err != nil {
+		t.Error(err)
+	}
+	agree(t, f, "both serve", 0, 1)
+	if err := run("--at", f.Door(0)); err != nil || !strings.Contains(out.String(), "n01") || !strings.Contains(out.String(), "0.5000") {
+		t.Errorf("%v: %s", err, &out)
+	}
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	n.fleet, err = gossip.Join(gossip.Options{
-		Self:   members.Record{ID: members.ID{Name: n.cfg.Name, Life: n.lives.Own}, Site: c.Site, Weight: c.Weight},
+		Self:   members.Record{ID: members.ID{Seat: members.Seat{Name: n.cfg.Name, Place: n.lives.Place}, Life: n.lives.Own}, Site: c.Site, Weight: c.Weight},
 		Listen: c.Listen, Advertise: c.Advertise, Seeds: c.Seeds, Keys: c.Keys, Bytes: c.Bytes, Gone: c.Gone,
 		Alone: c.First && !n.lives.Again, Before: n.lives.Before, Changed: n.stand, Log: n.log,
 	})
@@ -92,7 +92,7 @@
 	if err != nil {
 		return fmt.Errorf("a life is a number, and not %.40q", life)
 	}
-	err = o.fleet.Ended(members.ID{Name: name, Life: number})
+	err = o.fleet.Ended(name, number)
 	o.log.Warn("told that a member has ended", "name", name, "life", number, "err", err)
 	return err
 }
--- a/internal/peers/gossip/gossip.go
+++ b/internal/peers/gossip/gossip.go
@@ -14,8 +14,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,7 +109,7 @@
 		return nil, fmt.Errorf("listening for members: %w", err)
 	}
 	cfg := memberlist.DefaultLANConfig()
-	cfg.Name = o.Self.Name + "/" + strconv.FormatUint(o.Self.Life, 36)
+	cfg.Name = libraryName(o.Self.ID)
 	cfg.Transport, cfg.Logger = g.net, quiet
 	cfg.BindAddr, cfg.BindPort = o.Listen.Addr().String(), g.net.GetAutoBindPort()
 	cfg.AdvertiseAddr, cfg.AdvertisePort = o.Advertise.Addr().String(), int(o.Advertise.Port())
@@ -177,22 +175,22 @@
 	g.mu.Unlock()
 }
 
-// say passes the own record on where it has changed, and the standing. The lock is held.
+// say tells of the standing where it has changed, and then passes the own record on where that has:
+// others grow by it, and the own part has shrunk before. The lock is held.
 func (g *Gossip) say() {
-	if r := g.view.Record(); r.Seq != g.told && !g.leaving {
-		g.told = r.Seq
-		g.pass(r)
-	}
 	all, s := g.view.MayServe(), Standing{Part: g.view.Part(), Heard: len(g.view.Heard(g.now()))}
 	s.Of = len(all)
 	s.Number = max(0, slices.IndexFunc(all, func(m members.Member) bool { return m.ID == g.opts.Self.ID }))
-	if s == g.seen {
-		return
+	if s != g.seen {
+		g.seen = s
+		g.opts.Log.Info("members", "may_serve", s.Of, "heard", s.Heard, "number", s.Number, "part", s.Part)
+		if g.opts.Changed != nil {
+			g.opts.Changed(s)
+		}
 	}
-	g.seen = s
-	g.opts.Log.Info("members", "may_serve", s.Of, "heard", s.Heard, "number", s.Number, "part", s.Part)
-	if g.opts.Changed != nil {
-		g.opts.Changed(s)
+	if r := g.view.Record(); r.Seq != g.told && !g.leaving {
+		g.told = r.Seq
+		g.pass(r)
 	}
 }
 
@@ -203,7 +201,7 @@
 	case errors.Is(err, members.ErrName):
 		if !g.rivals[r.ID] && len(g.rivals) < maxLost {
 			g.rivals[r.ID] = true
-			g.opts.Log.Error("another process goes by this member's name: give each its own, in node.name", "name", r.Name, "site", r.Site, "life", r.Life)
+			g.opts.Log.Error("a second process goes by a member's name, and is not let in: give it a node.name of its own, or say that the first has ended", "name", r.Name, "site", r.Site, "life", r.Life)
 		}
 	case err != nil:
 		g.strange.Add(1)
@@ -249,6 +247,7 @@
 // Member is one that may be serving, as it is shown.
 type Member struct {
 	Name  string        `json:"name"`
+	Place uint64        `json:"place"`
 	Life  uint64        `json:"life"`
 	Site  string        `json:"site"`
 	State string        `json:"state"`
@@ -269,7 +268,7 @@
 	var all []Member
 	for _, m := range g.view.MayServe() {
 		shown := Member{
-			Name: m.Name, Life: m.Life, Site: m.Site, State: states[m.State], Age: now - m.Heard, Part: m.Part, Self: m.ID == g.opts.Self.ID,
+			Name: m.Name, Place: m.Place, Life: m.Life, Site: m.Site, State: states[m.State], Age: now - m.Heard, Part: m.Part, Self: m.ID == g.opts.Self.ID,
 			Heard: slices.ContainsFunc(heard, func(h members.Member) bool { return h.ID == m.ID }),
 		}
 		switch {
@@ -294,10 +293,15 @@
 }
 
 // Ended takes an operator's word that a life has ended, and has all members know.
-func (g *Gossip) Ended(id members.ID) error {
+func (g *Gossip) Ended(name string, life uint64) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r, err := g.view.Given(id)
+	all := g.view.MayServe()
+	i := slices.IndexFunc(all, func(m members.Member) bool { return m.Name == name && m.Life == life })
+	if i < 0 {
+		return fmt.Errorf("nobody of the name %.40q and life %d is counted", name, life)
+	}
+	r, err := g.view.Given(all[i].ID)
 	if err != nil {
 		return err
 	}
@@ -448,12 +452,8 @@
 
 // counted says whether a life, by the library's name, may be serving.
 func (d *delegate) counted(name string) bool {
-	at := strings.LastIndexByte(name, '/')
-	if at < 0 {
-		return false
-	}
-	life, err := strconv.ParseUint(name[at+1:], 36, 64)
-	return err == nil && slices.ContainsFunc(d.view.MayServe(), func(m members.Member) bool {
-		return m.ID == members.ID{Name: name[:at], Life: life}
-	})
+	return slices.ContainsFunc(d.view.MayServe(), func(m members.Member) bool { return libraryName(m.ID) == name })
 }
+
+// libraryName is a life's among the library's nodes.
+func libraryName(id members.ID) string { return fmt.Sprintf("%s/%x/%x", id.Name, id.Place, id.Life) }
--- a/internal/peers/gossip/life.go
+++ b/internal/peers/gossip/life.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -11,13 +12,17 @@
 	"time"
 )
 
-// lifePrefix begins the names of the files by which processes of one member know of each other.
-const lifePrefix = "life-"
+// Files by which the processes of one member know of each other.
+const (
+	lifePrefix = "life-"
+	placeName  = "place" // the number that tells this folder from others
+)
 
 // Lives are the lives of one member on its machine: a file each, locked for as long as its process
 // runs. Whoever can lock another's knows that it has ended, however it ended.
 type Lives struct {
 	Own    uint64
+	Place  uint64
 	Again  bool // there was one before
 	folder string
 	file   *os.File
@@ -26,13 +31,16 @@
 // Begin begins a life, greater than all that have left a file in the folder. Without a folder
 // it goes by the clock, and nothing is known of others.
 func Begin(folder string) (*Lives, error) {
-	l := &Lives{Own: uint64(max(1, time.Now().UnixMicro())), folder: folder}
+	l := &Lives{Own: uint64(max(1, time.Now().UnixMicro())), Place: rand.Uint64(), folder: folder}
 	if folder == "" {
 		return l, nil
 	}
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, fmt.Errorf("the folder of a member's lives: %w", err)
 	}
+	if err := l.settle(); err != nil {
+		return nil, fmt.Errorf("the folder of a member's lives: %w", err)
+	}
 	for {
 		all, err := l.others()
 		if err != nil {
@@ -60,6 +68,27 @@
 	}
 }
 
+// settle reads the folder's number, or writes the one that was drawn: whoever links it first wins.
+func (l *Lives) settle() error {
+	path := filepath.Join(l.folder, placeName)
+	draft := path + strconv.FormatUint(l.Place, 36)
+	if err := os.WriteFile(draft, []byte(strconv.FormatUint(l.Place, 10)), 0o600); err != nil {
+		return err
+	}
+	defer os.Remove(draft)
+	if err := os.Link(draft, path); err != nil && !errors.Is(err, os.ErrExist) {
+		return err
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if l.Place, err = strconv.ParseUint(string(text), 10, 64); err != nil {
+		return fmt.Errorf("%s is damaged: remove it once no process of this member runs: %w", path, err)
+	}
+	return nil
+}
+
 // there says whether the own file still goes by its name.
 func (l *Lives) there() bool {
 	is, err := l.file.Stat()
--- a/internal/peers/gossip/record.go
+++ b/internal/peers/gossip/record.go
@@ -14,6 +14,7 @@
 // some ten of them at the most.
 type word struct {
 	Name   string  `json:"n"`
+	Place  uint64  `json:"p,omitempty"`
 	Life   uint64  `json:"l"`
 	Seq    uint64  `json:"q"`
 	Site   string  `json:"s,omitempty"`
@@ -24,7 +25,7 @@
 }
 
 func encode(r members.Record) []byte {
-	b, err := json.Marshal(word{r.Name, r.Life, r.Seq, r.Site, r.Weight, uint8(r.State), r.Ended, r.Digest})
+	b, err := json.Marshal(word{r.Name, r.Place, r.Life, r.Seq, r.Site, r.Weight, uint8(r.State), r.Ended, r.Digest})
 	if err != nil {
 		panic(err) // a weight that is no number, which no view takes in
 	}
@@ -41,7 +42,7 @@
 		return members.Record{}, fmt.Errorf("reading a record: %w", err)
 	}
 	return members.Record{
-		ID: members.ID{Name: w.Name, Life: w.Life}, Seq: w.Seq, Site: w.Site, Weight: w.Weight,
+		ID: members.ID{Seat: members.Seat{Name: w.Name, Place: w.Place}, Life: w.Life}, Seq: w.Seq, Site: w.Site, Weight: w.Weight,
 		State: members.State(w.State), Ended: w.Ended, Digest: w.Digest,
 	}, nil
 }
--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -19,6 +19,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -33,7 +34,7 @@
 	MaxWeight = 1e6
 )
 
-// What is wrong with a record. ErrName alone changes something: see Hear.
+// What is wrong with a record.
 var (
 	ErrRecord = errors.New("the record cannot be used")
 	ErrName   = errors.New("another process is a member under this name")
@@ -50,14 +51,21 @@
 	Leaving
 )
 
-// ID is one life of a member. A process that begins anew has a greater life under its name.
+// Seat is where the lives of a member follow each other, and know of each other's ends: its name,
+// and a number drawn once for the place. Two places of one name are a mistake of somebody's.
+type Seat struct {
+	Name  string
+	Place uint64
+}
+
+// ID is one life of a member. A process that begins anew has a greater one in its seat.
 type ID struct {
-	Name string
+	Seat
 	Life uint64
 }
 
 func (a ID) compare(b ID) int {
-	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Life, b.Life))
+	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Place, b.Place), cmp.Compare(a.Life, b.Life))
 }
 
 // Record is what a member tells of itself. Of two of one life that with the greater Seq holds,
@@ -68,7 +76,7 @@
 	Site   string
 	Weight float64 // of its part, against others'
 	State  State
-	// Ended says that all lives of this name up to it have ended, as the process knows of its
+	// Ended says that all lives of this seat up to it have ended, as the process knows of its
 	// own machine; 0 for none.
 	Ended uint64
 	// Digest stands for the set of lives that the member counts, itself among them.
@@ -128,7 +136,7 @@
 	opts  Options
 	self  ID
 	lives map[ID]*member    // those gone are kept, so that their old records count them no more
-	ended map[string]uint64 // by name, the greatest life proven to have ended
+	ended map[Seat]uint64   // the greatest life proven to have ended
 	whole bool              // one that serves was known to count the same: nobody whom it counts is missing here
 }
 
@@ -138,12 +146,12 @@
 	if err := self.check(); err != nil {
 		return nil, err
 	}
-	v := &View{opts: o, self: self.ID, lives: make(map[ID]*member), ended: make(map[string]uint64)}
+	v := &View{opts: o, self: self.ID, lives: make(map[ID]*member), ended: make(map[Seat]uint64)}
 	if o.Alone {
 		self.State = Serving
 	}
 	v.lives[self.ID] = &member{rec: self, mark: self.digest(), heard: now}
-	v.end(self.Name, self.Ended)
+	v.end(self.Seat, self.Ended)
 	return v, nil
 }
 
@@ -163,9 +171,9 @@
 	return v.lives[v.self].rec
 }
 
-// Hear takes a record that came from wherever, and says whether it was news. With ErrRecord or
-// ErrFull nothing has changed; ErrName says that a second process goes by this one's name, and is
-// counted as one more.
+// Hear takes a record that came from wherever, and says whether it was news. With an error nothing
+// has changed. ErrName is for a joiner by the name of another that is not proven gone: who came
+// first goes on, and one that serves already is counted, whatever its name.
 func (v *View) Hear(now time.Duration, r Record) (news bool, err error) {
 	if err := r.check(); err != nil {
 		return false, err
@@ -178,12 +186,15 @@
 	}
 	m := v.lives[r.ID]
 	switch {
-	case m != nil && r.Seq <= m.rec.Seq || r.Life <= v.ended[r.Name]:
+	case m != nil && r.Seq <= m.rec.Seq || r.Life <= v.ended[r.Seat]:
 		return false, nil // known, or of a life that has ended
 	case m != nil && m.rec.Weight != r.Weight:
 		return false, fmt.Errorf("%w: the weight of %s is another than it was; it takes a new life", ErrRecord, r.Name)
 	}
 	if m == nil {
+		if r.State == Joining && v.taken(r.Seat) {
+			return false, fmt.Errorf("%w: %s", ErrName, r.Name)
+		}
 		if len(v.lives) >= MaxMembers {
 			return false, ErrFull
 		}
@@ -191,14 +202,21 @@
 		v.lives[r.ID] = m
 	}
 	m.rec, m.heard, m.gone = r, now, r.State == Leaving
-	v.end(r.Name, r.Ended)
+	v.end(r.Seat, r.Ended)
 	v.step()
-	if r.Name == v.self.Name && r.State != Leaving && r.Ended < v.self.Life && v.self.Life < r.Life {
-		return true, fmt.Errorf("%w: %s, life %d beside this one's %d", ErrName, r.Name, r.Life, v.self.Life)
-	}
 	return true, nil
 }
 
+// taken says whether another place goes by a name, and is not proven gone.
+func (v *View) taken(seat Seat) bool {
+	for id, m := range v.lives {
+		if id.Name == seat.Name && id.Place != seat.Place && !m.gone {
+			return true
+		}
+	}
+	return false
+}
+
 // Ended takes the proof of others, such as the group's, that a life has ended.
 func (v *View) Ended(id ID) {
 	if m := v.lives[id]; m != nil {
@@ -223,14 +241,14 @@
 	return r, nil
 }
 
-// end forgets the lives of a name up to one.
-func (v *View) end(name string, life uint64) {
-	if life <= v.ended[name] {
+// end forgets the lives of a seat up to one.
+func (v *View) end(seat Seat, life uint64) {
+	if life <= v.ended[seat] {
 		return
 	}
-	v.ended[name] = life
+	v.ended[seat] = life
 	for id, m := range v.lives {
-		if id.Name != name || id.Life > life {
+		if id.Seat != seat || id.Life > life {
 			continue
 		}
 		if m.gone = true; id != v.self {
@@ -239,7 +257,7 @@
 	}
 }
 
-// Before takes the proof of this member's own machine that all lives of its name up to one, which
+// Before takes the proof of this member's own machine that all lives of its seat up to one, which
 // is before its own, have ended. It is told to all.
 func (v *View) Before(life uint64) {
 	self := &v.lives[v.self].rec
@@ -248,7 +266,7 @@
 	}
 	self.Ended = life
 	self.Seq++
-	v.end(v.self.Name, life)
+	v.end(v.self.Seat, life)
 	v.step()
 }
 
@@ -320,7 +338,7 @@
 }
 
 // digest stands for a life in the digest of a set of them.
-func (id ID) digest() uint64 { return hash(id.Life, id.Name) }
+func (id ID) digest() uint64 { return hash(id.Life, id.Name) ^ hash(^id.Life, strconv.FormatUint(id.Place, 36)) }
 
 // hash is the same at all members.
 func hash(n uint64, text string) uint64 {
--- a/internal/peers/members/members_test.go
+++ b/internal/peers/members/members_test.go
@@ -27,15 +27,15 @@
 	letters []Record          // on their way, for ever
 }
 
-func (f *fleet) start(name string, alone bool) {
+func (f *fleet) start(name string, place uint64, alone bool) {
 	f.lives[name]++
 	ended := f.lives[name] - 1 // unless one before runs on, as beside a new version
 	for _, p := range f.alive() {
-		if p.v.self.Name == name {
+		if p.v.self.Seat == (Seat{name, place}) {
 			ended = min(ended, p.v.self.Life-1)
 		}
 	}
-	self := Record{ID: ID{name, f.lives[name]}, Site: "s", Weight: float64(1 + len(name)%3), Ended: ended}
+	self := Record{ID: ID{Seat{Name: name, Place: place}, f.lives[name]}, Site: "s", Weight: float64(1 + len(name)%3), Ended: ended}
 	v, err := New(Options{Alone: alone, Silent: time.Second}, self, f.now)
 	if err != nil {
 		f.t.Fatal(err)
@@ -75,14 +75,14 @@
 func TestPartsNeverAddUpToMore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fleet{t: t, lives: make(map[string]uint64)}
-		f.start("n0", true)
+		f.start("n0", 0, true)
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			f.now += time.Millisecond
 			alive := f.alive()
 			any := func(label string) *process { return alive[rapid.IntRange(0, len(alive)-1).Draw(t, label)] }
 			switch op := rapid.IntRange(0, 11).Draw(t, "op"); {
 			case op == 0 && len(f.procs) < 14: // a new member, or an ended one's next life
-				f.start(fmt.Sprint("n", rapid.IntRange(0, 9).Draw(t, "name")), false)
+				f.start(fmt.Sprint("n", rapid.IntRange(0, 9).Draw(t, "name")), rapid.Uint64Range(0, 1).Draw(t, "place"), false)
 			case op == 1 && len(alive) > 1:
 				any("killed").alive = false
 			case op == 2 && len(alive) > 2:
@@ -146,7 +146,7 @@
 	for i := range n {
 		o := o
 		o.Alone = i == 0
-		v, err := New(o, Record{ID: ID{fmt.Sprint("n", i), 1}, Site: fmt.Sprint("s", i%2), Weight: 1}, 1)
+		v, err := New(o, Record{ID: ID{Seat{Name: fmt.Sprint("n", i)}, 1}, Site: fmt.Sprint("s", i%2), Weight: 1}, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -180,11 +180,11 @@
 		"not for long":    {gone, func(*View, ID) {}, gone, 1.0 / 3},
 		"for as long":     {gone, func(*View, ID) {}, gone + 2, 1},
 		"proof":           {0, func(v *View, other ID) { v.Ended(other) }, 0, 0.5},
-		"an earlier life": {0, func(v *View, other ID) { v.Ended(ID{other.Name, other.Life - 1}) }, 0, 1.0 / 3},
+		"an earlier life": {0, func(v *View, other ID) { v.Ended(ID{other.Seat, other.Life - 1}) }, 0, 1.0 / 3},
 		"its leave":       {0, func(v *View, other ID) { _, _ = v.Hear(2, Record{ID: other, Seq: 1000, Weight: 1, State: Leaving}) }, 0, 0.5},
-		"a new life":      {0, func(v *View, o ID) { _, _ = v.Hear(2, Record{ID: ID{o.Name, 2}, Seq: 1, Weight: 1, State: Joining}) }, 0, 0.25},
+		"a new life":      {0, func(v *View, o ID) { _, _ = v.Hear(2, Record{ID: ID{o.Seat, 2}, Seq: 1, Weight: 1, State: Joining}) }, 0, 0.25},
 		"in its place": {0, func(v *View, o ID) {
-			_, _ = v.Hear(2, Record{ID: ID{o.Name, 2}, Seq: 1, Weight: 1, State: Joining, Ended: 1})
+			_, _ = v.Hear(2, Record{ID: ID{o.Seat, 2}, Seq: 1, Weight: 1, State: Joining, Ended: 1})
 		}, 0, 1.0 / 3},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -208,7 +208,7 @@
 // TestBadRecordsChangeNothing feeds what strangers and faults make.
 func TestBadRecordsChangeNothing(t *testing.T) {
 	v := join(t, 2, Options{Silent: time.Second})[0]
-	good := Record{ID: ID{"x", 2}, Seq: 1, Weight: 1, State: Joining}
+	good := Record{ID: ID{Seat{Name: "x"}, 2}, Seq: 1, Weight: 1, State: Joining}
 	for name, c := range map[string]struct {
 		bad  func(r *Record)
 		want error
@@ -218,7 +218,8 @@
 		"no weight":    {func(r *Record) { r.Weight = 0 }, ErrRecord},
 		"no state":     {func(r *Record) { r.State = 9 }, ErrRecord},
 		"its own end":  {func(r *Record) { r.Ended = 2 }, ErrRecord},
-		"other weight": {func(r *Record) { r.ID, r.Seq, r.Weight = ID{"n1", 1}, 1000, 2 }, ErrRecord},
+		"a name taken": {func(r *Record) { r.Name, r.Place = "n1", 9 }, ErrName},
+		"other weight": {func(r *Record) { r.ID, r.Seq, r.Weight = ID{Seat{Name: "n1"}, 1}, 1000, 2 }, ErrRecord},
 	} {
 		t.Run(name, func(t *testing.T) {
 			before, r := fmt.Sprint(v.MayServe(), v.Record()), good
@@ -237,7 +238,7 @@
 func TestRankMovesLittle(t *testing.T) {
 	var all []Member
 	for i := range 40 {
-		all = append(all, Member{ID: ID{fmt.Sprint("n", i), 1}, Weight: float64(1 + i%2)})
+		all = append(all, Member{ID: ID{Seat{Name: fmt.Sprint("n", i)}, 1}, Weight: float64(1 + i%2)})
 	}
 	won := make(map[string]int)
 	for key := range uint64(6000) {
@@ -262,17 +263,17 @@
 	f.Add("n0", uint64(9), uint64(1), 0.5, uint8(Leaving), uint64(8), uint64(0))
 	f.Add("", uint64(0), uint64(0), -1.0, uint8(9), uint64(1), uint64(1))
 	f.Fuzz(func(t *testing.T, name string, life, seq uint64, weight float64, state uint8, ended, digest uint64) {
-		v, err := New(Options{Alone: true, Silent: time.Second}, Record{ID: ID{"n0", 5}, Weight: 1}, 1)
+		v, err := New(Options{Alone: true, Silent: time.Second}, Record{ID: ID{Seat{Name: "n0"}, 5}, Weight: 1}, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
 		for i := range uint64(3) {
-			_, _ = v.Hear(1, Record{ID: ID{name, life + i}, Seq: seq + i, Weight: weight, State: State(state), Ended: ended, Digest: digest})
+			_, _ = v.Hear(1, Record{ID: ID{Seat{Name: name}, life + i}, Seq: seq + i, Weight: weight, State: State(state), Ended: ended, Digest: digest})
 			if part := v.Part(); !(part >= 0 && part <= 1) {
 				t.Fatalf("a part of %v", part)
 			}
 		}
-		if r := v.Record(); r.ID != (ID{"n0", 5}) || len(v.All()) > 4 {
+		if r := v.Record(); r.ID != (ID{Seat{Name: "n0"}, 5}) || len(v.All()) > 4 {
 			t.Fatalf("%+v after %d records", r, len(v.All()))
 		}
 	})
