--- a/cmd/jasperpin/cluster_test.go
+++ b/cmd/jasperpin/cluster_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -14,6 +13,7 @@
 	"jasperpin/internal/cluster"
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
+	"jasperpin/internal/standin/stand"
 )
 
 // groupSite is an installation whose nodes are processes, and a group.
@@ -22,7 +22,7 @@
 	dir   string
 	auth  *standin.Authority
 	addrs map[string]string
-	procs map[string]*exec.Cmd
+	procs map[string]*stand.Process
 }
 
 // file writes a node's file.
@@ -68,20 +68,14 @@
 
 func (s *groupSite) run(name string) {
 	s.t.Helper()
-	cmd := exec.Command(os.Args[0], "serve", "-c", filepath.Join(s.dir, name+".toml"))
-	cmd.Env = append(os.Environ(), "JASPERPIN_TEST_MAIN=1")
-	if err := cmd.Start(); err != nil {
-		s.t.Fatal(err)
-	}
-	s.procs[name] = cmd
+	s.procs[name] = check.Must[*stand.Process](s.t)(serving(s.dir, name, filepath.Join(s.dir, name+".toml")))
 	s.t.Cleanup(func() { s.kill(name) })
 }
 
 func (s *groupSite) kill(name string) {
-	if cmd := s.procs[name]; cmd != nil {
+	if p := s.procs[name]; p != nil {
 		delete(s.procs, name)
-		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
+		p.Kill()
 	}
 }
 
@@ -126,7 +120,7 @@
 // TestGroupOfNodes has three nodes make a group by the command line: one that is stopped
 // leaves and comes back, one that is killed and has lost its folder is replaced.
 func TestGroupOfNodes(t *testing.T) {
-	s := &groupSite{t: t, dir: t.TempDir(), addrs: make(map[string]string), procs: make(map[string]*exec.Cmd)}
+	s := &groupSite{t: t, dir: t.TempDir(), addrs: make(map[string]string), procs: make(map[string]*stand.Process)}
 	s.auth = check.Must[*standin.Authority](t)(standin.NewAuthority(s.dir))
 	begin := []string{"begin"}
 	for _, name := range []string{"a", "b", "c"} {
@@ -150,13 +144,13 @@
 			rest = append(rest, name)
 		}
 	}
-	if err := s.procs[stopped].Process.Signal(syscall.SIGSTOP); err != nil {
+	if err := s.procs[stopped].Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
 	if next := s.there(3, rest...); next == stopped {
 		t.Errorf("%s leads, and is stopped", next)
 	}
-	if err := s.procs[stopped].Process.Signal(syscall.SIGCONT); err != nil {
+	if err := s.procs[stopped].Signal(syscall.SIGCONT); err != nil {
 		t.Fatal(err)
 	}
 	s.there(3, "a", "b", "c")
--- a/cmd/jasperpin/keys_test.go
+++ b/cmd/jasperpin/keys_test.go
@@ -6,13 +6,13 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
+	"jasperpin/internal/standin/stand"
 )
 
 // TestKeysThroughCrash kills the program between a request's effect and its answer: once it
@@ -52,12 +52,8 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	run := func() *exec.Cmd {
-		cmd := exec.Command(os.Args[0], "serve", "-c", file)
-		cmd.Env = append(os.Environ(), "JASPERPIN_TEST_MAIN=1")
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
-		}
+	run := func() *stand.Process {
+		p := check.Must[*stand.Process](t)(serving(filepath.Dir(file), "node", file))
 		check.Eventually(t, "the node is up", func() bool {
 			resp, err := http.Get("http://" + listen + "/up")
 			if err != nil {
@@ -66,11 +62,7 @@
 			resp.Body.Close()
 			return resp.StatusCode == http.StatusOK
 		})
-		return cmd
-	}
-	end := func(cmd *exec.Cmd) {
-		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
+		return p
 	}
 	credit := func(body string) (status int, answer string, replayed bool) {
 		req := check.Must[*http.Request](t)(http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+listen+"/credit/1", strings.NewReader(body)))
@@ -93,12 +85,12 @@
 		cut <- status
 	}()
 	<-held
-	end(first)
+	first.Kill()
 	if status := <-cut; status != 0 {
 		t.Errorf("an answer of a process that is gone: %d", status)
 	}
 	second := run()
-	defer end(second)
+	defer second.Kill()
 	var status int
 	var answer string
 	var replayed bool
--- a/cmd/jasperpin/main_test.go
+++ b/cmd/jasperpin/main_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"jasperpin/internal/standin/check"
+	"jasperpin/internal/standin/stand"
 )
 
 // TestMain lets the test binary stand in for the program.
@@ -24,6 +25,11 @@
 	os.Exit(m.Run())
 }
 
+// serving starts the program by a file. Its log stays in dir.
+func serving(dir, name, file string) (*stand.Process, error) {
+	return stand.Program{Path: os.Args[0], Env: []string{"JASPERPIN_TEST_MAIN=1"}}.Start(dir, name, "serve", "-c", file)
+}
+
 // TestProgramHolds runs the program through what a long day brings: bad
 // configurations on SIGHUP, more connections than it may hold, SIGTERM.
 func TestProgramHolds(t *testing.T) {
--- a/cmd/jasperpin/members_test.go
+++ b/cmd/jasperpin/members_test.go
@@ -19,9 +19,7 @@
 func fleet(t *testing.T, o stand.FleetOptions) *stand.Fleet {
 	t.Helper()
 	o.Dir, o.Seed = t.TempDir(), 11
-	o.Node = func(dir, name, file string) (*stand.Process, error) {
-		return stand.Program{Path: os.Args[0], Env: []string{"JASPERPIN_TEST_MAIN=1"}}.Start(dir, name, "serve", "-c", file)
-	}
+	o.Node = serving
 	f := check.Must[*stand.Fleet](t)(stand.NewFleet(o))
 	t.Cleanup(func() {
 		f.Close()
--- a/cmd/proof/cluster.go
+++ b/cmd/proof/cluster.go
@@ -20,6 +20,7 @@
 	"jasperpin/internal/group"
 	"jasperpin/internal/mtls"
 	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/stand"
 )
 
 const (
@@ -37,7 +38,7 @@
 	auth   *standin.Authority
 	names  []string
 	addrs  map[string]string
-	procs  map[string]*process
+	procs  map[string]*stand.Process
 	client *cluster.Client
 }
 
@@ -64,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &groupOf{dir: dir, auth: auth, names: names, addrs: make(map[string]string), procs: make(map[string]*process)}
+	g := &groupOf{dir: dir, auth: auth, names: names, addrs: make(map[string]string), procs: make(map[string]*stand.Process)}
 	var addrs []string
 	for _, n := range names {
 		if g.addrs[n], err = standin.Unused(); err != nil {
@@ -108,8 +109,8 @@
 
 func (g *groupOf) close() {
 	for _, p := range g.procs {
-		p.kill()
-		p.end()
+		p.Kill()
+		_ = p.End()
 	}
 	if g.client != nil {
 		g.client.Close()
@@ -151,9 +152,9 @@
 	time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond) // at any moment between two heartbeats
 	began := time.Now()
 	if stop {
-		err = g.procs[lead].cmd.Process.Signal(syscall.SIGSTOP)
+		err = g.procs[lead].Signal(syscall.SIGSTOP)
 	} else {
-		g.procs[lead].kill()
+		g.procs[lead].Kill()
 	}
 	if err != nil {
 		return 0, fmt.Errorf("taking the leader away: %w", err)
@@ -166,9 +167,9 @@
 		return 0, err
 	}
 	if stop {
-		return took, g.procs[lead].cmd.Process.Signal(syscall.SIGCONT)
+		return took, g.procs[lead].Signal(syscall.SIGCONT)
 	}
-	g.procs[lead].end()
+	_ = g.procs[lead].End()
 	return took, g.run(lead)
 }
 
@@ -217,27 +218,19 @@
 }
 
 // rest is what a process at rest has and uses.
-func rest(p *process) (kb int, cpu time.Duration, err error) {
+func rest(p *stand.Process) (kb int, cpu time.Duration, err error) {
 	time.Sleep(groupRest) // it has started just now
-	was, err := p.cpu()
+	was, err := p.CPU()
 	if err != nil {
 		return 0, 0, err
 	}
 	time.Sleep(groupRest)
-	is, err := p.cpu()
+	is, err := p.CPU()
 	if err != nil {
 		return 0, 0, err
 	}
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		return 0, 0, fmt.Errorf("the child's memory: %w", err)
-	}
-	for line := range strings.Lines(string(text)) {
-		if _, err := fmt.Sscanf(line, "RssAnon: %d kB", &kb); err == nil {
-			return kb, is - was, nil
-		}
-	}
-	return 0, 0, errors.New("the child's memory: /proc has another form than expected")
+	bytes, err := p.Memory()
+	return bytes >> 10, is - was, err
 }
 
 // clusterRun measures the group: what it costs a node at rest, how many compare-and-sets it
@@ -257,7 +250,7 @@
 		return nil, err
 	}
 	offKB, offCPU, err := rest(off)
-	off.end()
+	_ = off.End()
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/proof/keys.go
+++ b/cmd/proof/keys.go
@@ -21,6 +21,7 @@
 
 	"jasperpin/internal/door"
 	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/stand"
 )
 
 const (
@@ -83,7 +84,7 @@
 
 // keyed is one node before a ledger, and what its clients saw.
 type keyed struct {
-	node           *process
+	node           *stand.Process
 	dir, file      string
 	listen, at     string
 	first, again   *hdrhistogram.Histogram
@@ -276,7 +277,7 @@
 			crashed = errors.Join(crashed, err)
 			commits = n / keyFor.Seconds()
 		}
-		k.node.end()
+		_ = k.node.End()
 		twice := l.twice()
 		_ = l.srv.Close()
 		if crashed != nil {
@@ -310,7 +311,7 @@
 	if err != nil {
 		return f, err
 	}
-	defer k.node.end()
+	defer func() { _ = k.node.End() }()
 	counted, each, err := k.memory(ctx)
 	fmt.Fprintf(out, "%d keys held: counted as %.0f bytes each; %.0f of the process's own memory, with what the collector has not freed\n", keyHeld, counted, each)
 	f.add("bytes_a_key_counted", "%.0f", counted)
@@ -327,8 +328,8 @@
 			return ctx.Err()
 		case <-time.After(keyFor/(crashes+1) + time.Duration(rng.IntN(200))*time.Millisecond):
 		}
-		k.node.kill()
-		k.node.end()
+		k.node.Kill()
+		_ = k.node.End()
 		if err := k.start(); err != nil {
 			return err
 		}
--- a/cmd/proof/operation.go
+++ b/cmd/proof/operation.go
@@ -11,12 +11,12 @@
 	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"jasperpin/internal/door"
 	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/stand"
 )
 
 const (
@@ -72,8 +72,8 @@
 	if err != nil {
 		return nil, err
 	}
-	defer n.end()
-	defer p.end()
+	defer func() { _ = n.End() }()
+	defer func() { _ = p.End() }()
 	var f figures
 	if err := atDoor(ctx, out, &f, n, at); err != nil {
 		return f, err
@@ -81,11 +81,11 @@
 	for _, upload := range []bool{false, true} {
 		var ratios []float64
 		for range 3 {
-			a, err := rate(ctx, n.addr, upload)
+			a, err := rate(ctx, n.Line, upload)
 			if err != nil {
 				return f, err
 			}
-			b, err := rate(ctx, p.addr, upload)
+			b, err := rate(ctx, p.Line, upload)
 			if err != nil {
 				return f, err
 			}
@@ -98,15 +98,15 @@
 }
 
 // atDoor times calls at the door, idle and under a crowd.
-func atDoor(ctx context.Context, out io.Writer, f *figures, n *process, at string) error {
+func atDoor(ctx context.Context, out io.Writer, f *figures, n *stand.Process, at string) error {
 	for _, busy := range []bool{false, true} {
 		name := "idle"
 		if busy {
 			name = "crowd"
-			stop := beset(n.addr, at)
+			stop := beset(n.Line, at)
 			defer stop()
 			l := &standin.Load{
-				Addr: n.addr, Rate: 1000, For: 20 * time.Second, Seed: 5,
+				Addr: n.Line, Rate: 1000, For: 20 * time.Second, Seed: 5,
 				Kinds: []standin.Kind{{Class: "page", Path: "/page/", Method: "POST", Share: 1, Body: 200, Aim: time.Second, Deadline: 5 * time.Second}},
 			}
 			loaded, cancel := context.WithCancel(ctx)
@@ -218,8 +218,8 @@
 }
 
 // memory has many long uploads open, each at 64 kB a second, and tells what one costs.
-func memory(ctx context.Context, out io.Writer, f *figures, n *process) error {
-	before, err := n.resident()
+func memory(ctx context.Context, out io.Writer, f *figures, n *stand.Process) error {
+	before, err := n.Memory()
 	if err != nil {
 		return err
 	}
@@ -228,7 +228,7 @@
 	var all sync.WaitGroup
 	for range openLong {
 		all.Go(func() {
-			c, err := (&net.Dialer{}).DialContext(ctx, "tcp", n.addr)
+			c, err := (&net.Dialer{}).DialContext(ctx, "tcp", n.Line)
 			if err != nil {
 				return
 			}
@@ -244,7 +244,7 @@
 		})
 	}
 	time.Sleep(5 * time.Second)
-	after, err := n.resident()
+	after, err := n.Memory()
 	cancel()
 	all.Wait()
 	if err != nil {
@@ -255,17 +255,3 @@
 	f.add("kib_an_open_upload", "%.1f", each)
 	return nil
 }
-
-// resident is the child's resident memory, in bytes.
-func (p *process) resident() (int64, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
-	if err != nil {
-		return 0, fmt.Errorf("the child's memory: %w", err)
-	}
-	words := strings.Fields(string(text))
-	if len(words) < 2 {
-		return 0, errors.New("the child's memory: /proc has another form than expected")
-	}
-	pages, err := strconv.ParseInt(words[1], 10, 64)
-	return pages * int64(os.Getpagesize()), err
-}
--- a/cmd/proof/overhead.go
+++ b/cmd/proof/overhead.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/stand"
 )
 
 // overhead sends the same light load through the node and through the standard
@@ -42,8 +43,8 @@
 	if err != nil {
 		return nil, err
 	}
-	defer n.end()
-	defer p.end()
+	defer func() { _ = n.End() }()
+	defer func() { _ = p.End() }()
 
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "turn\tnode us a request\tplain us\tratio\tnode p50 ms\tplain p50\tnode p99 ms\tplain p99\tratio p99\t")
@@ -80,17 +81,17 @@
 // cost is what one turn cost: us of processor time a request, latencies in ms.
 type cost struct{ cpu, p50, p99 float64 }
 
-func turn(ctx context.Context, p *process, seed uint64) (cost, error) {
-	before, err := p.cpu()
+func turn(ctx context.Context, p *stand.Process, seed uint64) (cost, error) {
+	before, err := p.CPU()
 	if err != nil {
 		return cost{}, err
 	}
 	l := &standin.Load{
-		Addr: p.addr, Rate: 1500, For: 4 * time.Second, Seed: seed,
+		Addr: p.Line, Rate: 1500, For: 4 * time.Second, Seed: seed,
 		Kinds: []standin.Kind{{Class: "page", Path: "/page/", Method: "POST", Share: 1, Body: 200, Aim: time.Second, Deadline: 5 * time.Second}},
 	}
 	t := l.Start(ctx).Wait()["page"]
-	after, err := p.cpu()
+	after, err := p.CPU()
 	if err != nil {
 		return cost{}, err
 	}
--- a/cmd/proof/planners.go
+++ b/cmd/proof/planners.go
@@ -17,6 +17,7 @@
 
 	"jasperpin/internal/planlink"
 	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/stand"
 )
 
 // The tier: boxes of mixed speed at one site, before them forwarders or nodes of one
@@ -218,10 +219,10 @@
 		return nil, err
 	}
 	t.security = fmt.Sprintf("certificate = %q\nkey = %q\nauthorities = %q\n", cert, key, auth.File)
-	var plan, nodes []*process
+	var plan, nodes []*stand.Process
 	defer func() {
 		for _, p := range slices.Concat(nodes, plan) {
-			p.end()
+			_ = p.End()
 		}
 	}()
 	var addrs []string
@@ -234,7 +235,7 @@
 		if err != nil {
 			return nil, err
 		}
-		plan, addrs = append(plan, p), append(addrs, p.addr)
+		plan, addrs = append(plan, p), append(addrs, p.Line)
 	}
 	for n := range tierNodes {
 		text := fmt.Sprintf("[node]\nname = \"n%d\"\nlisten = [\"127.0.0.1:0\"]\nnumber = %d\nnodes = %d\nseed = %d\n", n, n, tierNodes, seed*10+uint64(n))
@@ -256,7 +257,7 @@
 		return nil, err
 	}
 	for _, p := range nodes {
-		d, err := p.cpu()
+		d, err := p.CPU()
 		if err != nil {
 			return nil, err
 		}
@@ -266,17 +267,17 @@
 		if i < c.killed {
 			continue // its figures died with it
 		}
-		d, err := p.cpu()
+		d, err := p.CPU()
 		if err != nil {
 			return nil, err
 		}
 		r.planCPU += d
 	}
 	for _, p := range slices.Concat(nodes, plan) {
-		p.end()
+		_ = p.End()
 	}
 	for _, p := range plan {
-		r.bytes += between(p.logged())
+		r.bytes += between(p.Logged())
 	}
 	nodes, plan = nil, nil
 	for _, b := range rack.all {
@@ -288,11 +289,11 @@
 
 // play sends the load: a warm-up that counts for nothing, then what counts, with a
 // burst on top and its troubles.
-func (r *tierResult) play(ctx context.Context, seed uint64, c tierCase, rack *rack, nodes, plan []*process) error {
+func (r *tierResult) play(ctx context.Context, seed uint64, c tierCase, rack *rack, nodes, plan []*stand.Process) error {
 	each := func(rate float64, span time.Duration, seed uint64, prefix string) (all []*standin.Running) {
 		for n, p := range nodes {
 			l := &standin.Load{
-				Addr: p.addr, Host: "app", Rate: rate * tierCapacity / tierNodes, For: span, Seed: seed*100 + uint64(n),
+				Addr: p.Line, Host: "app", Rate: rate * tierCapacity / tierNodes, For: span, Seed: seed*100 + uint64(n),
 				Kinds: tierKinds, Prefix: fmt.Sprintf("%s%d-", prefix, n), Retries: 1,
 			}
 			all = append(all, l.Start(ctx))
@@ -328,7 +329,7 @@
 		beside.Go(func() {
 			at(failAt, func() {
 				for _, p := range plan[:c.killed] {
-					p.kill()
+					p.Kill()
 				}
 			})
 		})
--- a/cmd/proof/services.go
+++ b/cmd/proof/services.go
@@ -177,11 +177,11 @@
 	if err != nil {
 		return nil, err
 	}
-	defer p.end()
+	defer func() { _ = p.End() }()
 	r := &result{}
-	calm := load(p.addr, "stock", capacity/4, 5*time.Second, seed).Start(ctx)
+	calm := load(p.Line, "stock", capacity/4, 5*time.Second, seed).Start(ctx)
 	if c.rate > 0 {
-		r.orders = sum(load(p.addr, "orders", c.rate, 5*time.Second, seed+100).Start(ctx).Wait())
+		r.orders = sum(load(p.Line, "orders", c.rate, 5*time.Second, seed+100).Start(ctx).Wait())
 	}
 	r.stock = sum(calm.Wait())
 	r.twice = twice(append(stock, orders...))
@@ -216,14 +216,14 @@
 	if err != nil {
 		return nil, err
 	}
-	defer p.end()
+	defer func() { _ = p.End() }()
 	const span = 10 * time.Second
-	calm, busy := load(p.addr, "stock", capacity/4, span, 21).Start(ctx), load(p.addr, "orders", capacity/4, span, 22).Start(ctx)
+	calm, busy := load(p.Line, "stock", capacity/4, span, 21).Start(ctx), load(p.Line, "orders", capacity/4, span, 22).Start(ctx)
 	for i := range 50 {
 		if err := write(files[(i+1)%len(files)]); err != nil {
 			return nil, fmt.Errorf("the node's file: %w", err)
 		}
-		if err := p.reload(); err != nil {
+		if err := p.Reload(); err != nil {
 			return nil, err
 		}
 		time.Sleep(span / 60)
--- a/decide/cases_test.go
+++ b/decide/cases_test.go
@@ -190,6 +190,16 @@
 	if float64(got) > 2*20*3*coldMargin*0.28+1 {
 		t.Errorf("%d of 400 calls went to a server at a fifth of its capacity", got)
 	}
+	// A node that its fleet does not count has no part of it, whatever it had saved up.
+	b.Stand(3, 4, 1)
+	tape.sends = nil
+	for range 400 {
+		b.now += 5 * time.Millisecond
+		serve()
+	}
+	if slices.ContainsFunc(tape.sends, func(s sendCall) bool { return s.srv == 99 }) {
+		t.Error("a node without a part sent to a cold server beside nine warm ones")
+	}
 }
 
 // During a release half of the fleet may be cold and carries less: a share of
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -114,6 +114,13 @@
 		{`repeat = "safe"`, `repeat = "safe"` + "\n[keys]\nmemory = \"100MB\"", `f:14: memory is more than a quarter of limits.memory: want 64MB at the most`},
 		{`repeat = "safe"`, `repeat = "safe"` + "\n[keys]\nlong_answer = \"64GB\"", `want a size with its unit (B, KB, MB or GB) from "0B" to "32MB"`},
 		{`repeat = "safe"`, `repeat = "safe"` + "\n[limits]\nmemory = \"32MB\"\ndescriptors = 4096", `f:14: memory is too little for 4096 descriptors: want 132MB`},
+		{`[node]`, "[members]\nseeds = [\"127.0.0.1:1\"]\n[node]", `f:1: listen is missing`},
+		{`[node]`, "[members]\nlisten = \"0.0.0.0:1\"\nseeds = [\"127.0.0.1:1\"]\n[node]\nname = \"a\"", `f:1: advertise is missing`},
+		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\nfirst = true\n[node]\nname = \"a\"", `f:1: folder is missing`},
+		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\nkeys = [\"abc\"]\n[node]\nname = \"a\"", `f:3: keys is "abc": want 16, 24 or 32 bytes in base64`},
+		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\ngone = \"1s\"\n[node]\nname = \"a\"", `f:3: gone is 1s: want 10s at the least`},
+		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\n[node]\nname = \"a\"\nnodes = 3", `f:5: nodes stands beside [members]`},
+		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\n[node]", `f:2: listen stands with a node that has no name`},
 		{`repeat = "safe"`, `repeat = `, `f:12: not TOML`},
 		{`repeat = "safe"`, `repeat = "safe"` + "\nrepeat = \"safe\"", `not TOML`},
 	} {
--- a/internal/config/members.go
+++ b/internal/config/members.go
@@ -29,7 +29,7 @@
 	defaultGossip  = 256 << 10 // bytes a second: 300 members need some 50 KiB
 	leastGossip    = 16 << 10  // less does not carry a full exchange of 30
 	leastGone      = 10 * time.Second
-	maxMemberText  = 128 // as members.MaxText
+	maxMemberText  = 128 // as members.MaxText has it
 	maxMemberShare = 1000
 )
 
--- a/internal/peers/gossip/gossip.go
+++ b/internal/peers/gossip/gossip.go
@@ -246,15 +246,16 @@
 
 // Member is one that may be serving, as it is shown.
 type Member struct {
-	Name  string        `json:"name"`
-	Place uint64        `json:"place"`
-	Life  uint64        `json:"life"`
-	Site  string        `json:"site"`
-	State string        `json:"state"`
-	Heard bool          `json:"heard"`
-	Age   time.Duration `json:"age_ns"` // since it was heard last; -1 for never
-	Part  float64       `json:"part"`   // as this member has it
-	Self  bool          `json:"self"`
+	Name    string        `json:"name"`
+	Place   uint64        `json:"place"`
+	Life    uint64        `json:"life"`
+	Site    string        `json:"site"`
+	State   string        `json:"state"`
+	Heard   bool          `json:"heard"`
+	Age     time.Duration `json:"age_ns"` // since it was heard last; -1 for never
+	Part    float64       `json:"part"`   // as this member has it
+	Self    bool          `json:"self"`
+	*Counts               // its own alone
 }
 
 var states = map[members.State]string{0: "untold", members.Joining: "joining", members.Serving: "serving", members.Leaving: "leaving"}
@@ -273,7 +274,8 @@
 		}
 		switch {
 		case shown.Self:
-			shown.Age, shown.Part = 0, g.view.Part()
+			counts := g.Counts()
+			shown.Age, shown.Part, shown.Counts = 0, g.view.Part(), &counts
 		case m.Heard == 0:
 			shown.Age = -1
 		}
@@ -321,9 +323,10 @@
 
 // Counts are what has gone over the network.
 type Counts struct {
-	Sent, Got uint64 // bytes
-	Dropped   uint64 // packets, by the cap on bytes
-	Strange   uint64 // words that could not be used
+	Sent    uint64 `json:"sent"`    // bytes
+	Got     uint64 `json:"got"`     // bytes
+	Dropped uint64 `json:"dropped"` // packets, by the cap on bytes
+	Strange uint64 `json:"strange"` // words that could not be used
 }
 
 // Counts tells what has gone over the network so far.
--- /dev/null
+++ b/internal/peers/gossip/gossip_test.go
@@ -0,0 +1,69 @@
+package gossip
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+
+	"jasperpin/internal/peers/members"
+	"jasperpin/internal/standin/check"
+)
+
+// TestLives has processes of one member begin and end in its folder: one knows that another has
+// ended when that is so, however it ended, and not before; another folder knows nothing of it.
+func TestLives(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "lives")
+	begin := func() *Lives { return check.Must[*Lives](t)(Begin(dir)) }
+	first := begin()
+	if first.Again || first.Before() >= first.Own {
+		t.Errorf("the first: %+v, %d before", first, first.Before())
+	}
+	second, third := begin(), begin()
+	if !second.Again || !(first.Own < second.Own && second.Own < third.Own) || second.Place != first.Place {
+		t.Errorf("%+v, %+v, %+v", first, second, third)
+	}
+	for _, l := range []*Lives{second, third} {
+		if got := l.Before(); got >= first.Own {
+			t.Errorf("%d says that lives up to %d have ended, as %d runs", l.Own, got, first.Own)
+		}
+	}
+	second.End()
+	if got := third.Before(); got >= first.Own {
+		t.Errorf("lives up to %d are said to have ended, as %d runs", got, first.Own)
+	}
+	first.End()
+	if got := third.Before(); got < second.Own || got >= third.Own {
+		t.Errorf("both have ended, and %d is told", got)
+	}
+	third.End()
+	if fourth := begin(); fourth.Own <= third.Own || fourth.Before() < third.Own {
+		t.Errorf("%+v after %+v", fourth, third)
+	}
+	if other := check.Must[*Lives](t)(Begin(t.TempDir())); other.Place == first.Place || other.Again {
+		t.Errorf("another folder: %+v", other)
+	}
+	if err := os.WriteFile(filepath.Join(dir, placeName), []byte("x"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Begin(dir); err == nil {
+		t.Error("a damaged folder was taken")
+	}
+}
+
+// FuzzDecode reads whatever may come: what is taken for a record comes back the same.
+func FuzzDecode(f *testing.F) {
+	f.Add(encode(members.Record{ID: members.ID{Seat: members.Seat{Name: "n1", Place: 7}, Life: 3}, Seq: 2, Weight: 1, State: members.Serving, Ended: 2, Digest: 1 << 63}))
+	f.Add([]byte(`{"n":"x","l":-1}`))
+	f.Add([]byte(`[` + strconv.Itoa(1<<40) + `]`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := decode(b)
+		if err != nil {
+			return
+		}
+		again, err := decode(encode(r))
+		if err == nil && again != r {
+			t.Errorf("%+v came back as %+v", r, again)
+		}
+	})
+}
--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -135,9 +135,9 @@
 type View struct {
 	opts  Options
 	self  ID
-	lives map[ID]*member    // those gone are kept, so that their old records count them no more
-	ended map[Seat]uint64   // the greatest life proven to have ended
-	whole bool              // one that serves was known to count the same: nobody whom it counts is missing here
+	lives map[ID]*member  // those gone are kept, so that their old records count them no more
+	ended map[Seat]uint64 // the greatest life proven to have ended
+	whole bool            // one that serves was known to count the same: nobody whom it counts is missing here
 }
 
 // New begins a life. Its record's Seq, State and Digest are the view's own from here on.
@@ -338,7 +338,9 @@
 }
 
 // digest stands for a life in the digest of a set of them.
-func (id ID) digest() uint64 { return hash(id.Life, id.Name) ^ hash(^id.Life, strconv.FormatUint(id.Place, 36)) }
+func (id ID) digest() uint64 {
+	return hash(id.Life, id.Name) ^ hash(^id.Life, strconv.FormatUint(id.Place, 36))
+}
 
 // hash is the same at all members.
 func hash(n uint64, text string) uint64 {
--- a/internal/standin/stand/fleet.go
+++ b/internal/standin/stand/fleet.go
@@ -168,6 +168,14 @@
 	return errors.Join(errs...)
 }
 
+// Forget takes note that a member has ended by itself.
+func (f *Fleet) Forget(i int) error {
+	<-f.procs[i].ended
+	err := f.procs[i].err
+	f.gone(i)
+	return err
+}
+
 func (f *Fleet) gone(i int) {
 	for l := range f.lived {
 		if f.lived[l].proc == f.procs[i] {
--- a/internal/standin/stand/process.go
+++ b/internal/standin/stand/process.go
@@ -134,16 +134,17 @@
 	return time.Duration(user+system) * 10 * time.Millisecond, errors.Join(err1, err2)
 }
 
-// Memory is what the process has resident, in bytes.
+// Memory is what the process has resident of its own, without what is of its file, in bytes.
 func (s *Process) Memory() (int, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", s.cmd.Process.Pid))
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.cmd.Process.Pid))
 	if err != nil {
 		return 0, fmt.Errorf("the process's memory: %w", err)
 	}
-	f := strings.Fields(string(text))
-	if len(f) < 2 {
-		return 0, errors.New("the process's memory: /proc has another form than expected")
+	for line := range strings.Lines(string(text)) {
+		var kb int
+		if _, err := fmt.Sscanf(line, "RssAnon: %d kB", &kb); err == nil {
+			return kb << 10, nil
+		}
 	}
-	pages, err := strconv.Atoi(f[1])
-	return pages * os.Getpagesize(), err
+	return 0, errors.New("the process's memory: /proc has another form than expected")
 }
