--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -45,7 +45,7 @@
 		{"\n", "error an empty call\n"},
 		{"exclude\n", "error exclude takes 1 words, not 0\n"},
 		{"readyz now\n", "error readyz takes 0 words, not 1\n"},
-		{"Readyz\n", "error unknown call \"Readyz\": readyz, telemetry, exclude ID or include ID\n"},
+		{"Readyz\n", "error unknown call \"Readyz\": readyz, telemetry, exclude ID, include ID, members, begin-fleet or member-ended NAME LIFE\n"},
 	} {
 		if got := Answer(d, c.line); got != c.want {
 			t.Errorf("%q: %q, want %q", c.line, got, c.want)
--- a/internal/peers/gossip/gossip.go
+++ b/internal/peers/gossip/gossip.go
@@ -78,7 +78,8 @@
 	mu      sync.Mutex
 	view    *members.View
 	told    uint64            // the number of its record that was told last
-	lost    map[string]string // the addresses of members that are not there, by the library's name
+	here    map[string]string // the addresses of members that are there, by the library's name,
+	lost    map[string]string // and of those that are not
 	rivals  map[members.ID]bool
 	beatAt  time.Time
 	seen    Standing
@@ -95,7 +96,7 @@
 	if !o.Advertise.IsValid() {
 		o.Advertise = o.Listen
 	}
-	g := &Gossip{opts: o, born: time.Now().Add(-time.Second), lost: make(map[string]string), rivals: make(map[members.ID]bool), done: make(chan struct{})}
+	g := &Gossip{opts: o, born: time.Now().Add(-time.Second), here: make(map[string]string), lost: make(map[string]string), rivals: make(map[members.ID]bool), done: make(chan struct{})}
 	if o.Before != nil {
 		o.Self.Ended = o.Before()
 	}
@@ -229,14 +230,11 @@
 		if g.others() == 1 {
 			wait /= 4
 		}
-		there := make(map[string]bool)
-		for _, n := range g.list.Members() {
-			there[n.Address()] = true
-		}
 		g.mu.Lock()
 		calls := slices.Concat(g.opts.Seeds, slices.Collect(maps.Values(g.lost)))
+		there := slices.Collect(maps.Values(g.here))
 		g.mu.Unlock()
-		calls = slices.DeleteFunc(calls, func(at string) bool { return there[at] })
+		calls = slices.DeleteFunc(calls, func(at string) bool { return slices.Contains(there, at) })
 		if len(calls) > 0 {
 			// One that does not answer is called again; which ones are, the figures tell.
 			_, _ = g.list.Join([]string{calls[rand.IntN(len(calls))]})
@@ -341,11 +339,12 @@
 	g.say()
 	g.leaving = true
 	word := encode(g.view.Record())
+	delete(g.here, libraryName(g.opts.Self.ID))
+	all := slices.Collect(maps.Values(g.here))
 	g.mu.Unlock()
-	all := slices.DeleteFunc(g.list.Members(), func(n *memberlist.Node) bool { return n.Name == g.list.LocalNode().Name })
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	for _, n := range all[:min(len(all), farewells)] {
-		_ = g.list.SendBestEffort(n, word) // one that is not reached hears of it from another
+	for _, at := range all[:min(len(all), farewells)] {
+		_ = g.list.SendToAddress(memberlist.Address{Addr: at}, word) // one that is not reached hears of it from another
 	}
 	if len(all) > 0 {
 		_ = g.list.Leave(within)
@@ -433,14 +432,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.lost, n.Name)
-	d.there.Add(1)
+	d.here[n.Name] = n.Address()
+	d.there.Store(int64(len(d.here)))
 }
 
 // NotifyLeave keeps the address of one that is not there, until it is known to have ended.
 func (d *delegate) NotifyLeave(n *memberlist.Node) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.there.Add(-1)
+	delete(d.here, n.Name)
+	d.there.Store(int64(len(d.here)))
 	for name := range d.lost {
 		if !d.counted(name) {
 			delete(d.lost, name)
@@ -451,7 +452,12 @@
 	}
 }
 
-func (d *delegate) NotifyUpdate(*memberlist.Node) {}
+// NotifyUpdate takes a new address.
+func (d *delegate) NotifyUpdate(n *memberlist.Node) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.here[n.Name] = n.Address()
+}
 
 // counted says whether a life, by the library's name, may be serving.
 func (d *delegate) counted(name string) bool {
--- a/internal/standin/stand/fleet.go
+++ b/internal/standin/stand/fleet.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -157,12 +158,13 @@
 
 // End has members end by themselves, side by side.
 func (f *Fleet) End(members ...int) error {
-	var errs []error
-	for _, i := range members {
-		errs = append(errs, f.procs[i].Signal(syscall.SIGTERM))
+	errs := make([]error, len(members))
+	var wait sync.WaitGroup
+	for n, i := range members {
+		wait.Go(func() { errs[n] = f.procs[i].End() })
 	}
+	wait.Wait()
 	for _, i := range members {
-		errs = append(errs, f.procs[i].End())
 		f.gone(i)
 	}
 	return errors.Join(errs...)
