Prove a beginning node's zone by one answer for its work, nearer to warm than to cold

Latencies were taken against an eighth of the aim beside the work told, so that large requests looked slow, and a fixed factor of 2 asked for three calls on the mean.

Now against the work told alone, one answer, and the geometric middle between warm and the settings' coldest.

--- a/decide/members.go
+++ b/decide/members.go
@@ -25,8 +25,7 @@
 	// silent is longer than a refusal takes; zoneSilent such in a row say that the zone is away.
 	silent     = 100 * time.Millisecond
 	zoneSilent = 3
-	// proofCalls of each show whether the own zone is slower by proofSlower: it may have begun anew.
-	proofCalls  = 2
+	// proofSlower is the least by which cold servers are slower, where the settings say less.
 	proofSlower = 2
 )
 
@@ -142,13 +141,13 @@
 	b.reweigh()
 }
 
-// prove takes a call's latency while the own zone is unproven, against what is expected of the
-// request at first: what has been learned since would tell early calls from later ones.
+// prove takes a call's latency for its work, as far as told, while the own zone is unproven. That it is
+// nearer to others' than to what the coldest servers would take shows that it has not begun anew.
 func (b *Balancer) prove(r *request, s *server, took float64) {
-	part := b.set.Classes[r.Class].Aim / 8
 	p, near, far := b.poolOf(s), &b.local, &b.remote
-	p.calls, p.logs = p.calls+1, p.logs+math.Log(max(took, 1)/float64(max(1, part+cmp.Or(r.Hint, part))))
-	if min(near.calls, far.calls) >= proofCalls && near.logs/near.calls <= far.logs/far.calls+math.Log(proofSlower) {
+	p.calls, p.logs = p.calls+1, p.logs+math.Log(max(took, 1)/float64(max(1, cmp.Or(r.Hint, b.set.Classes[r.Class].Aim/8))))
+	slower := max(proofSlower, 1/math.Sqrt(max(b.set.StartShare, 0.01)))
+	if min(near.calls, far.calls) > 0 && near.logs/near.calls <= far.logs/far.calls+math.Log(slower) {
 		b.provenBy = 0
 	}
 }
