--- a/internal/peers/gossip/gossip.go
+++ b/internal/peers/gossip/gossip.go
@@ -14,6 +14,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,13 +26,13 @@
 )
 
 const (
-	// beatEach is how often a member says that it is there, for each member of the fleet: the
-	// words of all then come at a steady rate, however many they are.
-	beatEach  = 20 * time.Millisecond
-	beatLeast = time.Second
-	// silentBeats is how many of its words may be lost before a member is not heard any more.
-	silentBeats = 5
-	tick        = 200 * time.Millisecond
+	// tick is how often a member looks who is there and what it has to say.
+	tick = 200 * time.Millisecond
+	// silent is how long one counts as heard that the library holds for dead or has never met: it
+	// suspects for some seconds before it says so, longer where they are many.
+	silent = time.Second
+	// asides is how many joiners are told at each tick, alone, whom this member counts.
+	asides = 16
 	// rejoin is how often a member that is known of and not there is called again.
 	rejoin     = 2 * time.Second
 	streamWait = 2 * time.Second
@@ -40,8 +42,9 @@
 	farewells = 8
 	// maxState bounds what another may tell at a full exchange, in bytes.
 	maxState = members.MaxMembers * maxRecord
-	// repeats is how often a word is passed on, times the logarithm of the members' number.
-	repeats = 3
+	// repeats is how often a word is passed on, times the logarithm of the members' number: what it
+	// does not reach a full exchange brings.
+	repeats = 2
 )
 
 // Options are what a member needs.
@@ -77,11 +80,10 @@
 
 	mu      sync.Mutex
 	view    *members.View
-	told    uint64            // the number of its record that was told last
-	here    map[string]string // the addresses of members that are there, by the library's name,
-	lost    map[string]string // and of those that are not
+	told    members.Record        // its record as it was told to all last
+	here    map[members.ID]string // the addresses of members that are there,
+	lost    map[members.ID]string // and of those that are not
 	rivals  map[members.ID]bool
-	beatAt  time.Time
 	seen    Standing
 	leaving bool
 
@@ -96,12 +98,12 @@
 	if !o.Advertise.IsValid() {
 		o.Advertise = o.Listen
 	}
-	g := &Gossip{opts: o, born: time.Now().Add(-time.Second), here: make(map[string]string), lost: make(map[string]string), rivals: make(map[members.ID]bool), done: make(chan struct{})}
+	g := &Gossip{opts: o, born: time.Now().Add(-time.Second), here: make(map[members.ID]string), lost: make(map[members.ID]string), rivals: make(map[members.ID]bool), done: make(chan struct{})}
 	if o.Before != nil {
 		o.Self.Ended = o.Before()
 	}
 	var err error
-	if g.view, err = members.New(members.Options{Silent: silentBeats * beatLeast, Gone: o.Gone, Alone: o.Alone}, o.Self, g.now()); err != nil {
+	if g.view, err = members.New(members.Options{Silent: silent, Gone: o.Gone, Alone: o.Alone}, o.Self, g.now()); err != nil {
 		return nil, err
 	}
 	// The library writes much that is for its developers; what members need to know is told here.
@@ -117,7 +119,7 @@
 	if cfg.AdvertisePort == 0 {
 		cfg.AdvertisePort = cfg.BindPort
 	}
-	cfg.TCPTimeout, cfg.PushPullInterval = streamWait, 10*time.Second
+	cfg.TCPTimeout, cfg.PushPullInterval, cfg.GossipInterval = streamWait, 10*time.Second, tick/2
 	cfg.Delegate, cfg.Events = (*delegate)(g), (*delegate)(g)
 	cfg.EnableCompression = false // words are short, and it is no more work on the way
 	if len(o.Keys) > 0 {
@@ -166,14 +168,31 @@
 		before = g.opts.Before()
 	}
 	g.mu.Lock()
+	now := g.now()
 	g.view.Before(before)
-	g.view.Tick(g.now())
-	if now := time.Now(); now.Sub(g.beatAt) >= max(beatLeast, time.Duration(g.others())*beatEach) {
-		g.beatAt = now
-		g.view.Beat()
+	for id := range g.here {
+		g.view.Seen(now, id)
 	}
+	g.view.Tick(now)
 	g.say()
+	word := encode(g.view.Record())
+	joiners := g.joiners()
 	g.mu.Unlock()
+	for _, at := range joiners {
+		_ = g.list.SendToAddress(memberlist.Address{Addr: at}, word) // again at the next tick
+	}
+}
+
+// joiners are the addresses of some that wait to hear who counts them. All others need not know
+// whom this member counts: told to all, it would be a word of each with each change. The lock is held.
+func (g *Gossip) joiners() (all []string) {
+	for _, m := range g.view.MayServe() {
+		if at := g.here[m.ID]; at != "" && m.State == members.Joining && m.ID != g.opts.Self.ID {
+			all = append(all, at)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), asides)]
 }
 
 // say tells of the standing where it has changed, and then passes the own record on where that has:
@@ -189,9 +208,13 @@
 			g.opts.Changed(s)
 		}
 	}
-	if r := g.view.Record(); r.Seq != g.told && !g.leaving {
-		g.told = r.Seq
-		g.pass(r)
+	r := g.view.Record()
+	if is, was := r, g.told; !g.leaving {
+		is.Seq, is.Digest, was.Seq, was.Digest = 0, 0, 0, 0
+		if is != was {
+			g.told = r
+			g.pass(r)
+		}
 	}
 }
 
@@ -339,7 +362,7 @@
 	g.say()
 	g.leaving = true
 	word := encode(g.view.Record())
-	delete(g.here, libraryName(g.opts.Self.ID))
+	delete(g.here, g.opts.Self.ID)
 	all := slices.Collect(maps.Values(g.here))
 	g.mu.Unlock()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
@@ -429,10 +452,15 @@
 }
 
 func (d *delegate) NotifyJoin(n *memberlist.Node) {
+	id, ok := parseName(n.Name)
+	if !ok {
+		d.strange.Add(1)
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.lost, n.Name)
-	d.here[n.Name] = n.Address()
+	delete(d.lost, id)
+	d.here[id] = n.Address()
 	d.there.Store(int64(len(d.here)))
 }
 
@@ -440,15 +468,16 @@
 func (d *delegate) NotifyLeave(n *memberlist.Node) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.here, n.Name)
+	id, _ := parseName(n.Name)
+	delete(d.here, id)
 	d.there.Store(int64(len(d.here)))
-	for name := range d.lost {
-		if !d.counted(name) {
-			delete(d.lost, name)
+	for other := range d.lost {
+		if !d.view.Counts(other) {
+			delete(d.lost, other)
 		}
 	}
-	if len(d.lost) < maxLost && d.counted(n.Name) {
-		d.lost[n.Name] = n.Address()
+	if len(d.lost) < maxLost && d.view.Counts(id) {
+		d.lost[id] = n.Address()
 	}
 }
 
@@ -456,13 +485,22 @@
 func (d *delegate) NotifyUpdate(n *memberlist.Node) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.here[n.Name] = n.Address()
-}
-
-// counted says whether a life, by the library's name, may be serving.
-func (d *delegate) counted(name string) bool {
-	return slices.ContainsFunc(d.view.MayServe(), func(m members.Member) bool { return libraryName(m.ID) == name })
+	if id, ok := parseName(n.Name); ok {
+		d.here[id] = n.Address()
+	}
 }
 
 // libraryName is a life's among the library's nodes.
 func libraryName(id members.ID) string { return fmt.Sprintf("%s/%x/%x", id.Name, id.Place, id.Life) }
+
+func parseName(text string) (id members.ID, ok bool) {
+	words := strings.Split(text, "/")
+	if len(words) < 3 {
+		return id, false
+	}
+	n := len(words)
+	place, err1 := strconv.ParseUint(words[n-2], 16, 64)
+	life, err2 := strconv.ParseUint(words[n-1], 16, 64)
+	id = members.ID{Seat: members.Seat{Name: strings.Join(words[:n-2], "/"), Place: place}, Life: life}
+	return id, err1 == nil && err2 == nil
+}
--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -114,7 +114,7 @@
 type member struct {
 	rec    Record
 	mark   uint64        // what stands for it in digests
-	heard  time.Duration // when it last told something new; 0 for never
+	heard  time.Duration // when it last told something new, or was seen; 0 for never
 	gone   bool          // it has left, or was not heard for as long as the operator states
 	counts bool          // it is known to count this member
 }
@@ -137,6 +137,8 @@
 	self  ID
 	lives map[ID]*member  // those gone are kept, so that their old records count them no more
 	ended map[Seat]uint64 // the greatest life proven to have ended
+	sum   uint64          // the digest of all that may be serving,
+	drawn uint64          // and the one for which step last looked at all
 	whole bool            // one that serves was known to count the same: nobody whom it counts is missing here
 }
 
@@ -151,6 +153,8 @@
 		self.State = Serving
 	}
 	v.lives[self.ID] = &member{rec: self, mark: self.digest(), heard: now}
+	v.sum = self.digest()
+	v.drawn = v.sum
 	v.end(self.Seat, self.Ended)
 	return v, nil
 }
@@ -180,7 +184,7 @@
 	}
 	if r.ID == v.self {
 		if r.State == Leaving && r.Seq > v.Record().Seq { // all others count it no more: see Given
-			v.lives[v.self].gone = true
+			v.count(v.lives[v.self], false)
 		}
 		return false, nil // else its own, on its way back
 	}
@@ -198,12 +202,13 @@
 		if len(v.lives) >= MaxMembers {
 			return false, ErrFull
 		}
-		m = &member{mark: r.digest()}
+		m = &member{mark: r.digest(), gone: true}
 		v.lives[r.ID] = m
 	}
-	m.rec, m.heard, m.gone = r, now, r.State == Leaving
+	m.rec, m.heard = r, now
+	v.count(m, r.State != Leaving)
 	v.end(r.Seat, r.Ended)
-	v.step()
+	v.step(m)
 	return true, nil
 }
 
@@ -220,13 +225,13 @@
 // Ended takes the proof of others, such as the group's, that a life has ended.
 func (v *View) Ended(id ID) {
 	if m := v.lives[id]; m != nil {
-		if m.gone = true; id != v.self {
+		if v.count(m, false); id != v.self {
 			m.rec.Seq = math.MaxUint64 // whatever it told before comes too late
 		}
 	} else if len(v.lives) < MaxMembers {
 		v.lives[id] = &member{gone: true, mark: id.digest(), rec: Record{ID: id, Seq: math.MaxUint64}}
 	}
-	v.step()
+	v.step(nil)
 }
 
 // Given is the record with which an operator, who knows that a life has ended and cannot say so
@@ -251,7 +256,7 @@
 		if id.Seat != seat || id.Life > life {
 			continue
 		}
-		if m.gone = true; id != v.self {
+		if v.count(m, false); id != v.self {
 			delete(v.lives, id)
 		}
 	}
@@ -267,7 +272,7 @@
 	self.Ended = life
 	self.Seq++
 	v.end(v.self.Seat, life)
-	v.step()
+	v.step(nil)
 }
 
 // Begin takes an operator's word that no member serves, as after the loss of a whole fleet: this
@@ -282,8 +287,12 @@
 	return nil
 }
 
-// Beat says that this member is still there, though it has nothing else to tell.
-func (v *View) Beat() { v.lives[v.self].rec.Seq++ }
+// Seen takes note that a member is there, though it has told nothing new.
+func (v *View) Seen(now time.Duration, id ID) {
+	if m := v.lives[id]; m != nil {
+		m.heard = now
+	}
+}
 
 // Leave gives this member's part up, for good. The record that says so has to be told.
 func (v *View) Leave() {
@@ -295,33 +304,48 @@
 func (v *View) Tick(now time.Duration) {
 	for id, m := range v.lives {
 		if v.opts.Gone > 0 && id != v.self && now-m.heard > v.opts.Gone {
-			m.gone = true
+			v.count(m, false)
 		}
 	}
-	v.step()
+	v.step(nil)
 }
 
-// step draws what follows: who is known to count the same lives as this member, and so itself,
-// and whether its part begins.
-func (v *View) step() {
-	self := &v.lives[v.self].rec
-	state, digest := self.State, uint64(0)
-	for _, m := range v.lives {
-		if !m.gone {
-			digest += m.mark
+// count has a life counted, or not any more.
+func (v *View) count(m *member, is bool) {
+	if is == m.gone {
+		if m.gone = !is; is {
+			v.sum += m.mark
+		} else {
+			v.sum -= m.mark
 		}
 	}
-	for id, m := range v.lives {
-		if id != v.self && m.rec.Digest == digest {
+}
+
+// step draws what follows: who is known to count the same lives as this member, and so itself,
+// and whether its part begins. Where these are the lives of the last time, only the one heard of
+// can show something new.
+func (v *View) step(heard *member) {
+	self := &v.lives[v.self].rec
+	shows := func(m *member) {
+		if m.rec.Digest == v.sum && m.rec.ID != v.self {
 			m.counts = true
 			v.whole = v.whole || m.rec.State == Serving
 		}
 	}
-	if self.State == Joining && v.whole && v.counted() {
+	if v.sum != v.drawn {
+		for _, m := range v.lives {
+			shows(m)
+		}
+	} else if heard != nil {
+		shows(heard)
+	}
+	v.drawn = v.sum
+	state := self.State
+	if state == Joining && v.whole && v.counted() {
 		self.State = Serving
 	}
-	if self.State != state || self.Digest != digest {
-		self.Digest = digest
+	if self.State != state || self.Digest != v.sum {
+		self.Digest = v.sum
 		self.Seq++
 	}
 }
@@ -378,6 +402,12 @@
 	})
 }
 
+// Counts says whether a life may be serving.
+func (v *View) Counts(id ID) bool {
+	m := v.lives[id]
+	return m != nil && !m.gone
+}
+
 // MayServe are the members that may be serving, by name: all that were ever heard of and are not
 // proven gone.
 func (v *View) MayServe() []Member {
--- a/internal/peers/members/members_test.go
+++ b/internal/peers/members/members_test.go
@@ -112,7 +112,13 @@
 		is := func(s State) func(*process) bool {
 			return func(p *process) bool { return p.v.Record().State == s }
 		}
+		names := make(map[string]uint64) // of which place; two of a name may keep all joiners waiting
 		joinable := slices.ContainsFunc(alive, is(Serving)) && !slices.ContainsFunc(alive, is(Leaving))
+		for _, p := range alive {
+			place, known := names[p.v.self.Name]
+			joinable = joinable && (!known || place == p.v.self.Place)
+			names[p.v.self.Name] = p.v.self.Place
+		}
 		for range 4 {
 			for _, a := range alive {
 				for _, p := range f.procs {
