--- a/cmd/proof/members.go
+++ b/cmd/proof/members.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -29,6 +30,7 @@
 	splitFor      = 15 * time.Second // longer than it takes to hold the others for dead
 	restFor       = 5 * time.Second  // for bytes, processor time and suspicions
 	pauseFor      = 2 * time.Second
+	knownAfter    = 5 * time.Second // as 300 members in virtual time have it
 )
 
 // membersRun plays fleets of processes through joins, leaves, kills and splits, and measures how
@@ -52,7 +54,43 @@
 			return f, fmt.Errorf("%d members, seed %d: %w", n, membersSeed, err)
 		}
 	}
-	return f, virtualMembers(out, &f)
+	return f, errors.Join(virtualMembers(out, &f), resized(out, &f))
+}
+
+// resized has fleets double and halve while a third of the servers are replaced by cold ones, by live
+// parts and by a number written by hand.
+func resized(out io.Writer, f *figures) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "160 nodes, 90 servers, four seeds\tmost sent to a cold server\tuse of cold servers beside others\tmissed %")
+	for _, c := range []struct {
+		name     string
+		from, to float64
+		known    time.Duration
+	}{
+		{"doubles, by hand", 0.5, 1, 0}, {"doubles, live", 0.5, 1, knownAfter},
+		{"halves, by hand", 1, 0.5, 0}, {"halves, live", 1, 0.5, knownAfter},
+	} {
+		most, use, missed := 0.0, 1e9, 0.0
+		for seed := range uint64(4) {
+			set, err := fleet.Day("calm", 160, 90, seed+1)
+			if err != nil {
+				return err
+			}
+			set.Mass.Replace.At, set.Mass.Replace.Over, set.Mass.Replace.Part = 5*time.Second, 6*time.Second, 1.0/3
+			r := &set.Mass.Resize
+			r.At, r.Over, r.From, r.To, r.Known = 6*time.Second, 2*time.Second, c.from, c.to, c.known
+			got, err := fleet.Run(set)
+			if err != nil {
+				return err
+			}
+			most, use, missed = max(most, got.ColdMost), min(use, got.ColdUse/got.WarmUse), max(missed, 100*got.MissedShare())
+		}
+		fmt.Fprintf(w, "%s\t%.2f\t%.2f\t%.2f\n", c.name, most, use, missed)
+		name := strings.NewReplacer(", ", "_", " ", "_").Replace(c.name)
+		f.add(name+"_cold_most", "%.2f", most)
+		f.add(name+"_cold_use", "%.2f", use)
+	}
+	return w.Flush()
 }
 
 // virtualMembers has large fleets tell each other in virtual time, with a tenth of the words lost.
--- a/internal/fleet/mass.go
+++ b/internal/fleet/mass.go
@@ -35,6 +35,15 @@
 		At, For time.Duration
 		Part    float64
 	}
+	// Resize has the fleet grow or shrink from one part of its nodes to another. Where Known is set
+	// they know of each other: others hear of a change a second later, and a newcomer has its part
+	// once all count it, so long after its start. Else the number that was right at first stands in
+	// the file of each.
+	Resize struct {
+		At, Over time.Duration
+		From, To float64
+		Known    time.Duration
+	}
 	// Bad is how many servers fail half of what they get.
 	Bad float64
 	// Late is by how much more the list is late.
@@ -116,6 +125,9 @@
 			s.after(at+time.Duration(float64(over)*float64(i)/float64(n)), func() { do(i) })
 		}
 	}
+	if m.Resize.From > 0 {
+		s.resize()
+	}
 	order := s.rng.Perm(len(s.servers))
 	each(m.Replace.At, m.Replace.Over, int(m.Replace.Part*float64(len(order))), func(i int) { s.replace(s.servers[order[i]]) })
 	nodes := s.rng.Perm(len(s.brains))
@@ -129,6 +141,53 @@
 	})
 }
 
+// heardOf is how long others take to hear of a newcomer, or of one that leaves.
+const heardOf = time.Second
+
+// resize has nodes come or go, and all know of it or not.
+func (s *sim) resize() {
+	r := &s.set.Mass.Resize
+	n := float64(len(s.brains))
+	first, last := int(r.From*n), int(r.To*n)
+	withheld := make(map[int]float64)
+	count := first
+	stand := func() {
+		for i, b := range s.brains {
+			b.b.Stand(i%count, count, withheld[i])
+		}
+	}
+	for i := first; i < len(s.brains); i++ {
+		s.brains[i].down = true
+	}
+	stand()
+	for k := range max(last-first, first-last) {
+		at := r.At + time.Duration(float64(r.Over)*float64(k)/math.Abs(float64(last-first)))
+		s.after(at, func() {
+			change := -1
+			if i := first + k; last > first {
+				change = 1
+				s.begin(i)
+				if r.Known > 0 {
+					withheld[i] = 1
+					s.after(r.Known, func() {
+						withheld[i] = 0
+						stand()
+					})
+				}
+				stand()
+			} else {
+				s.brains[first-1-k].down = true // what it holds it ends
+			}
+			if r.Known > 0 {
+				s.after(heardOf, func() {
+					count += change
+					stand()
+				})
+			}
+		})
+	}
+}
+
 // front is a node of a site that is up, by its part of the traffic, or nil.
 func (s *sim) front(site int) *brain {
 	sum := 0.0
