--- a/cmd/jasperpin/members_test.go
+++ b/cmd/jasperpin/members_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -131,6 +132,52 @@
 	agree(t, f, "three have left, with a third of all packets lost", up(0, 8)...)
 }
 
+// TestFleetGrowsAndShrinks doubles a fleet at once and halves it, restarts all one after the other, by
+// order and by kill, and stops all for a while: an upgrade beside the running process is a new life.
+func TestFleetGrowsAndShrinks(t *testing.T) {
+	t.Parallel()
+	f := fleet(t, stand.FleetOptions{Members: 8})
+	start(t, f, up(0, 4)...)
+	agree(t, f, "four members", up(0, 4)...)
+	start(t, f, up(4, 8)...)
+	agree(t, f, "twice as many", up(0, 8)...)
+	if err := f.End(up(4, 8)...); err != nil {
+		t.Error(err)
+	}
+	agree(t, f, "half of them", up(0, 4)...)
+	for i := range 4 {
+		if i%2 == 0 {
+			f.Kill(i)
+		} else if err := f.End(i); err != nil {
+			t.Error(err)
+		}
+		start(t, f, i)
+	}
+	agree(t, f, "all have begun anew", up(0, 4)...)
+	if err := f.Pause(true, up(0, 4)...); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Pause(false, up(0, 4)...); err != nil {
+		t.Fatal(err)
+	}
+	was := check.Must[[]gossip.Member](t)(f.Members(0))
+	next := check.Must[*stand.Process](t)(stand.Program{Path: os.Args[0], Env: []string{"JASPERPIN_TEST_MAIN=1"}}.Start(
+		t.TempDir(), "next", "serve", "-c", f.File(2), "--control", "unix:"+filepath.Join(t.TempDir(), "next.door")))
+	defer next.Kill()
+	check.Eventually(t, "a new version waits for the one that runs", func() bool {
+		return strings.Contains(next.Logged(), "once the process before this one has ended")
+	})
+	if err := f.End(2); err != nil {
+		t.Error(err)
+	}
+	check.Eventually(t, "it is the member then, in a new life", func() bool {
+		all, err := f.Members(0)
+		return err == nil && len(all) == 4 && all[2].Life > was[2].Life && !slices.ContainsFunc(all, func(m gossip.Member) bool {
+			return m.State != "serving" || m.Part != 0.25
+		})
+	})
+}
+
 // TestTwoOfOneName has a second process go by a member's name, from another folder: it is said, and
 // the second waits until the first has left, of which nothing is taken.
 func TestTwoOfOneName(t *testing.T) {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"jasperpin/internal/core"
@@ -16,28 +18,76 @@
 // farewell is how long a member that ends takes to tell of it, at the most.
 const farewell = 200 * time.Millisecond
 
-var errNoMembers = errors.New("this node knows of no others: want [members] in its file")
+var errNoMembers = errors.New("this process has not met a fleet: want [members] in its file, and the process before it ended")
+
+// fleetMember is the node as a member of its fleet.
+type fleetMember struct {
+	lives  *gossip.Lives
+	gossip atomic.Pointer[gossip.Gossip] // nil until it has joined
+	closed chan struct{}
+	later  sync.WaitGroup
+}
+
+// rejoinEvery is how often a new version looks whether the address for members is free.
+const rejoinEvery = 200 * time.Millisecond
 
 // join meets the others of the fleet, where the configuration says how. The node has no part of
-// what bounds all until they count it.
-func (n *Node) join() (err error) {
+// what bounds all until they count it. A new version beside the one that runs joins when that has
+// ended, whose address it takes, and serves meanwhile.
+func (n *Node) join() error {
 	c := n.cfg.Members
 	if !c.On() {
 		return nil
 	}
 	n.set.Stand(core.Standing{Of: 1, Withheld: 1})
-	if n.lives, err = gossip.Begin(c.Folder); err != nil {
+	lives, err := gossip.Begin(c.Folder)
+	if err != nil {
 		return err
 	}
-	n.fleet, err = gossip.Join(gossip.Options{
-		Self:   members.Record{ID: members.ID{Seat: members.Seat{Name: n.cfg.Name, Place: n.lives.Place}, Life: n.lives.Own}, Site: c.Site, Weight: c.Weight},
-		Listen: c.Listen, Advertise: c.Advertise, Seeds: c.Seeds, Keys: c.Keys, Bytes: c.Bytes, Gone: c.Gone,
-		Alone: c.First && !n.lives.Again, Before: n.lives.Before, Changed: n.stand, Log: n.log,
+	m := &fleetMember{lives: lives, closed: make(chan struct{})}
+	n.fleet = m
+	meet := func() error {
+		g, err := gossip.Join(gossip.Options{
+			Self:   members.Record{ID: members.ID{Seat: members.Seat{Name: n.cfg.Name, Place: lives.Place}, Life: lives.Own}, Site: c.Site, Weight: c.Weight},
+			Listen: c.Listen, Advertise: c.Advertise, Seeds: c.Seeds, Keys: c.Keys, Bytes: c.Bytes, Gone: c.Gone,
+			Alone: c.First && !lives.Again, Before: lives.Before, Changed: n.stand, Log: n.log,
+		})
+		if err == nil {
+			n.log.Info("meeting the fleet", "name", n.cfg.Name, "life", lives.Own, "at", g.Addr())
+			m.gossip.Store(g)
+		}
+		return err
+	}
+	err = meet()
+	if !errors.Is(err, gossip.ErrListen) || !lives.Runs() {
+		return err
+	}
+	n.log.Info("the fleet is met once the process before this one has ended", "err", err)
+	m.later.Go(func() {
+		for {
+			select {
+			case <-m.closed:
+				return
+			case <-time.After(rejoinEvery):
+			}
+			switch err := meet(); {
+			case err == nil:
+				return
+			case !errors.Is(err, gossip.ErrListen):
+				n.log.Error("the fleet cannot be met", "err", err)
+				return
+			}
+		}
 	})
-	if err == nil {
-		n.log.Info("meeting the fleet", "name", n.cfg.Name, "life", n.lives.Own, "at", n.fleet.Addr())
+	return nil
+}
+
+// talk is the node's gossip, or nil where it has not met its fleet.
+func (m *fleetMember) talk() *gossip.Gossip {
+	if m == nil {
+		return nil
 	}
-	return err
+	return m.gossip.Load()
 }
 
 // stand gives the node's place in its fleet to all pools. Of an even part what is above the own
@@ -47,27 +97,31 @@
 }
 
 // leave gives the node's part up.
-func (n *Node) leave() {
-	if n.fleet != nil {
-		n.fleet.Leave(farewell)
+func (m *fleetMember) leave() {
+	if g := m.talk(); g != nil {
+		g.Leave(farewell)
 	}
 }
 
-func (n *Node) closeMembers() {
-	if n.fleet != nil {
-		n.fleet.Close()
+func (m *fleetMember) close() {
+	if m == nil {
+		return
 	}
-	if n.lives != nil {
-		n.lives.End()
+	close(m.closed)
+	m.later.Wait()
+	if g := m.talk(); g != nil {
+		g.Close()
 	}
+	m.lives.End()
 }
 
 func (o operator) Members(w *bytes.Buffer) error {
-	if o.fleet == nil {
+	g := o.fleet.talk()
+	if g == nil {
 		return errNoMembers
 	}
 	enc := json.NewEncoder(w)
-	for _, m := range o.fleet.Members() {
+	for _, m := range g.Members() {
 		if err := enc.Encode(m); err != nil {
 			return fmt.Errorf("telling of %s: %w", m.Name, err)
 		}
@@ -76,23 +130,25 @@
 }
 
 func (o operator) BeginFleet() error {
-	if o.fleet == nil {
+	g := o.fleet.talk()
+	if g == nil {
 		return errNoMembers
 	}
-	err := o.fleet.Begin()
+	err := g.Begin()
 	o.log.Warn("told to begin the fleet", "err", err)
 	return err
 }
 
 func (o operator) MemberEnded(name, life string) error {
-	if o.fleet == nil {
+	g := o.fleet.talk()
+	if g == nil {
 		return errNoMembers
 	}
 	number, err := strconv.ParseUint(life, 10, 64)
 	if err != nil {
 		return fmt.Errorf("a life is a number, and not %.40q", life)
 	}
-	err = o.fleet.Ended(name, number)
+	err = g.Ended(name, number)
 	o.log.Warn("told that a member has ended", "name", name, "life", number, "err", err)
 	return err
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,7 +25,6 @@
 	"jasperpin/internal/httpfront"
 	"jasperpin/internal/httpup"
 	"jasperpin/internal/limit"
-	"jasperpin/internal/peers/gossip"
 	"jasperpin/internal/plan"
 	"jasperpin/internal/planlink"
 	"jasperpin/internal/platform"
@@ -80,8 +79,7 @@
 	door      *door.Door
 	figures   *figures.Board
 	draining  atomic.Bool
-	fleet     *gossip.Gossip    // nil where it meets no others
-	lives     *gossip.Lives     // likewise
+	fleet     *fleetMember      // nil where it meets no others
 	group     *cluster.Instance // nil where the node belongs to none
 	line      *succession.Line  // of this node's processes; nil where it has no folder
 	shares    chan succession.Share
@@ -101,7 +99,7 @@
 		if n.group != nil {
 			n.group.Close()
 		}
-		n.closeMembers()
+		n.fleet.close()
 		return nil, err
 	}
 	return n, nil
@@ -262,7 +260,7 @@
 	if n.group != nil {
 		n.group.Close()
 	}
-	n.closeMembers()
+	n.fleet.close()
 	n.line.Close()
 	if n.planner != nil {
 		n.planner.close()
@@ -344,7 +342,7 @@
 	n.draining.Store(true)
 	n.front.Drain()
 	var left sync.WaitGroup
-	left.Go(n.leave) // what is out is ended without a part: it begins nothing more at cold servers
+	left.Go(n.fleet.leave) // what is out is ended without a part: it begins nothing more at cold servers
 	n.set.DrainBy(began.Add(n.longest() + lastDue))
 	last := began.Add(n.longest() + lastExit)
 	if heir {
--- a/internal/peers/gossip/gossip.go
+++ b/internal/peers/gossip/gossip.go
@@ -47,6 +47,9 @@
 	repeats = 2
 )
 
+// ErrListen says that the address for members cannot be listened at.
+var ErrListen = errors.New("listening for members")
+
 // Options are what a member needs.
 type Options struct {
 	Self      members.Record // its name, site, weight and life
@@ -109,7 +112,7 @@
 	// The library writes much that is for its developers; what members need to know is told here.
 	quiet := log.New(io.Discard, "", 0)
 	if g.net, err = listen(o.Listen, o.Bytes, quiet); err != nil {
-		return nil, fmt.Errorf("listening for members: %w", err)
+		return nil, fmt.Errorf("%w: %w", ErrListen, err)
 	}
 	cfg := memberlist.DefaultLANConfig()
 	cfg.Name = libraryName(o.Self.ID)
@@ -129,9 +132,13 @@
 	}
 	g.out.RetransmitMult = repeats
 	g.out.NumNodes = g.others
-	if g.list, err = memberlist.Create(cfg); err != nil {
+	list, err := memberlist.Create(cfg)
+	if err != nil {
 		return nil, errors.Join(fmt.Errorf("joining the members: %w", err), g.net.Shutdown())
 	}
+	g.mu.Lock()
+	g.list = list // words may have come already
+	g.mu.Unlock()
 	g.step()
 	g.ended.Go(g.run)
 	g.ended.Go(g.look)
@@ -175,7 +182,7 @@
 	}
 	g.view.Tick(now)
 	g.say()
-	word := encode(g.view.Record())
+	word := encode(g.view.Record(), true)
 	joiners := g.joiners()
 	g.mu.Unlock()
 	for _, at := range joiners {
@@ -183,8 +190,9 @@
 	}
 }
 
-// joiners are the addresses of some that wait to hear who counts them. All others need not know
-// whom this member counts: told to all, it would be a word of each with each change. The lock is held.
+// joiners are the addresses of some that wait to hear who counts them, and are asked whether they
+// still do. All others need not know whom this member counts: told to all, it would be a word of
+// each with each change. The lock is held.
 func (g *Gossip) joiners() (all []string) {
 	for _, m := range g.view.MayServe() {
 		if at := g.here[m.ID]; at != "" && m.State == members.Joining && m.ID != g.opts.Self.ID {
@@ -237,10 +245,11 @@
 
 // pass gives a record to the words that go out, in place of an older one of the same life.
 func (g *Gossip) pass(r members.Record) {
-	g.out.QueueBroadcast(broadcast{r.ID, encode(r)})
+	g.out.QueueBroadcast(broadcast{r.ID, encode(r, false)})
 }
 
-// look calls members that are known of and not there: the seeds, and those that were lost.
+// look calls members that are known of and not there, the seeds and those that were lost, and those
+// that are there and have not been heard: a call is a full exchange.
 func (g *Gossip) look() {
 	wait := time.Duration(0)
 	for {
@@ -249,15 +258,25 @@
 		case <-g.done:
 			return
 		}
-		wait = rejoin/2 + rand.N(rejoin)
-		if g.others() == 1 {
-			wait /= 4
-		}
 		g.mu.Lock()
 		calls := slices.Concat(g.opts.Seeds, slices.Collect(maps.Values(g.lost)))
 		there := slices.Collect(maps.Values(g.here))
-		g.mu.Unlock()
 		calls = slices.DeleteFunc(calls, func(at string) bool { return slices.Contains(there, at) })
+		if len(g.lost) > 0 && len(there) > 1 { // others may know what became of them
+			calls = append(calls, there[rand.IntN(len(there))])
+		}
+		untold := 0
+		for id, at := range g.here {
+			if !g.view.Knows(id) {
+				calls = append(calls, at)
+				untold++
+			}
+		}
+		g.mu.Unlock()
+		wait = rejoin/2 + rand.N(rejoin)
+		if untold > 0 || len(there) < 2 {
+			wait /= 4
+		}
 		if len(calls) > 0 {
 			// One that does not answer is called again; which ones are, the figures tell.
 			_, _ = g.list.Join([]string{calls[rand.IntN(len(calls))]})
@@ -361,7 +380,7 @@
 	g.view.Leave()
 	g.say()
 	g.leaving = true
-	word := encode(g.view.Record())
+	word := encode(g.view.Record(), false)
 	delete(g.here, g.opts.Self.ID)
 	all := slices.Collect(maps.Values(g.here))
 	g.mu.Unlock()
@@ -401,16 +420,20 @@
 func (d *delegate) NodeMeta(int) []byte { return nil }
 
 func (d *delegate) NotifyMsg(b []byte) {
-	r, err := decode(b)
+	r, ask, err := decode(b)
 	if err != nil {
 		d.strange.Add(1)
 		return
 	}
 	g := (*Gossip)(d)
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.hear(r)
 	g.say()
+	at, own, list := g.here[r.ID], g.view.Record(), g.list
+	g.mu.Unlock()
+	if ask && at != "" && own.State != members.Joining && list != nil {
+		_ = list.SendToAddress(memberlist.Address{Addr: at}, encode(own, false))
+	}
 }
 
 func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
@@ -423,7 +446,7 @@
 	all := d.view.All()
 	words := make([]json.RawMessage, 0, len(all))
 	for _, r := range all {
-		words = append(words, encode(r))
+		words = append(words, encode(r, false))
 	}
 	b, err := json.Marshal(words)
 	if err != nil {
@@ -442,7 +465,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, w := range words {
-		if r, err := decode(w); err != nil {
+		if r, _, err := decode(w); err != nil {
 			g.strange.Add(1)
 		} else {
 			g.hear(r)
--- a/internal/peers/gossip/gossip_test.go
+++ b/internal/peers/gossip/gossip_test.go
@@ -53,17 +53,17 @@
 
 // FuzzDecode reads whatever may come: what is taken for a record comes back the same.
 func FuzzDecode(f *testing.F) {
-	f.Add(encode(members.Record{ID: members.ID{Seat: members.Seat{Name: "n1", Place: 7}, Life: 3}, Seq: 2, Weight: 1, State: members.Serving, Ended: 2, Digest: 1 << 63}))
+	f.Add(encode(members.Record{ID: members.ID{Seat: members.Seat{Name: "n1", Place: 7}, Life: 3}, Seq: 2, Weight: 1, State: members.Serving, Ended: 2, Digest: 1 << 63}, true))
 	f.Add([]byte(`{"n":"x","l":-1}`))
 	f.Add([]byte(`[` + strconv.Itoa(1<<40) + `]`))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		r, err := decode(b)
+		r, ask, err := decode(b)
 		if err != nil {
 			return
 		}
-		again, err := decode(encode(r))
-		if err == nil && again != r {
-			t.Errorf("%+v came back as %+v", r, again)
+		again, asked, err := decode(encode(r, ask))
+		if err == nil && (again != r || asked != ask) {
+			t.Errorf("%+v, %v came back as %+v, %v", r, ask, again, asked)
 		}
 	})
 }
--- a/internal/peers/gossip/life.go
+++ b/internal/peers/gossip/life.go
@@ -135,6 +135,9 @@
 	return ended
 }
 
+// Runs says whether an earlier life of this member runs, as far as its folder tells.
+func (l *Lives) Runs() bool { return l.Again && l.Before() < l.Own-1 }
+
 func (l *Lives) ended(life uint64) bool {
 	f, err := os.Open(l.path(life))
 	if err != nil {
--- a/internal/peers/gossip/record.go
+++ b/internal/peers/gossip/record.go
@@ -22,27 +22,30 @@
 	State  uint8   `json:"t"`
 	Ended  uint64  `json:"e,omitempty"`
 	Digest uint64  `json:"d"`
+	Ask    bool    `json:"a,omitempty"` // the sender wants to hear the reader's own
 }
 
-func encode(r members.Record) []byte {
-	b, err := json.Marshal(word{r.Name, r.Place, r.Life, r.Seq, r.Site, r.Weight, uint8(r.State), r.Ended, r.Digest})
+func encode(r members.Record, ask bool) []byte {
+	b, err := json.Marshal(word{r.Name, r.Place, r.Life, r.Seq, r.Site, r.Weight, uint8(r.State), r.Ended, r.Digest, ask})
 	if err != nil {
 		panic(err) // a weight that is no number, which no view takes in
 	}
 	return b
 }
 
-// decode reads one record. What it says is for the view to judge.
-func decode(b []byte) (members.Record, error) {
+// decode reads one record, and whether the reader is to tell its own. What it says is for the
+// view to judge.
+func decode(b []byte) (r members.Record, ask bool, err error) {
 	if len(b) > maxRecord {
-		return members.Record{}, fmt.Errorf("%d bytes are no record: want %d at the most", len(b), maxRecord)
+		return r, false, fmt.Errorf("%d bytes are no record: want %d at the most", len(b), maxRecord)
 	}
 	var w word
 	if err := json.Unmarshal(b, &w); err != nil {
-		return members.Record{}, fmt.Errorf("reading a record: %w", err)
+		return r, false, fmt.Errorf("reading a record: %w", err)
 	}
-	return members.Record{
+	r = members.Record{
 		ID: members.ID{Seat: members.Seat{Name: w.Name, Place: w.Place}, Life: w.Life}, Seq: w.Seq, Site: w.Site, Weight: w.Weight,
 		State: members.State(w.State), Ended: w.Ended, Digest: w.Digest,
-	}, nil
+	}
+	return r, w.Ask, nil
 }
--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -402,6 +402,9 @@
 	})
 }
 
+// Knows says whether anything was heard of a life, or of a later one in its seat.
+func (v *View) Knows(id ID) bool { return v.lives[id] != nil || id.Life <= v.ended[id.Seat] }
+
 // Counts says whether a life may be serving.
 func (v *View) Counts(id ID) bool {
 	m := v.lives[id]
