--- a/cmd/jasperpin/members.go
+++ b/cmd/jasperpin/members.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "MEMBER\tSITE\tSTATE\tHEARD\tLIFE\tPART\t")
+	fmt.Fprintln(w, "MEMBER\tSITE\tSTATE\tHEARD\tLIFE\tPART\tLOAD\t")
 	for _, m := range all {
 		heard := "never"
 		switch {
@@ -66,7 +66,11 @@
 		case m.Age >= 0:
 			heard = m.Age.Round(100*time.Millisecond).String() + " ago"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%.4f\t\n", m.Name, m.Site, m.State, heard, m.Life, m.Part)
+		load := ""
+		if told, known := m.Notes["load"]; known {
+			load = fmt.Sprintf("%s/s, %v ago", told.Text, told.Age.Round(time.Second))
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%.4f\t%s\t\n", m.Name, m.Site, m.State, heard, m.Life, m.Part, load)
 	}
 	return w.Flush()
 }
--- a/cmd/jasperpin/members_test.go
+++ b/cmd/jasperpin/members_test.go
@@ -233,6 +233,10 @@
 	f := fleet(t, stand.FleetOptions{Members: 3})
 	start(t, f, 0, 1, 2)
 	agree(t, f, "three members", 0, 1, 2)
+	check.Eventually(t, "each knows the load of all", func() bool {
+		all, err := f.Members(0)
+		return err == nil && !slices.ContainsFunc(all, func(m gossip.Member) bool { return m.Notes["load"].Text != "0.0" })
+	})
 	all, err := f.Members(0)
 	if err != nil || len(all) != 3 {
 		t.Fatal(all, err)
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -75,6 +75,16 @@
 	return c
 }
 
+// Ended is how many requests have had their answer, of whatever kind.
+func (b *Board) Ended() (n uint64) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, c := range b.classes {
+		n += c.Fulfilled.Load() + c.Throttled.Load() + c.Faulted.Load()
+	}
+	return n
+}
+
 // Servers are the figures about the list of servers.
 type Servers struct{ Listed, Out int }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -13,6 +13,7 @@
 	"jasperpin/internal/core"
 	"jasperpin/internal/peers/gossip"
 	"jasperpin/internal/peers/members"
+	"jasperpin/internal/peers/notes"
 )
 
 // farewell is how long a member that ends takes to tell of it, at the most.
@@ -51,6 +52,7 @@
 			Self:   members.Record{ID: members.ID{Seat: members.Seat{Name: n.cfg.Name, Place: lives.Place}, Life: lives.Own}, Site: c.Site, Weight: c.Weight},
 			Listen: c.Listen, Advertise: c.Advertise, Seeds: c.Seeds, Keys: c.Keys, Bytes: c.Bytes, Gone: c.Gone,
 			Alone: c.First && !lives.Again, Before: lives.Before, Changed: n.stand, Log: n.log,
+			Topics: []gossip.Topic{{Kind: notes.Kind{Name: loadTopic, Most: 32, Keep: loadKeep}, Say: n.load()}},
 		})
 		if err == nil {
 			n.log.Info("meeting the fleet", "name", n.cfg.Name, "life", lives.Own, "at", g.Addr())
@@ -90,6 +92,22 @@
 	return m.gossip.Load()
 }
 
+// Members tell each other how many requests a second they answer, over the time since the last note.
+const (
+	loadTopic = "load"
+	loadKeep  = 5 * time.Minute
+)
+
+func (n *Node) load() func() []byte {
+	was, at := n.figures.Ended(), time.Now()
+	return func() []byte {
+		is, now := n.figures.Ended(), time.Now()
+		rate := float64(is-was) / max(now.Sub(at).Seconds(), 0.001)
+		was, at = is, now
+		return strconv.AppendFloat(nil, rate, 'f', 1, 64)
+	}
+}
+
 // stand gives the node's place in its fleet to all pools. Of an even part what is above the own
 // one is withheld; a greater weight widens nothing, as its clients come with it.
 func (n *Node) stand(s gossip.Standing) {
--- a/internal/peers/gossip/gossip.go
+++ b/internal/peers/gossip/gossip.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/memberlist"
 
 	"jasperpin/internal/peers/members"
+	"jasperpin/internal/peers/notes"
 )
 
 const (
@@ -31,6 +32,10 @@
 	// silent is how long one counts as heard that the library holds for dead or has never met: it
 	// suspects for some seconds before it says so, longer where they are many.
 	silent = time.Second
+	// sayEach is how often a member says its topics, for each member of the fleet, so that the notes of
+	// all come at a steady rate: ten a second take a third of what packets carry at 300.
+	sayEach  = 100 * time.Millisecond
+	sayLeast = time.Second
 	// asides is how many joiners are told at each tick, alone, whom this member counts.
 	asides = 16
 	// rejoin is how often a member that is known of and not there is called again.
@@ -41,7 +46,7 @@
 	// farewells is how many are told of a leave at once: words go on from them.
 	farewells = 8
 	// maxState bounds what another may tell at a full exchange, in bytes.
-	maxState = members.MaxMembers * maxRecord
+	maxState = 4 * members.MaxMembers * maxRecord
 	// repeats is how often a word is passed on, times the logarithm of the members' number: what it
 	// does not reach a full exchange brings.
 	repeats = 2
@@ -61,10 +66,18 @@
 	Gone      time.Duration  // as members.Options has it
 	Alone     bool           // likewise
 	Before    func() uint64  // see Lives
+	Topics    []Topic        // of what members tell each other beside who they are
 	Changed   func(Standing) // is called, one call at a time, when the standing has changed
 	Log       *slog.Logger
 }
 
+// Topic is a kind of notes, and what there is to say of this member. Say is called now and then, and
+// must not call back; nil says nothing.
+type Topic struct {
+	notes.Kind
+	Say func() []byte
+}
+
 // Standing is this member's place in its fleet.
 type Standing struct {
 	Number int // its place among all that may be serving, by name
@@ -83,6 +96,8 @@
 
 	mu      sync.Mutex
 	view    *members.View
+	book    *notes.Book
+	saidAt  time.Time             // when the topics were said last
 	told    members.Record        // its record as it was told to all last
 	here    map[members.ID]string // the addresses of members that are there,
 	lost    map[members.ID]string // and of those that are not
@@ -109,6 +124,11 @@
 	if g.view, err = members.New(members.Options{Silent: silent, Gone: o.Gone, Alone: o.Alone}, o.Self, g.now()); err != nil {
 		return nil, err
 	}
+	kinds := make([]notes.Kind, len(o.Topics))
+	for i, topic := range o.Topics {
+		kinds[i] = topic.Kind
+	}
+	g.book = notes.New(o.Self.ID, g.view, kinds...)
 	// The library writes much that is for its developers; what members need to know is told here.
 	quiet := log.New(io.Discard, "", 0)
 	if g.net, err = listen(o.Listen, o.Bytes, quiet); err != nil {
@@ -181,7 +201,20 @@
 		g.view.Seen(now, id)
 	}
 	g.view.Tick(now)
+	g.book.Tick(now)
 	g.say()
+	if at := time.Now(); at.Sub(g.saidAt) >= max(sayLeast, time.Duration(g.others())*sayEach) {
+		g.saidAt = at
+		for _, topic := range g.opts.Topics {
+			said := topic.Say()
+			if said == nil {
+				continue
+			}
+			if n, err := g.book.Tell(now, topic.Name, said); err == nil {
+				g.out.QueueBroadcast(broadcast{n.Of, n.Kind, encodeNote(n)})
+			}
+		}
+	}
 	word := encode(g.view.Record(), true)
 	joiners := g.joiners()
 	g.mu.Unlock()
@@ -243,9 +276,25 @@
 	}
 }
 
+// take takes a word of either kind. The lock is held.
+func (g *Gossip) take(w word) {
+	if w.Kind == "" {
+		g.hear(w.record())
+		return
+	}
+	n := w.note()
+	news, err := g.book.Hear(g.now(), n)
+	if err != nil {
+		g.strange.Add(1)
+	}
+	if news {
+		g.out.QueueBroadcast(broadcast{n.Of, n.Kind, encodeNote(n)})
+	}
+}
+
 // pass gives a record to the words that go out, in place of an older one of the same life.
 func (g *Gossip) pass(r members.Record) {
-	g.out.QueueBroadcast(broadcast{r.ID, encode(r, false)})
+	g.out.QueueBroadcast(broadcast{r.ID, "", encode(r, false)})
 }
 
 // look calls members that are known of and not there, the seeds and those that were lost, and those
@@ -286,26 +335,38 @@
 
 // Member is one that may be serving, as it is shown.
 type Member struct {
-	Name    string        `json:"name"`
-	Place   uint64        `json:"place"`
-	Life    uint64        `json:"life"`
-	Site    string        `json:"site"`
-	State   string        `json:"state"`
-	Heard   bool          `json:"heard"`
-	Age     time.Duration `json:"age_ns"` // since it was heard last; -1 for never
-	Part    float64       `json:"part"`   // as this member has it
-	Self    bool          `json:"self"`
-	*Counts               // its own alone
+	Name  string        `json:"name"`
+	Place uint64        `json:"place"`
+	Life  uint64        `json:"life"`
+	Site  string        `json:"site"`
+	State string        `json:"state"`
+	Heard bool          `json:"heard"`
+	Age   time.Duration `json:"age_ns"` // since it was heard last; -1 for never
+	Part  float64       `json:"part"`   // as this member has it
+	Self  bool          `json:"self"`
+	// Notes are what it told of each topic last.
+	Notes   map[string]Told `json:"notes,omitempty"`
+	*Counts                 // its own alone
 }
 
 var states = map[members.State]string{0: "untold", members.Joining: "joining", members.Serving: "serving", members.Leaving: "leaving"}
 
+// Told is a note as it is shown.
+type Told struct {
+	Text string        `json:"text"`
+	Age  time.Duration `json:"age_ns"`
+}
+
 // Members are all that may be serving, by name.
 func (g *Gossip) Members() []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	heard := g.view.Heard(now)
+	told := make(map[string]notes.Reading)
+	for _, topic := range g.opts.Topics {
+		told[topic.Name] = g.book.Read(now, topic.Name)
+	}
 	var all []Member
 	for _, m := range g.view.MayServe() {
 		shown := Member{
@@ -322,6 +383,12 @@
 		if !shown.Heard {
 			shown.State = "unheard"
 		}
+		shown.Notes = make(map[string]Told)
+		for name, r := range told {
+			if v, known := r.Values[m.ID]; known {
+				shown.Notes[name] = Told{string(v.Body), v.Age}
+			}
+		}
 		all = append(all, shown)
 	}
 	return all
@@ -400,15 +467,16 @@
 	g.ended.Wait()
 }
 
-// broadcast is a record on its way out.
+// broadcast is a word on its way out.
 type broadcast struct {
 	id   members.ID
+	kind string // of a note
 	word []byte
 }
 
 func (b broadcast) Invalidates(o memberlist.Broadcast) bool {
 	old, ok := o.(broadcast)
-	return ok && old.id == b.id
+	return ok && old.id == b.id && old.kind == b.kind
 }
 
 func (b broadcast) Message() []byte { return b.word }
@@ -420,18 +488,18 @@
 func (d *delegate) NodeMeta(int) []byte { return nil }
 
 func (d *delegate) NotifyMsg(b []byte) {
-	r, ask, err := decode(b)
+	w, err := decode(b)
 	if err != nil {
 		d.strange.Add(1)
 		return
 	}
 	g := (*Gossip)(d)
 	g.mu.Lock()
-	g.hear(r)
+	g.take(w)
 	g.say()
-	at, own, list := g.here[r.ID], g.view.Record(), g.list
+	at, own, list := g.here[w.id()], g.view.Record(), g.list
 	g.mu.Unlock()
-	if ask && at != "" && own.State != members.Joining && list != nil {
+	if w.Ask && at != "" && own.State != members.Joining && list != nil {
 		_ = list.SendToAddress(memberlist.Address{Addr: at}, encode(own, false))
 	}
 }
@@ -448,6 +516,9 @@
 	for _, r := range all {
 		words = append(words, encode(r, false))
 	}
+	for _, n := range d.book.All((*Gossip)(d).now()) {
+		words = append(words, encodeNote(n))
+	}
 	b, err := json.Marshal(words)
 	if err != nil {
 		panic(err) // each is a word of its own making
@@ -465,10 +536,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, w := range words {
-		if r, _, err := decode(w); err != nil {
+		if w, err := decode(w); err != nil {
 			g.strange.Add(1)
 		} else {
-			g.hear(r)
+			g.take(w)
 		}
 	}
 	g.say()
--- a/internal/peers/gossip/gossip_test.go
+++ b/internal/peers/gossip/gossip_test.go
@@ -3,10 +3,12 @@
 import (
 	"os"
 	"path/filepath"
-	"strconv"
+	"reflect"
 	"testing"
+	"time"
 
 	"jasperpin/internal/peers/members"
+	"jasperpin/internal/peers/notes"
 	"jasperpin/internal/standin/check"
 )
 
@@ -51,19 +53,29 @@
 	}
 }
 
-// FuzzDecode reads whatever may come: what is taken for a record comes back the same.
+// FuzzDecode reads whatever may come: what is taken for a record or a note comes back the same.
 func FuzzDecode(f *testing.F) {
-	f.Add(encode(members.Record{ID: members.ID{Seat: members.Seat{Name: "n1", Place: 7}, Life: 3}, Seq: 2, Weight: 1, State: members.Serving, Ended: 2, Digest: 1 << 63}, true))
+	of := members.ID{Seat: members.Seat{Name: "n1", Place: 7}, Life: 3}
+	f.Add(encode(members.Record{ID: of, Seq: 2, Weight: 1, State: members.Serving, Ended: 2, Digest: 1 << 63}, true))
+	f.Add(encodeNote(notes.Note{Of: of, Kind: "load", Seq: 9, Age: time.Second, Body: []byte("1.5")}))
 	f.Add([]byte(`{"n":"x","l":-1}`))
-	f.Add([]byte(`[` + strconv.Itoa(1<<40) + `]`))
+	f.Add([]byte(`{"n":"x","k":"load","g":9223372036854775807}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		r, ask, err := decode(b)
+		w, err := decode(b)
 		if err != nil {
 			return
 		}
-		again, asked, err := decode(encode(r, ask))
-		if err == nil && (again != r || asked != ask) {
-			t.Errorf("%+v, %v came back as %+v, %v", r, ask, again, asked)
+		text := encode(w.record(), w.Ask)
+		if w.Kind != "" {
+			text = encodeNote(w.note())
+		}
+		again, err := decode(text)
+		switch {
+		case err != nil: // longer than it came, as letters are written out
+		case w.Kind != "" && !reflect.DeepEqual(again.note(), w.note()):
+			t.Errorf("%+v came back as %+v", w.note(), again.note())
+		case w.Kind == "" && again.record() != w.record():
+			t.Errorf("%+v came back as %+v", w.record(), again.record())
 		}
 	})
 }
--- a/internal/peers/gossip/record.go
+++ b/internal/peers/gossip/record.go
@@ -3,14 +3,19 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"jasperpin/internal/peers/members"
+	"jasperpin/internal/peers/notes"
 )
 
 // maxRecord bounds a record in bytes: a name and a site, and some numbers.
 const maxRecord = 512
 
-// word is a record as it goes from member to member. Letters are left out as each packet holds
+// maxAge is beyond what any book of notes takes.
+const maxAge = 48 * time.Hour
+
+// word is a record, or a note, as it goes from member to member. Letters are left out as each packet holds
 // some ten of them at the most.
 type word struct {
 	Name   string  `json:"n"`
@@ -23,29 +28,53 @@
 	Ended  uint64  `json:"e,omitempty"`
 	Digest uint64  `json:"d"`
 	Ask    bool    `json:"a,omitempty"` // the sender wants to hear the reader's own
+	// Kind makes it a note of the life, with its number, and no record.
+	Kind string `json:"k,omitempty"`
+	Body []byte `json:"b,omitempty"`
+	Age  int64  `json:"g,omitempty"` // in ms
 }
 
 func encode(r members.Record, ask bool) []byte {
-	b, err := json.Marshal(word{r.Name, r.Place, r.Life, r.Seq, r.Site, r.Weight, uint8(r.State), r.Ended, r.Digest, ask})
+	b, err := json.Marshal(word{
+		Name: r.Name, Place: r.Place, Life: r.Life, Seq: r.Seq, Site: r.Site, Weight: r.Weight,
+		State: uint8(r.State), Ended: r.Ended, Digest: r.Digest, Ask: ask,
+	})
 	if err != nil {
 		panic(err) // a weight that is no number, which no view takes in
 	}
 	return b
 }
 
-// decode reads one record, and whether the reader is to tell its own. What it says is for the
-// view to judge.
-func decode(b []byte) (r members.Record, ask bool, err error) {
+func encodeNote(n notes.Note) []byte {
+	b, err := json.Marshal(word{Name: n.Of.Name, Place: n.Of.Place, Life: n.Of.Life, Seq: n.Seq, Kind: n.Kind, Body: n.Body, Age: n.Age.Milliseconds()})
+	if err != nil {
+		panic(err) // there is nothing in it that JSON has not
+	}
+	return b
+}
+
+// decode reads one word. What it says is for the view, or the book of notes, to judge.
+func decode(b []byte) (w word, err error) {
 	if len(b) > maxRecord {
-		return r, false, fmt.Errorf("%d bytes are no record: want %d at the most", len(b), maxRecord)
+		return w, fmt.Errorf("%d bytes are no word: want %d at the most", len(b), maxRecord)
 	}
-	var w word
 	if err := json.Unmarshal(b, &w); err != nil {
-		return r, false, fmt.Errorf("reading a record: %w", err)
+		return w, fmt.Errorf("reading a word: %w", err)
 	}
-	r = members.Record{
-		ID: members.ID{Seat: members.Seat{Name: w.Name, Place: w.Place}, Life: w.Life}, Seq: w.Seq, Site: w.Site, Weight: w.Weight,
-		State: members.State(w.State), Ended: w.Ended, Digest: w.Digest,
+	return w, nil
+}
+
+func (w *word) id() members.ID {
+	return members.ID{Seat: members.Seat{Name: w.Name, Place: w.Place}, Life: w.Life}
+}
+
+func (w *word) record() members.Record {
+	return members.Record{
+		ID: w.id(), Seq: w.Seq, Site: w.Site, Weight: w.Weight, State: members.State(w.State), Ended: w.Ended, Digest: w.Digest,
 	}
-	return r, w.Ask, nil
+}
+
+func (w *word) note() notes.Note {
+	age := min(max(w.Age, -1), maxAge.Milliseconds()+1) // what is absurd stays so
+	return notes.Note{Of: w.id(), Kind: w.Kind, Seq: w.Seq, Age: time.Duration(age) * time.Millisecond, Body: w.Body}
 }
