Let the group's leases prove ends, and end a part with its lease in the pool itself

Processes: one killed for good is dropped, one stopped past its lease too and back in a new life, with the majority lost nobody is dropped and nobody has a part, with it back all begin anew by the group's list.

--- a/cmd/jasperpin/members_test.go
+++ b/cmd/jasperpin/members_test.go
@@ -10,8 +10,11 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
+	"jasperpin/internal/cluster"
 	"jasperpin/internal/peers/gossip"
+	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
 	"jasperpin/internal/standin/stand"
 )
@@ -178,6 +181,68 @@
 	})
 }
 
+// TestGroupProvesEnds has three voters and one more be members that go by their group: one that is
+// killed for good, and one that is stopped for longer than its lease, count no more; the latter comes
+// back in a new life. With the majority lost nobody is proven gone.
+func TestGroupProvesEnds(t *testing.T) {
+	t.Parallel()
+	const lease = 3 * time.Second
+	dir := t.TempDir()
+	auth := check.Must[*standin.Authority](t)(standin.NewAuthority(dir))
+	var voters, addrs []string
+	for i := range 3 {
+		addrs = append(addrs, check.Unused(t))
+		voters = append(voters, "--voter", fmt.Sprintf("n%02d=%s", i, addrs[i]))
+	}
+	f := fleet(t, stand.FleetOptions{Members: 4, Table: "group = true", Lease: lease, Rest: func(i int) string {
+		cert, key, err := auth.Issue(cluster.VoterName)
+		if err != nil {
+			t.Fatal(err)
+		}
+		own := ""
+		if i < 3 {
+			own = fmt.Sprintf("listen = %q\nfolder = %q\n", addrs[i], filepath.Join(dir, fmt.Sprint("group", i)))
+		}
+		return fmt.Sprintf("[cluster]\nvoters = [%q, %q, %q]\n%scertificate = %q\nkey = %q\nauthorities = %q\nlease = %q\n",
+			addrs[0], addrs[1], addrs[2], own, cert, key, auth.File, lease)
+	}})
+	for i := range 3 {
+		cmd := root()
+		cmd.SetArgs(append([]string{"cluster", "begin", "-c", f.File(i)}, voters...))
+		if err := cmd.ExecuteContext(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	start(t, f, up(0, 4)...)
+	agree(t, f, "four members with a group", up(0, 4)...)
+	check.Eventually(t, "all have told of their leases", func() bool {
+		for i := range 4 {
+			all, err := f.Members(i)
+			if err != nil || slices.ContainsFunc(all, func(m gossip.Member) bool { return m.Notes["group"].Text == "" }) {
+				return false
+			}
+		}
+		return true
+	})
+	f.Kill(3)
+	agree(t, f, "the group says that one has ended", up(0, 3)...)
+	if err := f.Pause(true, 2); err != nil {
+		t.Fatal(err)
+	}
+	agree(t, f, "one is stopped for longer than its lease", 0, 1)
+	if err := f.Pause(false, 2); err != nil {
+		t.Fatal(err)
+	}
+	agree(t, f, "it is back in a new life", up(0, 3)...)
+	f.Kill(1, 2)
+	check.Eventually(t, "without a majority nothing is proven, and the last has no lease", func() bool {
+		all, err := f.Members(0)
+		return err == nil && strings.Contains(f.Process(0).Logged(), "lease is lost") && !slices.ContainsFunc(all, func(m gossip.Member) bool { return m.Part > 0 && m.Self })
+	})
+	start(t, f, 1, 2)
+	agree(t, f, "with the majority back all begin anew", up(0, 3)...)
+}
+
 // TestTwoOfOneName has a second process go by a member's name, from another folder: it is said, and
 // the second waits until the first has left, of which nothing is taken.
 func TestTwoOfOneName(t *testing.T) {
--- a/internal/cluster/instance.go
+++ b/internal/cluster/instance.go
@@ -41,6 +41,7 @@
 // where it has a folder.
 type Instance struct {
 	*Client
+	life string
 	held *Held
 	stop context.CancelFunc
 	mu   sync.Mutex
@@ -71,7 +72,8 @@
 			return nil, err
 		}
 	}
-	i.held = c.Hold(instances+opt.Name, opt.Name+"/"+rand.Text(), opt.Lease)
+	i.life = rand.Text()
+	i.held = c.Hold(instances+opt.Name, opt.Name+"/"+i.life, opt.Lease)
 	return i, nil
 }
 
@@ -113,6 +115,18 @@
 	i.Client.Close()
 }
 
+// Here is this instance's life, and until when the group takes it for there, whatever becomes of its
+// words from now on. It is in the past where it is not there.
+func (i *Instance) Here() (life string, until time.Time) {
+	i.held.mu.Lock()
+	defer i.held.mu.Unlock()
+	now := i.held.now()
+	if _, there := i.held.keeper.Holds(now); !there {
+		return i.life, time.Now().Add(-1)
+	}
+	return i.life, time.Now().Add(i.held.keeper.Until() - now)
+}
+
 // Presence is an instance that is there: its life, which is another with each start, and
 // the fencing number of its lease.
 type Presence struct {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -118,6 +118,7 @@
 		{`[node]`, "[members]\nlisten = \"0.0.0.0:1\"\nseeds = [\"127.0.0.1:1\"]\n[node]\nname = \"a\"", `f:1: advertise is missing`},
 		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\nfirst = true\n[node]\nname = \"a\"", `f:1: folder is missing`},
 		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\nkeys = [\"abc\"]\n[node]\nname = \"a\"", `f:3: keys is "abc": want 16, 24 or 32 bytes in base64`},
+		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\ngroup = true\n[node]\nname = \"a\"", `f:3: group stands without a group`},
 		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\ngone = \"1s\"\n[node]\nname = \"a\"", `f:3: gone is 1s: want 10s at the least`},
 		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\n[node]\nname = \"a\"\nnodes = 3", `f:5: nodes stands beside [members]`},
 		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\n[node]", `f:2: listen stands with a node that has no name`},
--- a/internal/config/members.go
+++ b/internal/config/members.go
@@ -16,6 +16,7 @@
 	Weight    float64
 	First     bool          // it begins the fleet
 	Gone      time.Duration // after which one that is not heard counts no more; 0 for never
+	Group     bool          // the word of [cluster]'s group proves an end, and a member without its lease has no part
 	Bytes     int           // a second each way
 	Folder    string        // where this node's processes know of each other's lives; "" for nowhere
 }
@@ -53,6 +54,7 @@
 		Weight: t.number("weight", 1, 1.0/maxMemberShare, maxMemberShare),
 		First:  t.flag("first", false),
 		Gone:   t.time("gone", 0, 0, maxTime),
+		Group:  t.flag("group", false),
 		Bytes:  int(t.size("bytes", defaultGossip, leastGossip, 1<<30)),
 		Folder: t.text("folder", "", "the path of a folder", func(s string) bool { return s != "" }),
 	}
@@ -73,6 +75,9 @@
 	if len(m.Keys) > maxMemberKeys {
 		t.fail("keys", "has %d entries: want %d at the most", len(m.Keys), maxMemberKeys)
 	}
+	if m.Group && !c.Cluster.On() {
+		t.fail("group", "stands without a group: want [cluster] beside it")
+	}
 	if m.Gone > 0 && m.Gone < leastGone {
 		t.fail("gone", "is %v: want %v at the least, or 0 for never", m.Gone, leastGone)
 	}
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -10,6 +10,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -228,6 +229,8 @@
 	servers map[string]*server
 	byID    map[decide.ServerID]*server
 	rota    *rota.Rota
+	stand   Standing      // as it was told last,
+	partBy  time.Duration // and until when the node has its part; 0 where it has none or was told nothing
 	endBy   time.Duration // no deadline lies later, where a drain has begun
 	retired bool
 	closed  bool
@@ -264,7 +267,9 @@
 // do feeds the Balancer one event and carries out what it decided.
 func (p *Pool) do(event func(now time.Duration)) {
 	p.mu.Lock()
-	event(p.since(time.Now()))
+	now := p.since(time.Now())
+	p.lapse(now)
+	event(now)
 	todo := p.todo
 	p.todo = nil
 	p.mu.Unlock()
@@ -437,12 +442,29 @@
 // Standing is a node's place in its fleet.
 type Standing struct {
 	Number, Of int
-	Withheld   float64 // of its part of bounds over all nodes, 0 to 1
+	Withheld   float64   // of its part of bounds over all nodes, 0 to 1
+	Until      time.Time // from then on all of it; the zero time stands for no end
 }
 
 // Stand takes the node's place in its fleet, which may change at any time.
 func (p *Pool) Stand(s Standing) {
-	p.do(func(time.Duration) { p.b.Stand(s.Number, s.Of, s.Withheld) })
+	p.do(func(time.Duration) {
+		p.b.Stand(s.Number, s.Of, s.Withheld)
+		p.partBy = time.Duration(math.MaxInt64)
+		if !s.Until.IsZero() {
+			p.partBy = p.since(s.Until)
+		}
+		p.stand = s
+	})
+}
+
+// lapse withholds the node's part once its time is over, before anything is decided: a process that
+// was stopped for a while goes on with nothing.
+func (p *Pool) lapse(now time.Duration) {
+	if p.partBy > 0 && now >= p.partBy {
+		p.partBy = 0
+		p.b.Stand(p.stand.Number, p.stand.Of, 1)
+	}
 }
 
 // Listed takes news of the servers.
--- /dev/null
+++ b/internal/core/stand_test.go
@@ -0,0 +1,63 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"jasperpin/decide"
+)
+
+// TestPartEndsByItself has a pool whose node has a part of a cold server until some time: it sends there
+// before, and from that moment on nothing, told or not, as it may have been stopped meanwhile.
+func TestPartEndsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cold := 0
+		s := &script{do: func(_ context.Context, _ int, addr string) (decide.Result, *Answer) {
+			if addr == "cold:1" {
+				cold++
+			}
+			return decide.OK, &Answer{Code: 200}
+		}}
+		p := NewPool(Settings{
+			Decide: decide.Settings{
+				Nodes: 1, MaxAttempts: 1, FallMultiple: 3, StartShare: 0.2, WarmWithin: time.Hour,
+				Classes: []decide.Class{{Effect: decide.Free, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+			},
+			Seed: 1, Upstream: s, Log: slog.New(slog.DiscardHandler),
+		})
+		hosts := []Host{{Name: "cold", Addr: "cold:1", Condition: decide.Ready, Share: 1, BornMS: float64(time.Now().UnixMilli())}}
+		for i := range 4 {
+			name := fmt.Sprint("w", i)
+			hosts = append(hosts, Host{Name: name, Addr: name + ":1", Condition: decide.Ready, Share: 1})
+		}
+		p.Listed(decide.ListFull, hosts)
+		p.Stand(Standing{Of: 2, Until: time.Now().Add(20 * time.Second)})
+		sent := func(seconds int) int {
+			was := cold
+			for i := range seconds * 50 {
+				x, err := ask(p, fmt.Sprint(time.Now(), i), free)
+				if err != nil {
+					t.Fatal(err)
+				}
+				<-x.Final()
+				time.Sleep(20 * time.Millisecond)
+			}
+			return cold - was
+		}
+		if got := sent(20); got < 10 {
+			t.Errorf("%d calls to a cold server with a part of it", got)
+		}
+		if got := sent(20); got > 0 {
+			t.Errorf("%d calls to a cold server after the part had ended", got)
+		}
+		p.Stand(Standing{Of: 2})
+		if got := sent(20); got < 10 {
+			t.Errorf("%d calls to a cold server with a part again", got)
+		}
+		p.Close()
+	})
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,14 +24,23 @@
 
 // fleetMember is the node as a member of its fleet.
 type fleetMember struct {
+	node   *Node
 	lives  *gossip.Lives
 	gossip atomic.Pointer[gossip.Gossip] // nil until it has joined
-	closed chan struct{}
+	until  atomic.Pointer[time.Time]     // when its lease of the group ends; nil where it wants none
+	ctx    context.Context
+	stop   context.CancelFunc
 	later  sync.WaitGroup
 }
 
-// rejoinEvery is how often a new version looks whether the address for members is free.
-const rejoinEvery = 200 * time.Millisecond
+const (
+	// rejoinEvery is how often a new version looks whether the address for members is free.
+	rejoinEvery = 200 * time.Millisecond
+	// leaseEvery is how often the group's lease is looked at.
+	leaseEvery = 100 * time.Millisecond
+	// proofEvery is how often the group is asked who is there.
+	proofEvery = time.Second
+)
 
 // join meets the others of the fleet, where the configuration says how. The node has no part of
 // what bounds all until they count it. A new version beside the one that runs joins when that has
@@ -40,48 +50,133 @@
 	if !c.On() {
 		return nil
 	}
-	n.set.Stand(core.Standing{Of: 1, Withheld: 1})
 	lives, err := gossip.Begin(c.Folder)
 	if err != nil {
 		return err
 	}
-	m := &fleetMember{lives: lives, closed: make(chan struct{})}
+	m := &fleetMember{node: n, lives: lives}
+	m.ctx, m.stop = context.WithCancel(context.Background())
+	if c.Group {
+		m.until.Store(&time.Time{})
+	}
 	n.fleet = m
-	meet := func() error {
-		g, err := gossip.Join(gossip.Options{
-			Self:   members.Record{ID: members.ID{Seat: members.Seat{Name: n.cfg.Name, Place: lives.Place}, Life: lives.Own}, Site: c.Site, Weight: c.Weight},
-			Listen: c.Listen, Advertise: c.Advertise, Seeds: c.Seeds, Keys: c.Keys, Bytes: c.Bytes, Gone: c.Gone,
-			Alone: c.First && !lives.Again, Before: lives.Before, Changed: n.stand, Log: n.log,
-			Topics: []gossip.Topic{{Kind: notes.Kind{Name: loadTopic, Most: 32, Keep: loadKeep}, Say: n.load()}},
-		})
-		if err == nil {
-			n.log.Info("meeting the fleet", "name", n.cfg.Name, "life", lives.Own, "at", g.Addr())
-			m.gossip.Store(g)
-		}
+	n.stand(gossip.Standing{Of: 1})
+	err = m.meet()
+	switch {
+	case errors.Is(err, gossip.ErrListen) && lives.Runs():
+		n.log.Info("the fleet is met once the process before this one has ended", "err", err)
+		m.later.Go(m.wait)
+	case err != nil:
 		return err
 	}
-	err = meet()
-	if !errors.Is(err, gossip.ErrListen) || !lives.Runs() {
-		return err
+	if c.Group {
+		m.later.Go(m.keepLease)
+		m.later.Go(m.hearGroup)
 	}
-	n.log.Info("the fleet is met once the process before this one has ended", "err", err)
-	m.later.Go(func() {
-		for {
-			select {
-			case <-m.closed:
-				return
-			case <-time.After(rejoinEvery):
-			}
-			switch err := meet(); {
-			case err == nil:
-				return
-			case !errors.Is(err, gossip.ErrListen):
-				n.log.Error("the fleet cannot be met", "err", err)
-				return
+	return nil
+}
+
+// meet begins to talk to the fleet.
+func (m *fleetMember) meet() error {
+	n, c, lives := m.node, m.node.cfg.Members, m.lives
+	topics := []gossip.Topic{{Kind: notes.Kind{Name: loadTopic, Most: 32, Keep: loadKeep}, Say: n.load()}}
+	if c.Group {
+		topics = append(topics, gossip.Topic{Kind: notes.Kind{Name: groupTopic, Most: 64, Keep: groupKeep}, Say: func() []byte {
+			if life, until := n.group.Here(); time.Now().Before(until) {
+				return []byte(life)
 			}
-		}
+			return nil
+		}})
+	}
+	g, err := gossip.Join(gossip.Options{
+		Self:   members.Record{ID: members.ID{Seat: members.Seat{Name: n.cfg.Name, Place: lives.Place}, Life: lives.Own}, Site: c.Site, Weight: c.Weight},
+		Listen: c.Listen, Advertise: c.Advertise, Seeds: c.Seeds, Keys: c.Keys, Bytes: c.Bytes, Gone: c.Gone,
+		Alone: c.First && !lives.Again, Before: lives.Before, Changed: n.stand, Topics: topics, Log: n.log,
 	})
-	return nil
+	if err == nil {
+		n.log.Info("meeting the fleet", "name", n.cfg.Name, "life", lives.Own, "at", g.Addr())
+		m.gossip.Store(g)
+	}
+	return err
+}
+
+// wait meets the fleet as soon as the address is free.
+func (m *fleetMember) wait() {
+	for m.sleep(rejoinEvery) {
+		err := m.meet()
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, gossip.ErrListen) {
+			m.node.log.Error("the fleet cannot be met", "err", err)
+			return
+		}
+	}
+}
+
+func (m *fleetMember) sleep(d time.Duration) bool {
+	select {
+	case <-m.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// keepLease has the part end with the group's lease, by which time the group may take this life for
+// ended: for good, and a new life begins, which others have to count.
+func (m *fleetMember) keepLease() {
+	had := false
+	for m.sleep(leaseEvery) {
+		_, until := m.node.group.Here()
+		there := time.Now().Before(until)
+		lost := had && !there
+		had = there
+		if !until.Equal(*m.until.Swap(&until)) {
+			m.node.restand()
+		}
+		g := m.talk()
+		if !lost || g == nil || m.node.draining.Load() {
+			continue
+		}
+		m.node.log.Warn("the group's lease is lost: a new life begins")
+		g.Leave(farewell)
+		g.Close()
+		m.gossip.Store(nil)
+		m.lives.End()
+		lives, err := gossip.Begin(m.node.cfg.Members.Folder)
+		if err == nil {
+			m.lives = lives
+			err = m.meet()
+		}
+		if err != nil {
+			m.node.log.Error("the fleet cannot be met again", "err", err)
+			return
+		}
+	}
+}
+
+// hearGroup asks the group who is there: a life that told of its lease, and whose lease has ended,
+// has given its part up by its own clock before that. Where all lost their leases, as the group did
+// its majority, none serves any more: they begin anew by the group's word that they are all.
+func (m *fleetMember) hearGroup() {
+	for m.sleep(proofEvery) {
+		g := m.talk()
+		if g == nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(m.ctx, proofEvery)
+		there, err := m.node.group.Instances(ctx)
+		cancel()
+		if err != nil {
+			continue // no proof without a majority
+		}
+		lives := make(map[string]bool, len(there))
+		for _, p := range there {
+			lives[p.Life] = true
+		}
+		g.Prove(groupTopic, lives)
+	}
 }
 
 // talk is the node's gossip, or nil where it has not met its fleet.
@@ -96,6 +191,9 @@
 const (
 	loadTopic = "load"
 	loadKeep  = 5 * time.Minute
+	// groupTopic is the life by which a member is there for the group.
+	groupTopic = "group"
+	groupKeep  = time.Hour
 )
 
 func (n *Node) load() func() []byte {
@@ -111,7 +209,23 @@
 // stand gives the node's place in its fleet to all pools. Of an even part what is above the own
 // one is withheld; a greater weight widens nothing, as its clients come with it.
 func (n *Node) stand(s gossip.Standing) {
-	n.set.Stand(core.Standing{Number: s.Number, Of: s.Of, Withheld: 1 - min(1, s.Part*float64(s.Of))})
+	n.standing.Store(&s)
+	n.restand()
+}
+
+// restand gives the place as it is now.
+func (n *Node) restand() {
+	n.standOnce.Lock()
+	defer n.standOnce.Unlock()
+	s := n.standing.Load()
+	st := core.Standing{Number: s.Number, Of: s.Of, Withheld: 1 - min(1, s.Part*float64(s.Of))}
+	if until := n.fleet.until.Load(); until != nil {
+		st.Until = *until
+		if until.IsZero() {
+			st.Withheld = 1 // it has not had its lease yet
+		}
+	}
+	n.set.Stand(st)
 }
 
 // leave gives the node's part up.
@@ -125,7 +239,7 @@
 	if m == nil {
 		return
 	}
-	close(m.closed)
+	m.stop()
 	m.later.Wait()
 	if g := m.talk(); g != nil {
 		g.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"jasperpin/internal/httpfront"
 	"jasperpin/internal/httpup"
 	"jasperpin/internal/limit"
+	"jasperpin/internal/peers/gossip"
 	"jasperpin/internal/plan"
 	"jasperpin/internal/planlink"
 	"jasperpin/internal/platform"
@@ -79,7 +80,9 @@
 	door      *door.Door
 	figures   *figures.Board
 	draining  atomic.Bool
-	fleet     *fleetMember      // nil where it meets no others
+	fleet     *fleetMember // nil where it meets no others
+	standing  atomic.Pointer[gossip.Standing]
+	standOnce sync.Mutex        // puts standings in force one after the other
 	group     *cluster.Instance // nil where the node belongs to none
 	line      *succession.Line  // of this node's processes; nil where it has no folder
 	shares    chan succession.Share
@@ -96,10 +99,10 @@
 	n := &Node{cfg: cfg, source: source, log: log, figures: figures.New(), shares: make(chan succession.Share, 1), share: succession.Share{Of: 1}}
 	if err := n.start(); err != nil {
 		n.unlisten()
+		n.fleet.close()
 		if n.group != nil {
 			n.group.Close()
 		}
-		n.fleet.close()
 		return nil, err
 	}
 	return n, nil
@@ -257,10 +260,10 @@
 	if n.door != nil {
 		n.door.Close()
 	}
+	n.fleet.close() // before the lease that it goes by
 	if n.group != nil {
 		n.group.Close()
 	}
-	n.fleet.close()
 	n.line.Close()
 	if n.planner != nil {
 		n.planner.close()
--- a/internal/peers/gossip/gossip.go
+++ b/internal/peers/gossip/gossip.go
@@ -419,6 +419,28 @@
 	return nil
 }
 
+// Prove takes the word of others, such as the group's, of which lives are there by what they said of a
+// topic: who is counted, has said something and is not there has ended; where all who are there are
+// counted, nobody who serves is missing.
+func (g *Gossip) Prove(topic string, there map[string]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	counted := 0
+	for id, v := range g.book.Read(g.now(), topic).Values {
+		switch {
+		case there[string(v.Body)]:
+			counted++
+		case id != g.opts.Self.ID:
+			g.opts.Log.Info("a member has ended, by the group's word", "name", id.Name, "life", id.Life)
+			g.view.Ended(id)
+		}
+	}
+	if counted == len(there) && counted > 0 {
+		g.view.Whole()
+	}
+	g.say()
+}
+
 // Begin takes an operator's word that no member serves.
 func (g *Gossip) Begin() error {
 	g.mu.Lock()
--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -275,6 +275,13 @@
 	v.step(nil)
 }
 
+// Whole takes the proof of others, such as the group's, that nobody who serves is missing here: it
+// stands in for one that serves and counts the same.
+func (v *View) Whole() {
+	v.whole = true
+	v.step(nil)
+}
+
 // Begin takes an operator's word that no member serves, as after the loss of a whole fleet: this
 // one does from now on, and the others join it. A wrong word makes two fleets until they meet.
 func (v *View) Begin() error {
--- a/internal/peers/members/members_test.go
+++ b/internal/peers/members/members_test.go
@@ -80,7 +80,7 @@
 			f.now += time.Millisecond
 			alive := f.alive()
 			any := func(label string) *process { return alive[rapid.IntRange(0, len(alive)-1).Draw(t, label)] }
-			switch op := rapid.IntRange(0, 11).Draw(t, "op"); {
+			switch op := rapid.IntRange(0, 12).Draw(t, "op"); {
 			case op == 0 && len(f.procs) < 14: // a new member, or an ended one's next life
 				f.start(fmt.Sprint("n", rapid.IntRange(0, 9).Draw(t, "name")), rapid.Uint64Range(0, 1).Draw(t, "place"), false)
 			case op == 1 && len(alive) > 1:
@@ -95,6 +95,11 @@
 				if !p.alive {
 					any("told").v.Ended(p.v.self)
 				}
+			case op == 12: // others know that these are all, and tell one that counts them
+				p := any("whole")
+				if !slices.ContainsFunc(alive, func(o *process) bool { return !p.v.Counts(o.v.self) }) {
+					p.v.Whole()
+				}
 			case op <= 5: // a full exchange
 				a, b := any("a"), any("b")
 				from := a.v.All()
--- a/internal/standin/stand/fleet.go
+++ b/internal/standin/stand/fleet.go
@@ -26,11 +26,14 @@
 	Dir     string // of files and logs
 	Seed    uint64 // of the network's draws
 	// Node starts a node by its file.
-	Node func(dir, name, file string) (*Process, error)
-	// Table is lines more for [members], Rest for the file's end.
-	Table, Rest string
-	Servers     []string // addresses, in the one pool of each node
-	Seeds       []string // of members, before the first two
+	Node    func(dir, name, file string) (*Process, error)
+	Table   string             // lines more for [members]
+	Rest    func(i int) string // tables more of each, if set
+	Servers []string           // addresses, in the one pool of each node
+	Seeds   []string           // of members, before the first two
+	// Lease is how long after a pause a process may still use its part, where leases end them; 0 for
+	// as long as it lives.
+	Lease time.Duration
 }
 
 // Fleet is many nodes that are members of one fleet, as processes, with a network between them.
@@ -39,13 +42,15 @@
 	opts  FleetOptions
 	procs []*Process
 	lived []life // all processes that there were
+	// lapses are ends of leases of processes that were paused.
+	lapses []life
 }
 
 // life is what a process has logged of itself.
 type life struct {
 	member int
 	proc   *Process
-	ended  time.Time // when it was known to have ended; zero while it runs
+	ended  time.Time // when it was known to have ended, or its lease; zero while it runs
 }
 
 // NewFleet lays a fleet out; Start starts its processes.
@@ -94,6 +99,10 @@
 	if len(servers) == 0 {
 		servers = []string{"127.0.0.1:1"}
 	}
+	rest := ""
+	if f.opts.Rest != nil {
+		rest = f.opts.Rest(i)
+	}
 	text := fmt.Sprintf(`[node]
 name = %q
 listen = ["127.0.0.1:0"]
@@ -118,7 +127,7 @@
 aim = "1s"
 deadline = "2s"
 %s
-`, f.Name(i), f.Door(i), f.Own(i), f.Shown(i), quoted(seeds), i == 0, f.Name(i)+"-lives", f.opts.Table, quoted(servers), f.opts.Rest)
+`, f.Name(i), f.Door(i), f.Own(i), f.Shown(i), quoted(seeds), i == 0, f.Name(i)+"-lives", f.opts.Table, quoted(servers), rest)
 	return os.WriteFile(f.File(i), []byte(text), 0o600)
 }
 
@@ -196,6 +205,9 @@
 	var errs []error
 	for _, i := range members {
 		errs = append(errs, f.procs[i].Signal(sig))
+		if on && f.opts.Lease > 0 {
+			f.lapses = append(f.lapses, life{i, f.procs[i], time.Now().Add(f.opts.Lease)})
+		}
 	}
 	return errors.Join(errs...)
 }
@@ -290,6 +302,10 @@
 			all = append(all, change{l.ended, n, 0})
 		}
 	}
+	for _, l := range f.lapses {
+		n := slices.IndexFunc(f.lived, func(o life) bool { return o.proc == l.proc })
+		all = append(all, change{l.ended, n, 0})
+	}
 	has, sum := make([]float64, len(f.lived)), 0.0
 	slices.SortStableFunc(all, func(a, b change) int {
 		return a.at.Truncate(time.Millisecond).Compare(b.at.Truncate(time.Millisecond))
