--- a/internal/peers/gossip/gossip.go
+++ b/internal/peers/gossip/gossip.go
@@ -308,6 +308,11 @@
 			return
 		}
 		g.mu.Lock()
+		if g.leaving {
+			g.mu.Unlock()
+			return
+		}
+		maps.DeleteFunc(g.lost, func(id members.ID, _ string) bool { return !g.view.Counts(id) })
 		calls := slices.Concat(g.opts.Seeds, slices.Collect(maps.Values(g.lost)))
 		there := slices.Collect(maps.Values(g.here))
 		calls = slices.DeleteFunc(calls, func(at string) bool { return slices.Contains(there, at) })
@@ -580,18 +585,13 @@
 	d.there.Store(int64(len(d.here)))
 }
 
-// NotifyLeave keeps the address of one that is not there, until it is known to have ended.
+// NotifyLeave keeps the address of one that is not there and may be serving.
 func (d *delegate) NotifyLeave(n *memberlist.Node) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	id, _ := parseName(n.Name)
 	delete(d.here, id)
 	d.there.Store(int64(len(d.here)))
-	for other := range d.lost {
-		if !d.view.Counts(other) {
-			delete(d.lost, other)
-		}
-	}
 	if len(d.lost) < maxLost && d.view.Counts(id) {
 		d.lost[id] = n.Address()
 	}
--- a/internal/peers/gossip/transport.go
+++ b/internal/peers/gossip/transport.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 	packets chan *memberlist.Packet
 	streams chan net.Conn
 	done    chan struct{}
+	once    sync.Once
 	dropped atomic.Uint64 // packets, by the cap
 	sent    atomic.Uint64 // bytes
 	got     atomic.Uint64
@@ -107,7 +109,7 @@
 }
 
 func (t *transport) Shutdown() error {
-	close(t.done)
+	t.once.Do(func() { close(t.done) })
 	return t.NetTransport.Shutdown()
 }
 
--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -30,6 +30,10 @@
 	MaxMembers = 4096
 	// MaxText bounds a name or a site, in bytes.
 	MaxText = 128
+	// tellGone is how long a life that is gone is told of, and keepGone how long it is remembered, so that
+	// an old record counts it no more. One that comes later still has it counted, until it is told again.
+	tellGone = time.Hour
+	keepGone = 24 * time.Hour
 	// MaxWeight bounds a member's weight, against others'.
 	MaxWeight = 1e6
 )
@@ -116,6 +120,7 @@
 	mark   uint64        // what stands for it in digests
 	heard  time.Duration // when it last told something new, or was seen; 0 for never
 	gone   bool          // it has left, or was not heard for as long as the operator states
+	goneAt time.Duration // since when, as Tick saw it first; 0 before
 	counts bool          // it is known to count this member
 }
 
@@ -133,13 +138,14 @@
 
 // View is what one member knows. It is not safe for use by several goroutines at once.
 type View struct {
-	opts  Options
-	self  ID
-	lives map[ID]*member  // those gone are kept, so that their old records count them no more
-	ended map[Seat]uint64 // the greatest life proven to have ended
-	sum   uint64          // the digest of all that may be serving,
-	drawn uint64          // and the one for which step last looked at all
-	whole bool            // one that serves was known to count the same: nobody whom it counts is missing here
+	opts   Options
+	self   ID
+	lives  map[ID]*member  // those gone are kept, so that their old records count them no more
+	ended  map[Seat]uint64 // the greatest life proven to have ended
+	sum    uint64          // the digest of all that may be serving,
+	drawn  uint64          // and the one for which step last looked at all
+	ticked time.Duration   // the time of the last Tick
+	whole  bool            // one that serves was known to count the same: nobody whom it counts is missing here
 }
 
 // New begins a life. Its record's Seq, State and Digest are the view's own from here on.
@@ -163,6 +169,9 @@
 func (v *View) All() []Record {
 	all := make([]Record, 0, len(v.lives))
 	for _, m := range v.lives {
+		if m.goneAt > 0 && v.ticked-m.goneAt > tellGone {
+			continue
+		}
 		if m.rec.Seq < math.MaxUint64 { // else it is a proof, which is for this member alone
 			all = append(all, m.rec)
 		}
@@ -307,9 +316,19 @@
 	v.lives[v.self].rec.Seq++
 }
 
-// Tick lets time pass: members that have said nothing for as long as the operator states are gone.
+// Tick lets time pass: members that have said nothing for as long as the operator states are gone, and
+// those that are gone are forgotten in the end.
 func (v *View) Tick(now time.Duration) {
+	v.ticked = now
 	for id, m := range v.lives {
+		switch {
+		case !m.gone:
+			m.goneAt = 0
+		case m.goneAt == 0:
+			m.goneAt = max(now, 1)
+		case now-m.goneAt > keepGone && id != v.self:
+			delete(v.lives, id)
+		}
 		if v.opts.Gone > 0 && id != v.self && now-m.heard > v.opts.Gone {
 			v.count(m, false)
 		}
--- a/internal/peers/members/members_test.go
+++ b/internal/peers/members/members_test.go
@@ -216,6 +216,27 @@
 	}
 }
 
+// TestLivesThatEndedAreForgotten has more lives come and leave than a view may hold, over some days: there
+// is always room for the next.
+func TestLivesThatEndedAreForgotten(t *testing.T) {
+	v := join(t, 1, Options{Silent: time.Second})[0]
+	now := time.Duration(1)
+	for i := range uint64(3 * MaxMembers) {
+		now += time.Minute
+		r := Record{ID: ID{Seat{"x", i}, 1}, Seq: 1, Weight: 1, State: Serving}
+		for _, r.State = range []State{Serving, Leaving} {
+			if _, err := v.Hear(now, r); err != nil {
+				t.Fatal(i, err)
+			}
+			r.Seq++
+		}
+		v.Tick(now)
+	}
+	if v.Part() != 1 || len(v.All()) > 100 || len(v.lives) > 2000 {
+		t.Errorf("a part of %v, %d lives of which %d are told", v.Part(), len(v.lives), len(v.All()))
+	}
+}
+
 // TestBadRecordsChangeNothing feeds what strangers and faults make.
 func TestBadRecordsChangeNothing(t *testing.T) {
 	v := join(t, 2, Options{Silent: time.Second})[0]
