Close a member while words still come: the library waited for what nobody took

A process that lost its lease did not begin its new life, and one under a flood would not have ended: transport.Shutdown closed its own reader before the library's listeners, which wait until what they got is taken. The test with a flood of words fails without the mend.

--- a/cmd/jasperpin/members_test.go
+++ b/cmd/jasperpin/members_test.go
@@ -194,7 +194,7 @@
 		addrs = append(addrs, check.Unused(t))
 		voters = append(voters, "--voter", fmt.Sprintf("n%02d=%s", i, addrs[i]))
 	}
-	f := fleet(t, stand.FleetOptions{Members: 4, Table: "group = true", Lease: lease, Rest: func(i int) string {
+	f := fleet(t, stand.FleetOptions{Members: 4, Table: "group = true", Leases: true, Rest: func(i int) string {
 		cert, key, err := auth.Issue(cluster.VoterName)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/peers/gossip/gossip_test.go
+++ b/internal/peers/gossip/gossip_test.go
@@ -1,9 +1,13 @@
 package gossip
 
 import (
+	"log/slog"
+	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"reflect"
+	"sync"
 	"testing"
 	"time"
 
@@ -79,3 +83,44 @@
 		}
 	})
 }
+
+// TestClosesUnderWords has a member close while words come as fast as they can: it ends all the same.
+func TestClosesUnderWords(t *testing.T) {
+	for range 5 {
+		g, err := Join(Options{
+			Self:   members.Record{ID: members.ID{Seat: members.Seat{Name: "n"}, Life: 1}, Weight: 1},
+			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Bytes: 1 << 20, Alone: true, Log: slog.New(slog.DiscardHandler),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := check.Must[net.Conn](t)(net.Dial("udp", g.Addr()))
+		stop := make(chan struct{})
+		var flood sync.WaitGroup
+		flood.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = c.Write([]byte("\x08{}"))
+				}
+			}
+		})
+		check.Eventually(t, "words come", func() bool { return g.Counts().Got > 1000 })
+		closed := make(chan struct{})
+		go func() {
+			g.Leave(time.Millisecond)
+			g.Close()
+			close(closed)
+		}()
+		select {
+		case <-closed:
+		case <-time.After(check.Soon):
+			t.Fatal("it does not close")
+		}
+		close(stop)
+		flood.Wait()
+		c.Close()
+	}
+}
--- a/internal/peers/gossip/transport.go
+++ b/internal/peers/gossip/transport.go
@@ -25,7 +25,8 @@
 	in, out *rate.Limiter
 	packets chan *memberlist.Packet
 	streams chan net.Conn
-	done    chan struct{}
+	closing chan struct{} // nobody takes what comes any more
+	done    chan struct{} // and nothing comes
 	once    sync.Once
 	dropped atomic.Uint64 // packets, by the cap
 	sent    atomic.Uint64 // bytes
@@ -39,7 +40,7 @@
 		return nil, err
 	}
 	t := &transport{
-		NetTransport: lib, packets: make(chan *memberlist.Packet), streams: make(chan net.Conn), done: make(chan struct{}),
+		NetTransport: lib, packets: make(chan *memberlist.Packet), streams: make(chan net.Conn), closing: make(chan struct{}), done: make(chan struct{}),
 		in: rate.NewLimiter(rate.Limit(bytes), max(bytes, maxPacket)), out: rate.NewLimiter(rate.Limit(bytes), max(bytes, maxPacket)),
 	}
 	if !at.Addr().IsUnspecified() {
@@ -49,7 +50,8 @@
 	return t, nil
 }
 
-// receive hands on what comes, within the cap.
+// receive hands on what comes, within the cap. As long as the library listens it waits for what it
+// has got to be taken, so that this goes on while it closes.
 func (t *transport) receive() {
 	for {
 		select {
@@ -61,15 +63,13 @@
 			}
 			select {
 			case t.packets <- p:
-			case <-t.done:
-				return
+			case <-t.closing:
 			}
 		case c := <-t.NetTransport.StreamCh():
 			select {
 			case t.streams <- &paced{Conn: c, t: t}:
-			case <-t.done:
+			case <-t.closing:
 				c.Close()
-				return
 			}
 		case <-t.done:
 			return
@@ -108,9 +108,13 @@
 	return &paced{Conn: c, t: t}, nil
 }
 
-func (t *transport) Shutdown() error {
-	t.once.Do(func() { close(t.done) })
-	return t.NetTransport.Shutdown()
+func (t *transport) Shutdown() (err error) {
+	t.once.Do(func() {
+		close(t.closing)
+		err = t.NetTransport.Shutdown()
+		close(t.done)
+	})
+	return err
 }
 
 // paced is a stream under the cap.
--- a/internal/standin/stand/fleet.go
+++ b/internal/standin/stand/fleet.go
@@ -31,9 +31,9 @@
 	Rest    func(i int) string // tables more of each, if set
 	Servers []string           // addresses, in the one pool of each node
 	Seeds   []string           // of members, before the first two
-	// Lease is how long after a pause a process may still use its part, where leases end them; 0 for
-	// as long as it lives.
-	Lease time.Duration
+	// Leases says that parts end with leases: a process that is paused, for longer than its own, has
+	// none from then on until it says so anew.
+	Leases bool
 }
 
 // Fleet is many nodes that are members of one fleet, as processes, with a network between them.
@@ -42,7 +42,7 @@
 	opts  FleetOptions
 	procs []*Process
 	lived []life // all processes that there were
-	// lapses are ends of leases of processes that were paused.
+	// lapses are pauses that outlast leases.
 	lapses []life
 }
 
@@ -50,7 +50,7 @@
 type life struct {
 	member int
 	proc   *Process
-	ended  time.Time // when it was known to have ended, or its lease; zero while it runs
+	ended  time.Time // when it was known to have ended, or was paused; zero while it runs
 }
 
 // NewFleet lays a fleet out; Start starts its processes.
@@ -205,8 +205,8 @@
 	var errs []error
 	for _, i := range members {
 		errs = append(errs, f.procs[i].Signal(sig))
-		if on && f.opts.Lease > 0 {
-			f.lapses = append(f.lapses, life{i, f.procs[i], time.Now().Add(f.opts.Lease)})
+		if on && f.opts.Leases {
+			f.lapses = append(f.lapses, life{i, f.procs[i], time.Now()})
 		}
 	}
 	return errors.Join(errs...)
