Say once what members, calls at a door and plain nodes had two copies of

Whether a member is heard is one question of the view, and a word takes the list of members once, sorted, where it took it twice; a note does not take it at all. The folder of lives is read until no earlier one runs, and not five times a second for ever. The node's standing belongs to its member; a pool derives when its part ends; the lease says its own end. One text of a service, one reader of members, one way to ask at a door, one plain node at rest. Gone, as nobody used them: Standing, Fleet.Call, the stand's servers. Behaviour and tests' assertions are as they were.

--- a/cmd/jasperpin/cluster_test.go
+++ b/cmd/jasperpin/cluster_test.go
@@ -46,19 +46,7 @@
 certificate = %q
 key = %q
 authorities = %q
-[[service]]
-name = "s"
-[[service.route]]
-pool = "p"
-[[pool]]
-name = "p"
-servers = ["127.0.0.1:1"]
-[[pool.class]]
-name = "look"
-repeat = "safe"
-aim = "1s"
-deadline = "2s"
-`, name, strings.Join(voters, ", "), s.addrs[name], name, cert, key, s.auth.File)
+%s`, name, strings.Join(voters, ", "), s.addrs[name], name, cert, key, s.auth.File, stand.Service)
 	path := filepath.Join(s.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
--- a/cmd/jasperpin/ctl.go
+++ b/cmd/jasperpin/ctl.go
@@ -79,14 +79,24 @@
 	return at, nil
 }
 
-func (c *ctl) call(ctx context.Context, out io.Writer, line string) error {
+// ask has something asked at the door, within the time.
+func ask[T any](ctx context.Context, c *ctl, do func(ctx context.Context, at string) (T, error)) (answer T, err error) {
 	at, err := c.door()
 	if err != nil {
-		return err
+		return answer, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.wait)
 	defer cancel()
-	_, err = door.Call(ctx, at, line)
+	return do(ctx, at)
+}
+
+// lines makes a call and gives the lines of its answer.
+func (c *ctl) lines(ctx context.Context, line string) ([]string, error) {
+	return ask(ctx, c, func(ctx context.Context, at string) ([]string, error) { return door.Call(ctx, at, line) })
+}
+
+func (c *ctl) call(ctx context.Context, out io.Writer, line string) error {
+	_, err := c.lines(ctx, line)
 	if !c.asJSON {
 		if err == nil {
 			fmt.Fprintln(out, "done")
@@ -107,13 +117,7 @@
 }
 
 func (c *ctl) read(ctx context.Context) ([]door.Figure, error) {
-	at, err := c.door()
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, c.wait)
-	defer cancel()
-	return door.ReadFigures(ctx, at)
+	return ask(ctx, c, door.ReadFigures)
 }
 
 func (c *ctl) figures(ctx context.Context, out io.Writer) error {
--- a/cmd/jasperpin/members.go
+++ b/cmd/jasperpin/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -11,7 +10,6 @@
 
 	"github.com/spf13/cobra"
 
-	"jasperpin/internal/door"
 	"jasperpin/internal/peers/gossip"
 )
 
@@ -36,22 +34,14 @@
 }
 
 func (c *ctl) members(ctx context.Context, out io.Writer) error {
-	at, err := c.door()
+	lines, err := c.lines(ctx, "members")
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.wait)
-	defer cancel()
-	lines, err := door.Call(ctx, at, "members")
+	all, err := gossip.ReadMembers(lines)
 	if err != nil {
 		return err
 	}
-	all := make([]gossip.Member, len(lines))
-	for i, line := range lines {
-		if err := json.Unmarshal([]byte(line), &all[i]); err != nil {
-			return fmt.Errorf("%s tells of a member what cannot be read: %w", at, err)
-		}
-	}
 	if c.asJSON {
 		_, err = fmt.Fprintf(out, "[%s]\n", strings.Join(lines, ","))
 		return err
--- a/cmd/proof/cluster.go
+++ b/cmd/proof/cluster.go
@@ -46,19 +46,7 @@
 const plainNode = `[node]
 name = %q
 listen = ["127.0.0.1:0"]
-[[service]]
-name = "s"
-[[service.route]]
-pool = "p"
-[[pool]]
-name = "p"
-servers = ["127.0.0.1:1"]
-[[pool.class]]
-name = "look"
-repeat = "safe"
-aim = "1s"
-deadline = "2s"
-`
+` + stand.Service
 
 func newGroupOf(dir string, names ...string) (*groupOf, error) {
 	auth, err := standin.NewAuthority(dir)
@@ -217,6 +205,20 @@
 	return wrote.Load(), lost.Load(), took, err
 }
 
+// plainRest is what a node without a group or a fleet has and uses at rest.
+func plainRest(dir string) (kb int, cpu time.Duration, err error) {
+	file := filepath.Join(dir, "plain.toml")
+	if err := os.WriteFile(file, fmt.Appendf(nil, plainNode, "plain"), 0o600); err != nil {
+		return 0, 0, fmt.Errorf("a node's file: %w", err)
+	}
+	p, err := start(dir, "node", file)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = p.End() }()
+	return rest(p)
+}
+
 // rest is what a process at rest has and uses.
 func rest(p *stand.Process) (kb int, cpu time.Duration, err error) {
 	time.Sleep(groupRest) // it has started just now
@@ -241,16 +243,7 @@
 		return nil, fmt.Errorf("a place for files: %w", err)
 	}
 	defer os.RemoveAll(dir)
-	alone := filepath.Join(dir, "alone.toml")
-	if err := os.WriteFile(alone, fmt.Appendf(nil, plainNode, "alone"), 0o600); err != nil {
-		return nil, fmt.Errorf("a node's file: %w", err)
-	}
-	off, err := start(dir, "node", alone)
-	if err != nil {
-		return nil, err
-	}
-	offKB, offCPU, err := rest(off)
-	_ = off.End()
+	offKB, offCPU, err := plainRest(dir)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/proof/members.go
+++ b/cmd/proof/members.go
@@ -42,8 +42,8 @@
 	}
 	defer os.RemoveAll(dir)
 	var f figures
-	alone, err := plainRest(dir)
-	if err != nil {
+	var alone atRest
+	if alone.kb, alone.cpu, err = plainRest(dir); err != nil {
 		return nil, err
 	}
 	for _, n := range []int{5, 12, 30} {
@@ -122,20 +122,6 @@
 	cpu time.Duration
 }
 
-func plainRest(dir string) (r atRest, err error) {
-	file := filepath.Join(dir, "plain.toml")
-	if err := os.WriteFile(file, fmt.Appendf(nil, plainNode, "plain"), 0o600); err != nil {
-		return r, fmt.Errorf("a node's file: %w", err)
-	}
-	p, err := start(dir, "node", file)
-	if err != nil {
-		return r, err
-	}
-	defer func() { _ = p.End() }()
-	r.kb, r.cpu, err = rest(p)
-	return r, err
-}
-
 // measured is a fleet that is measured.
 type measured struct {
 	*stand.Fleet
--- a/internal/cluster/hold.go
+++ b/internal/cluster/hold.go
@@ -37,6 +37,16 @@
 	return h.keeper.Holds(h.now())
 }
 
+// Until is when the lease ends if it is not renewed; in the past where it is not held.
+func (h *Held) Until() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, held := h.keeper.Holds(h.now()); !held {
+		return time.Now().Add(-1)
+	}
+	return h.start.Add(h.keeper.Until())
+}
+
 func (h *Held) now() time.Duration { return time.Since(h.start) }
 
 func (h *Held) run(ctx context.Context, ttl time.Duration) {
--- a/internal/cluster/instance.go
+++ b/internal/cluster/instance.go
@@ -118,13 +118,7 @@
 // Here is this instance's life, and until when the group takes it for there, whatever becomes of its
 // words from now on. It is in the past where it is not there.
 func (i *Instance) Here() (life string, until time.Time) {
-	i.held.mu.Lock()
-	defer i.held.mu.Unlock()
-	now := i.held.now()
-	if _, there := i.held.keeper.Holds(now); !there {
-		return i.life, time.Now().Add(-1)
-	}
-	return i.life, time.Now().Add(i.held.keeper.Until() - now)
+	return i.life, i.held.Until()
 }
 
 // Presence is an instance that is there: its life, which is another with each start, and
--- a/internal/config/members.go
+++ b/internal/config/members.go
@@ -4,6 +4,8 @@
 	"encoding/base64"
 	"net/netip"
 	"time"
+
+	"jasperpin/internal/peers/members"
 )
 
 // Members is how a node meets the others of its fleet. One that listens nowhere knows of none.
@@ -30,7 +32,6 @@
 	defaultGossip  = 256 << 10 // bytes a second: 300 members need some 50 KiB
 	leastGossip    = 16 << 10  // less does not carry a full exchange of 30
 	leastGone      = 10 * time.Second
-	maxMemberText  = 128 // as members.MaxText has it
 	maxMemberShare = 1000
 )
 
@@ -50,7 +51,7 @@
 	m := Members{
 		Listen: address("listen"), Advertise: address("advertise"),
 		Seeds:  t.texts("seeds", addr, isAddr),
-		Site:   t.text("site", "", "a name of up to 128 letters", func(s string) bool { return isWord(s) && len(s) <= maxMemberText }),
+		Site:   t.text("site", "", "a name of up to 128 letters", func(s string) bool { return isWord(s) && len(s) <= members.MaxText }),
 		Weight: t.number("weight", 1, 1.0/maxMemberShare, maxMemberShare),
 		First:  t.flag("first", false),
 		Gone:   t.time("gone", 0, 0, maxTime),
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -10,7 +10,6 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -229,8 +228,7 @@
 	servers map[string]*server
 	byID    map[decide.ServerID]*server
 	rota    *rota.Rota
-	stand   Standing      // as it was told last,
-	partBy  time.Duration // and until when the node has its part; 0 where it has none or was told nothing
+	stand   Standing      // as it was told last; its Until is zero once it has passed
 	endBy   time.Duration // no deadline lies later, where a drain has begun
 	retired bool
 	closed  bool
@@ -450,10 +448,6 @@
 func (p *Pool) Stand(s Standing) {
 	p.do(func(time.Duration) {
 		p.b.Stand(s.Number, s.Of, s.Withheld)
-		p.partBy = time.Duration(math.MaxInt64)
-		if !s.Until.IsZero() {
-			p.partBy = p.since(s.Until)
-		}
 		p.stand = s
 	})
 }
@@ -461,8 +455,8 @@
 // lapse withholds the node's part once its time is over, before anything is decided: a process that
 // was stopped for a while goes on with nothing.
 func (p *Pool) lapse(now time.Duration) {
-	if p.partBy > 0 && now >= p.partBy {
-		p.partBy = 0
+	if !p.stand.Until.IsZero() && now >= p.since(p.stand.Until) {
+		p.stand.Until = time.Time{}
 		p.b.Stand(p.stand.Number, p.stand.Of, 1)
 	}
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -28,6 +28,8 @@
 	lives  *gossip.Lives
 	gossip atomic.Pointer[gossip.Gossip] // nil until it has joined
 	until  atomic.Pointer[time.Time]     // when its lease of the group ends; nil where it wants none
+	seen   atomic.Pointer[gossip.Standing]
+	once   sync.Mutex // puts standings in force one after the other
 	ctx    context.Context
 	stop   context.CancelFunc
 	later  sync.WaitGroup
@@ -60,7 +62,7 @@
 		m.until.Store(&time.Time{})
 	}
 	n.fleet = m
-	n.stand(gossip.Standing{Of: 1})
+	m.stand(gossip.Standing{Of: 1})
 	err = m.meet()
 	switch {
 	case errors.Is(err, gossip.ErrListen) && lives.Runs():
@@ -91,7 +93,7 @@
 	g, err := gossip.Join(gossip.Options{
 		Self:   members.Record{ID: members.ID{Seat: members.Seat{Name: n.cfg.Name, Place: lives.Place}, Life: lives.Own}, Site: c.Site, Weight: c.Weight},
 		Listen: c.Listen, Advertise: c.Advertise, Seeds: c.Seeds, Keys: c.Keys, Bytes: c.Bytes, Gone: c.Gone,
-		Alone: c.First && !lives.Again, Before: lives.Before, Changed: n.stand, Topics: topics, Log: n.log,
+		Alone: c.First && !lives.Again, Before: lives.Before, Changed: m.stand, Topics: topics, Log: n.log,
 	})
 	if err == nil {
 		n.log.Info("meeting the fleet", "name", n.cfg.Name, "life", lives.Own, "at", g.Addr())
@@ -133,7 +135,7 @@
 		lost := had && !there
 		had = there
 		if !until.Equal(*m.until.Swap(&until)) {
-			m.node.restand()
+			m.restand()
 		}
 		g := m.talk()
 		if !lost || g == nil || m.node.draining.Load() {
@@ -208,24 +210,24 @@
 
 // stand gives the node's place in its fleet to all pools. Of an even part what is above the own
 // one is withheld; a greater weight widens nothing, as its clients come with it.
-func (n *Node) stand(s gossip.Standing) {
-	n.standing.Store(&s)
-	n.restand()
+func (m *fleetMember) stand(s gossip.Standing) {
+	m.seen.Store(&s)
+	m.restand()
 }
 
 // restand gives the place as it is now.
-func (n *Node) restand() {
-	n.standOnce.Lock()
-	defer n.standOnce.Unlock()
-	s := n.standing.Load()
+func (m *fleetMember) restand() {
+	m.once.Lock()
+	defer m.once.Unlock()
+	s := m.seen.Load()
 	st := core.Standing{Number: s.Number, Of: s.Of, Withheld: 1 - min(1, s.Part*float64(s.Of))}
-	if until := n.fleet.until.Load(); until != nil {
+	if until := m.until.Load(); until != nil {
 		st.Until = *until
 		if until.IsZero() {
 			st.Withheld = 1 // it has not had its lease yet
 		}
 	}
-	n.set.Stand(st)
+	m.node.set.Stand(st)
 }
 
 // leave gives the node's part up.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,7 +25,6 @@
 	"jasperpin/internal/httpfront"
 	"jasperpin/internal/httpup"
 	"jasperpin/internal/limit"
-	"jasperpin/internal/peers/gossip"
 	"jasperpin/internal/plan"
 	"jasperpin/internal/planlink"
 	"jasperpin/internal/platform"
@@ -80,9 +79,7 @@
 	door      *door.Door
 	figures   *figures.Board
 	draining  atomic.Bool
-	fleet     *fleetMember // nil where it meets no others
-	standing  atomic.Pointer[gossip.Standing]
-	standOnce sync.Mutex        // puts standings in force one after the other
+	fleet     *fleetMember      // nil where it meets no others
 	group     *cluster.Instance // nil where the node belongs to none
 	line      *succession.Line  // of this node's processes; nil where it has no folder
 	shares    chan succession.Share
--- a/internal/peers/gossip/gossip.go
+++ b/internal/peers/gossip/gossip.go
@@ -239,9 +239,16 @@
 // say tells of the standing where it has changed, and then passes the own record on where that has:
 // others grow by it, and the own part has shrunk before. The lock is held.
 func (g *Gossip) say() {
-	all, s := g.view.MayServe(), Standing{Part: g.view.Part(), Heard: len(g.view.Heard(g.now()))}
-	s.Of = len(all)
-	s.Number = max(0, slices.IndexFunc(all, func(m members.Member) bool { return m.ID == g.opts.Self.ID }))
+	all, now := g.view.MayServe(), g.now()
+	s := Standing{Of: len(all), Part: g.view.Part()}
+	for i, m := range all {
+		if g.view.Hears(now, m) {
+			s.Heard++
+		}
+		if m.ID == g.opts.Self.ID {
+			s.Number = i
+		}
+	}
 	if s != g.seen {
 		g.seen = s
 		g.opts.Log.Info("members", "may_serve", s.Of, "heard", s.Heard, "number", s.Number, "part", s.Part)
@@ -362,12 +369,22 @@
 	Age  time.Duration `json:"age_ns"`
 }
 
+// ReadMembers reads members as they were told, each a line of JSON.
+func ReadMembers(lines []string) ([]Member, error) {
+	all := make([]Member, len(lines))
+	for i, line := range lines {
+		if err := json.Unmarshal([]byte(line), &all[i]); err != nil {
+			return nil, fmt.Errorf("reading of a member: %w", err)
+		}
+	}
+	return all, nil
+}
+
 // Members are all that may be serving, by name.
 func (g *Gossip) Members() []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	heard := g.view.Heard(now)
 	told := make(map[string]notes.Reading)
 	for _, topic := range g.opts.Topics {
 		told[topic.Name] = g.book.Read(now, topic.Name)
@@ -376,7 +393,7 @@
 	for _, m := range g.view.MayServe() {
 		shown := Member{
 			Name: m.Name, Place: m.Place, Life: m.Life, Site: m.Site, State: states[m.State], Age: now - m.Heard, Part: m.Part, Self: m.ID == g.opts.Self.ID,
-			Heard: slices.ContainsFunc(heard, func(h members.Member) bool { return h.ID == m.ID }),
+			Heard: g.view.Hears(now, m),
 		}
 		switch {
 		case shown.Self:
@@ -399,13 +416,6 @@
 	return all
 }
 
-// Standing is this member's place now.
-func (g *Gossip) Standing() Standing {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.seen
-}
-
 // Ended takes an operator's word that a life has ended, and has all members know.
 func (g *Gossip) Ended(name string, life uint64) error {
 	g.mu.Lock()
@@ -522,8 +532,9 @@
 	}
 	g := (*Gossip)(d)
 	g.mu.Lock()
-	g.take(w)
-	g.say()
+	if g.take(w); w.Kind == "" { // a note changes nothing of who is there
+		g.say()
+	}
 	at, own, list := g.here[w.id()], g.view.Record(), g.list
 	g.mu.Unlock()
 	if w.Ask && at != "" && own.State != members.Joining && list != nil {
--- a/internal/peers/gossip/life.go
+++ b/internal/peers/gossip/life.go
@@ -26,6 +26,7 @@
 	Again  bool // there was one before
 	folder string
 	file   *os.File
+	last   bool // no earlier one runs, and none can begin
 }
 
 // Begin begins a life, greater than all that have left a file in the folder. Without a folder
@@ -122,6 +123,9 @@
 	if l.folder == "" {
 		return 0
 	}
+	if l.last {
+		return l.Own - 1
+	}
 	all, err := l.others()
 	if err != nil {
 		return 0
@@ -132,6 +136,7 @@
 			ended = min(ended, life-1)
 		}
 	}
+	l.last = ended == l.Own-1
 	return ended
 }
 
--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -423,9 +423,12 @@
 // Heard are the members that have said something of late, by name: this one, and who else is
 // there to do something together.
 func (v *View) Heard(now time.Duration) []Member {
-	return slices.DeleteFunc(v.MayServe(), func(m Member) bool {
-		return m.ID != v.self && (m.Heard == 0 || now-m.Heard > v.opts.Silent)
-	})
+	return slices.DeleteFunc(v.MayServe(), func(m Member) bool { return !v.Hears(now, m) })
+}
+
+// Hears says whether a member is among those heard.
+func (v *View) Hears(now time.Duration, m Member) bool {
+	return m.ID == v.self || m.Heard > 0 && now-m.Heard <= v.opts.Silent
 }
 
 // Knows says whether anything was heard of a life, or of a later one in its seat.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -415,12 +415,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endBy = t
-	for _, p := range s.now.Load().pools {
-		p.DrainBy(t)
-	}
-	for o := range s.old {
-		o.pool.DrainBy(t)
-	}
+	s.each(func(p *core.Pool) { p.DrainBy(t) })
 }
 
 // Stand tells all pools, and those to come, of the node's place in its fleet.
@@ -428,11 +423,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stand = &st
+	s.each(func(p *core.Pool) { p.Stand(st) })
+}
+
+// each does something to all pools, those that drain too. The lock is held.
+func (s *Set) each(do func(*core.Pool)) {
 	for _, p := range s.now.Load().pools {
-		p.Stand(st)
+		do(p.Pool)
 	}
 	for o := range s.old {
-		o.pool.Stand(st)
+		do(o.pool)
 	}
 }
 
--- a/internal/standin/stand/fleet.go
+++ b/internal/standin/stand/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -26,16 +25,30 @@
 	Dir     string // of files and logs
 	Seed    uint64 // of the network's draws
 	// Node starts a node by its file.
-	Node    func(dir, name, file string) (*Process, error)
-	Table   string             // lines more for [members]
-	Rest    func(i int) string // tables more of each, if set
-	Servers []string           // addresses, in the one pool of each node
-	Seeds   []string           // of members, before the first two
+	Node  func(dir, name, file string) (*Process, error)
+	Table string             // lines more for [members]
+	Rest  func(i int) string // tables more of each, if set
+	Seeds []string           // of members, before the first two
 	// Leases says that parts end with leases: a process that is paused, for longer than its own, has
 	// none from then on until it says so anew.
 	Leases bool
 }
 
+// Service is what the file of a node says of its service where nobody calls it.
+const Service = `[[service]]
+name = "s"
+[[service.route]]
+pool = "p"
+[[pool]]
+name = "p"
+servers = ["127.0.0.1:1"]
+[[pool.class]]
+name = "look"
+repeat = "safe"
+aim = "1s"
+deadline = "2s"
+`
+
 // Fleet is many nodes that are members of one fleet, as processes, with a network between them.
 type Fleet struct {
 	*Relay
@@ -88,16 +101,8 @@
 			seeds = append(seeds, f.Shown(s).String())
 		}
 	}
-	quoted := func(all []string) string {
-		q := make([]string, len(all))
-		for i, s := range all {
-			q[i] = strconv.Quote(s)
-		}
-		return "[" + strings.Join(q, ", ") + "]"
-	}
-	servers := f.opts.Servers
-	if len(servers) == 0 {
-		servers = []string{"127.0.0.1:1"}
+	for i, s := range seeds {
+		seeds[i] = strconv.Quote(s)
 	}
 	rest := ""
 	if f.opts.Rest != nil {
@@ -110,24 +115,12 @@
 [members]
 listen = %q
 advertise = %q
-seeds = %s
+seeds = [%s]
 first = %v
 folder = %q
 %s
-[[service]]
-name = "s"
-[[service.route]]
-pool = "p"
-[[pool]]
-name = "p"
-servers = %s
-[[pool.class]]
-name = "look"
-repeat = "safe"
-aim = "1s"
-deadline = "2s"
-%s
-`, f.Name(i), f.Door(i), f.Own(i), f.Shown(i), quoted(seeds), i == 0, f.Name(i)+"-lives", f.opts.Table, quoted(servers), rest)
+%s%s
+`, f.Name(i), f.Door(i), f.Own(i), f.Shown(i), strings.Join(seeds, ", "), i == 0, f.Name(i)+"-lives", f.opts.Table, Service, rest)
 	return os.WriteFile(f.File(i), []byte(text), 0o600)
 }
 
@@ -231,21 +224,7 @@
 	if err != nil {
 		return nil, err
 	}
-	all := make([]gossip.Member, len(lines))
-	for l, line := range lines {
-		if err := json.Unmarshal([]byte(line), &all[l]); err != nil {
-			return nil, fmt.Errorf("what %s tells of members: %w", f.Name(i), err)
-		}
-	}
-	return all, nil
-}
-
-// Call makes a call at a member's door.
-func (f *Fleet) Call(i int, line string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), askWait)
-	defer cancel()
-	_, err := door.Call(ctx, f.Door(i), line)
-	return err
+	return gossip.ReadMembers(lines)
 }
 
 // Agree says whether each of some members hears just these, all serving, has an even part of them,
