Send nothing on for a client that has left, nor to a server that drains meanwhile

Seen: with a stand-in whose connections come up late, and clients that go while their requests wait, the node sent the requests on later: wherever attempts may not be called off (ceilings.cancel false), wherever the client had sent a byte beyond its request, with requests of which the client went before they were accepted (11 of 20), and, under a key of the node's, always. An attempt that waited for its connection was also sent to a server that had drained, was gone, had begun anew or was out by hand by then.

Cause: net/http hears of an end by one byte read in the background, which a further byte uses up (httpfront/conns.go Read); core.Pool.Gone left it to the module to call attempts off, which it does only where that is allowed, and those not yet sent were treated like those at a server; nothing looked at the request, the client or the server again between the choice and the first byte (httpup/upstream.go Send); a key's run went on without its client even where it had not begun (httpfront/front.go).

Change: beside a held request the connection's own Read waits for the hang-up and reads nothing, so nothing sent beyond it hides the end, and a drain's cut of the reading is not taken for one. Before an attempt's first byte core asks (Sending.Begin): is the request still open, does its client's connection stand (poll, POLLRDHUP), is the server the process that was chosen and in service. What had not begun is withdrawn whatever may be called off, and is Moot to the module. A run under a key that has not begun ends with its client; a repeat that waits runs in its place.

Also: tests' addresses have IP addresses of their own (TestSpoiltAnswers failed 1 of 20 on the code before: 'address already in use', as a port found free was taken by another test's connection).

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -53,11 +53,12 @@
 type Status uint8
 
 // A request is served with a server's answer, refused (trying again is harmless),
-// or failed (it may have run).
+// failed (it may have run), or left by its client, who is owed nothing any more.
 const (
 	Served Status = iota
 	Refused
 	Failed
+	Left
 )
 
 // Final is the one answer to a request.
@@ -108,6 +109,12 @@
 	Again bool          // the client has tried before
 	At    time.Time     // when its last byte came; without meaning where it streams
 	Wait  time.Duration // how long after At the client waits
+
+	// Here says whether the client still waits, as its connection tells. It is asked before
+	// each attempt is written, and must not block. Nil stands for yes.
+	Here func() bool
+	// Lasts says that what has begun goes on without its client: others may wait for its end.
+	Lasts bool
 }
 
 // Upstream carries attempts to servers by one protocol.
@@ -122,14 +129,23 @@
 type Server interface {
 	// Send carries one attempt out and tells how it ended; an answer comes with
 	// decide.OK only. It returns soon after its context ends, whose cause is
-	// ErrTimedOut or ErrCancelled; see Outcome. It calls wrote once the request's last
-	// byte is written, if it comes to that. Calls may run side by side.
-	Send(ctx context.Context, addr string, m *Message, wait time.Duration, wrote func()) (decide.Result, *Answer)
+	// ErrTimedOut or ErrCancelled; see Outcome. Calls may run side by side.
+	Send(ctx context.Context, addr string, m *Message, wait time.Duration, on Sending) (decide.Result, *Answer)
 	// Leave says that the process behind the address ends or has been replaced:
 	// what connects to it is not used again.
 	Leave()
 }
 
+// Sending is told of an attempt's steps by the one who sends it.
+type Sending interface {
+	// Begin says whether the attempt may be written: it is called once, with a connection at
+	// hand and nothing written, as much may have ended in the wait for that connection. Where
+	// it says no the attempt is moot, or ended as its context says.
+	Begin() bool
+	// Wrote is called once the request's last byte is written, if it comes to that.
+	Wrote()
+}
+
 // Outcome is the outcome of an attempt that brought no whole answer. Never says
 // that it is known not to have run.
 func Outcome(ctx context.Context, never bool) decide.Result {
@@ -190,15 +206,19 @@
 	attempts []*attempt
 	out      int        // attempts without an outcome
 	settled  bool       // answered, or its client is gone: nothing more is owed
+	left     bool       // its client is gone, and nobody else waits
 	asking   bool       // the guide has yet to say where it should go
 	final    chan Final // holds one
 }
 
 // attempt is one send of a request to a server.
 type attempt struct {
+	pool   *Pool
 	n      int
 	req    *Exchange
 	srv    *server
+	born   float64 // the server's BornMS when it was chosen
+	begun  bool    // its first byte may be written from now on
 	wait   time.Duration
 	ctx    context.Context
 	giveUp context.CancelCauseFunc
@@ -344,18 +364,42 @@
 // Final brings the request's one answer.
 func (r *Exchange) Final() <-chan Final { return r.final }
 
-// Gone ends a request that nobody waits for any more.
-func (p *Pool) Gone(r *Exchange) {
-	p.do(func(now time.Duration) {
-		r.settled = true
-		select {
-		case fin := <-r.final:
-			p.later(fin.Answer.drop)
-		default:
+// Gone ends a request whose client waits for it no more. It says false of one that Lasts
+// and goes on: some of it has begun.
+func (p *Pool) Gone(r *Exchange) (ended bool) {
+	p.do(func(now time.Duration) { ended = p.gone(now, r) })
+	return ended
+}
+
+// gone is Gone under the lock. What was not sent yet is not sent any more, whatever the
+// settings say of calling off: that is for what is at a server.
+func (p *Pool) gone(now time.Duration, r *Exchange) bool {
+	if r.left {
+		return true
+	}
+	if r.Lasts && (r.settled || slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.begun })) {
+		return false
+	}
+	r.settled, r.left = true, true
+	select {
+	case fin := <-r.final:
+		p.later(fin.Answer.drop)
+	default:
+	}
+	r.final <- Final{Status: Left}
+	p.b.ClientGone(now, r.id)
+	p.withdraw(r)
+	p.release(r)
+	return true
+}
+
+// withdraw gives up the attempts of a settled request that have not begun.
+func (p *Pool) withdraw(r *Exchange) {
+	for _, a := range r.attempts {
+		if !a.begun && !a.ended {
+			p.later(func() { a.giveUp(ErrCancelled) })
 		}
-		p.b.ClientGone(now, r.id)
-		p.release(r)
-	})
+	}
 }
 
 // Retire takes nothing more. What is held ends as it would have; Empty tells when.
@@ -393,9 +437,13 @@
 		}
 		a.ended = true
 		r.out--
+		if r.left && !a.begun {
+			result = decide.Moot // its client's going says nothing of the server
+		}
 		if result == decide.OK && !r.settled {
 			r.settled = true
 			r.final <- Final{Status: Served, Answer: ans}
+			p.withdraw(r)
 		} else {
 			p.later(ans.drop)
 		}
@@ -687,7 +735,10 @@
 	if timeout != 0 {
 		wait = min(wait, timeout)
 	}
-	a := &attempt{n: len(r.attempts), req: r, srv: p.byID[to], wait: wait}
+	a := &attempt{pool: p.Pool, n: len(r.attempts), req: r, srv: p.byID[to], wait: wait}
+	if a.srv != nil {
+		a.born = a.srv.BornMS
+	}
 	a.ctx, a.giveUp = context.WithCancelCause(context.Background())
 	a.timer = time.AfterFunc(max(wait, 0), func() { a.giveUp(ErrTimedOut) })
 	r.attempts = append(r.attempts, a)
@@ -696,7 +747,7 @@
 		p.set.Guide.Sent(id, a.n, to)
 	}
 	p.later(func() {
-		if a.srv == nil || wait <= 0 || r.settled {
+		if a.srv == nil || wait <= 0 {
 			p.end(a, decide.Moot, nil)
 			return
 		}
@@ -707,15 +758,38 @@
 // attempt has one attempt carried out.
 func (p *Pool) attempt(a *attempt) {
 	p.mu.Lock()
-	addr := a.srv.Addr
+	addr, over := a.srv.Addr, a.req.settled
 	p.mu.Unlock()
-	result, ans := a.srv.up.Send(a.ctx, addr, &a.req.Message, a.wait, func() { p.written(a) })
+	result, ans := decide.Moot, (*Answer)(nil)
+	if !over {
+		result, ans = a.srv.up.Send(a.ctx, addr, &a.req.Message, a.wait, a)
+	}
 	p.end(a, result, ans)
 }
 
-// written takes note that an attempt's last byte has gone. The clocks of a request that
+// Begin lets an attempt be written unless its request has ended meanwhile, its client has
+// gone, or its server is not the process that was chosen, or wants nothing new.
+func (a *attempt) Begin() bool {
+	here := a.req.Here == nil || a.req.Here()
+	a.pool.do(func(now time.Duration) {
+		if !here {
+			a.pool.gone(now, a.req)
+		}
+		a.begun = !a.req.settled && a.ctx.Err() == nil && a.pool.fit(a)
+	})
+	return a.begun
+}
+
+// fit says whether an attempt's server still is as it was when it was chosen.
+func (p *Pool) fit(a *attempt) bool {
+	s := a.srv
+	return p.byID[s.id] == s && s.BornMS == a.born && p.shown(s).Condition == decide.Ready
+}
+
+// Wrote takes note that an attempt's last byte has gone. The clocks of a request that
 // streams start then.
-func (p *Pool) written(a *attempt) {
+func (a *attempt) Wrote() {
+	p := a.pool
 	if p.set.Wrote != nil {
 		p.set.Wrote(a.req.Class)
 	}
@@ -747,6 +821,7 @@
 	if r := p.reqs[id]; r != nil && !r.settled {
 		r.settled = true
 		r.final <- fin
+		p.withdraw(r)
 		p.release(r)
 	}
 }
--- a/internal/core/pool_test.go
+++ b/internal/core/pool_test.go
@@ -29,7 +29,10 @@
 	s.left++
 }
 
-func (s *script) Send(ctx context.Context, addr string, _ *Message, _ time.Duration, wrote func()) (decide.Result, *Answer) {
+func (s *script) Send(ctx context.Context, addr string, _ *Message, _ time.Duration, on Sending) (decide.Result, *Answer) {
+	if !on.Begin() {
+		return Outcome(ctx, true), nil
+	}
 	s.mu.Lock()
 	s.sends++
 	n := s.sends
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -50,6 +50,7 @@
 	length  string // as it stands; "" for none
 	framing bool   // the last line was one of framing: a folded one would add to it
 	heads   []Head
+	whole   int // requests whose last byte has come
 }
 
 // Next gives the verdict on the next head, in the order in which they came. It says
@@ -63,6 +64,12 @@
 	return h, true
 }
 
+// Whole counts the requests that have come to their last byte.
+func (s *Scanner) Whole() int { return s.whole }
+
+// Between says whether the last byte was a request's last, or none has come.
+func (s *Scanner) Between() bool { return s.state == inHead && !s.first && len(s.line) == 0 }
+
 // Begun says whether a head has begun and not ended.
 func (s *Scanner) Begun() bool { return s.state == inHead && (s.first || len(s.line) > 0) }
 
@@ -78,6 +85,7 @@
 			if s.left == 0 {
 				if s.state == inBody {
 					s.state = inHead
+					s.whole++
 				} else {
 					s.state = inChunkEnd
 				}
@@ -127,6 +135,7 @@
 	case inTrailer:
 		if line == "" {
 			s.state = inHead
+			s.whole++
 		}
 	}
 }
@@ -179,6 +188,8 @@
 		s.state = inChunkSize
 	case n > 0:
 		s.state, s.left = inBody, n
+	default:
+		s.whole++
 	}
 	s.heads = append(s.heads, Head{Unclear: unclear || s.state == lost})
 	s.first, s.old, s.unclear, s.chunked, s.length, s.framing = false, false, false, false, "", false
--- a/internal/httpfront/conns.go
+++ b/internal/httpfront/conns.go
@@ -9,8 +9,11 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"jasperpin/internal/framing"
 	"jasperpin/internal/limit"
 )
@@ -22,11 +25,15 @@
 	writePiece = 32 << 10
 	// farewell is how long a client that was cut short has to read why.
 	farewell = 500 * time.Millisecond
+	// evictLook is how many connections are looked at for one to close at the cap.
+	evictLook = 16
+	// clearEvery is how often the accept queue is looked at by who closes it.
+	clearEvery = time.Millisecond
 	// waited tells a read that found its bytes there from one that they woke.
 	waited = time.Millisecond
 )
 
-// longAgo, as a deadline, ends reads at once.
+// longAgo, as a deadline, ends reads at once. It is net/http's as well.
 var longAgo = time.Unix(1, 0)
 
 // cutAnswer refuses a request that did not come whole before the node's end.
@@ -46,6 +53,7 @@
 	resting  list.List // likewise: between requests
 	accepted atomic.Int64
 	closed   bool
+	ending   bool
 }
 
 func newConns(most int) *conns {
@@ -72,6 +80,7 @@
 // request's last byte came.
 type clientConn struct {
 	net.Conn
+	raw   syscall.RawConn // nil where it has none, as in tests
 	owner *conns
 	place *list.Element // in list, nil while a request is held or after eviction
 	list  *list.List    // one of the owner's
@@ -87,6 +96,8 @@
 	reads   int
 	taken   time.Time
 	seen    int
+	over    int       // requests whose handler has returned
+	readBy  time.Time // the deadline for reads, as asked for
 }
 
 // Accept admits a connection and closes another for it where the cap is
@@ -115,6 +126,11 @@
 	c.all++
 	now := time.Now()
 	cc := &clientConn{Conn: nc, owner: c, heard: now, begun: now, arrived: now, floor: now}
+	if sc, ok := nc.(syscall.Conn); ok {
+		if cc.raw, err = sc.SyscallConn(); err != nil {
+			cc.raw = nil
+		}
+	}
 	cc.enlist(&c.silent)
 	return cc, nil
 }
@@ -134,7 +150,23 @@
 	if l == nil {
 		return nil
 	}
-	return l.Front().Value.(*clientConn)
+	// Not one whose request has come by now, as far as that is quickly seen.
+	var first *clientConn
+	for e, n := l.Front(), 0; e != nil && n < evictLook; e, n = e.Next(), n+1 {
+		cc := e.Value.(*clientConn)
+		if cc.mu.Lock(); cc.owed() {
+			cc.mu.Unlock()
+			continue
+		}
+		cc.mu.Unlock()
+		if !cc.unread() {
+			return cc
+		}
+		if first == nil {
+			first = cc
+		}
+	}
+	return first
 }
 
 // cutOff reads no more of requests that are not whole, on connections that have been quiet
@@ -150,13 +182,34 @@
 			if !all && (l == &c.resting || !limit.Mute(now.Sub(cc.heard))) {
 				break // those behind it have been heard of later
 			}
-			if cc.cut.CompareAndSwap(false, true) {
-				_ = cc.Conn.SetReadDeadline(longAgo)
-			}
+			cc.cutOff()
 		}
 	}
 }
 
+// closeIdle closes the connections between requests on which nothing comes. One that holds
+// part of a request, read or not, is answered, and closes then.
+func (c *conns) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := make([]*clientConn, 0, c.resting.Len())
+	for e := c.resting.Front(); e != nil; e = e.Next() {
+		all = append(all, e.Value.(*clientConn))
+	}
+	for _, cc := range all { // each evict gives the lock up
+		if cc.place != nil && cc.list == &c.resting && cc.idle() {
+			c.evict(cc)
+		}
+	}
+}
+
+// end has connections close without waiting for what their clients still send.
+func (c *conns) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+}
+
 // evict closes a connection and frees its place once the descriptor is closed,
 // not sooner. Called and left under the lock, which it gives up meanwhile; its
 // reader notices and closes it once more, to no effect.
@@ -179,6 +232,27 @@
 	return l.Listener.Close()
 }
 
+// clear waits until the accept queue is empty, no longer than until: those in it may have
+// written whole requests, and closing the listener would reset them.
+func (l *listener) clear(until time.Time) {
+	sc, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	for queued := true; queued && time.Now().Before(until); {
+		if err := raw.Control(func(fd uintptr) { queued = ready(fd, unix.POLLIN) != 0 }); err != nil {
+			return // closed already
+		}
+		if queued {
+			time.Sleep(clearEvery)
+		}
+	}
+}
+
 // take marks a connection as holding a whole request. It says false where the
 // connection has been given away meanwhile: the request was not taken then.
 func (cc *clientConn) take() bool {
@@ -219,9 +293,17 @@
 	}
 }
 
+// Close closes the connection. Where its client has sent more than was read, it is let read
+// what it was told first: the reset that a close would send takes that back.
 func (cc *clientConn) Close() error {
 	c := cc.owner
 	c.mu.Lock()
+	linger := !cc.gone && !c.ending
+	c.mu.Unlock()
+	if linger && cc.unread() {
+		cc.leave()
+	}
+	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !cc.gone {
 		c.evict(cc)
@@ -229,13 +311,105 @@
 	return nil
 }
 
-// SetReadDeadline sets how long a read may wait. One that is cut off may not.
+// SetReadDeadline sets how long a read may wait. One that is cut off may not, unless its
+// request is whole: then nothing more is read of it.
 func (cc *clientConn) SetReadDeadline(t time.Time) error {
-	err := cc.Conn.SetReadDeadline(t)
-	if cc.cut.Load() {
-		err = cc.Conn.SetReadDeadline(longAgo)
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.readBy = t
+	if cc.cut.Load() && !cc.owed() {
+		t = longAgo
+	}
+	return cc.Conn.SetReadDeadline(t)
+}
+
+// cutOff has nothing more read of a request that is not whole.
+func (cc *clientConn) cutOff() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.cut.CompareAndSwap(false, true) && !cc.owed() {
+		_ = cc.Conn.SetReadDeadline(longAgo)
+	}
+}
+
+// owed says whether a whole request has come that is not over. Called under mu.
+func (cc *clientConn) owed() bool { return cc.heads.Whole() > cc.over }
+
+// watch waits until the client of a whole request has gone, and reads nothing: what it sends
+// beyond that request stays where it is, and cannot hide its end. Only net/http reads then,
+// to hear of just that, and gives up by a deadline long ago.
+func (cc *clientConn) watch() error {
+	for {
+		gone := false
+		err := cc.raw.Read(func(fd uintptr) bool {
+			gone = hungUp(fd)
+			return gone
+		})
+		switch {
+		case gone:
+			return io.EOF
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return err
+		}
+		cc.mu.Lock()
+		enough := !cc.readBy.IsZero() && !cc.readBy.After(longAgo) || !cc.owed()
+		if !enough { // it was for the request's last byte, which has come
+			cc.readBy = time.Time{}
+			_ = cc.Conn.SetReadDeadline(time.Time{})
+		}
+		cc.mu.Unlock()
+		if enough {
+			return err
+		}
 	}
-	return err
+}
+
+// here says whether the client still waits: it has neither ended its sending nor gone.
+func (cc *clientConn) here() bool {
+	gone := false
+	if cc.raw != nil {
+		_ = cc.raw.Control(func(fd uintptr) { gone = hungUp(fd) })
+	}
+	return !gone
+}
+
+// unread says whether its client, which is still there, has sent bytes that nobody has read.
+func (cc *clientConn) unread() bool {
+	var is int16
+	if cc.raw != nil {
+		_ = cc.raw.Control(func(fd uintptr) { is = ready(fd, unix.POLLIN|unix.POLLRDHUP) })
+	}
+	return is&unix.POLLIN != 0 && is&parted == 0
+}
+
+// idle says whether a connection is between requests and nothing comes on it.
+func (cc *clientConn) idle() bool {
+	cc.mu.Lock()
+	between := cc.heads.Between() && !cc.owed()
+	cc.mu.Unlock()
+	return between && !cc.unread()
+}
+
+// parted are the signs that the far side has ended its sending, or the connection is broken.
+const parted = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+
+// hungUp says whether one of them is there, whatever is still to be read ahead of it.
+func hungUp(fd uintptr) bool { return ready(fd, unix.POLLRDHUP)&parted != 0 }
+
+// ready asks the kernel what a descriptor is ready for, and waits for nothing.
+func ready(fd uintptr, events int16) int16 {
+	p := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	if n, err := unix.Poll(p, 0); err != nil || n == 0 {
+		return 0
+	}
+	return p[0].Revents
+}
+
+// ended takes note that the handler of a request has returned.
+func (cc *clientConn) ended() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.over++
 }
 
 // cutShort refuses a request whose head has begun.
@@ -263,6 +437,14 @@
 }
 
 func (cc *clientConn) Read(p []byte) (int, error) {
+	if len(p) == 1 && cc.raw != nil { // as net/http asks beside a handler
+		cc.mu.Lock()
+		owed := cc.owed()
+		cc.mu.Unlock()
+		if owed {
+			return 0, cc.watch()
+		}
+	}
 	t := time.Now()
 	n, err := cc.Conn.Read(p)
 	if n == 0 {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -48,7 +48,7 @@
 	room     bodyRoom
 	draining atomic.Bool
 	mu       sync.Mutex
-	lns      []net.Listener // those served
+	lns      []*listener // those served
 }
 
 // New makes a front for a machine, or a part of one.
@@ -98,10 +98,12 @@
 // may take.
 func (f *Front) Shutdown(ctx context.Context, whole time.Time) error {
 	for _, ln := range f.listeners() {
+		ln.clear(whole)
 		_ = ln.Close() // it may be closed already
 	}
-	// Not the server's own Shutdown: it drops each request whose head ends after it began.
-	f.srv.SetKeepAlivesEnabled(false)
+	// Not the server's own Shutdown: it drops each request whose head ends after it began. Nor
+	// its SetKeepAlivesEnabled: that closes connections on which part of one has been read.
+	f.conns.closeIdle()
 	tick := time.NewTicker(muteEvery)
 	defer tick.Stop()
 	ends := time.NewTimer(time.Until(whole))
@@ -114,6 +116,7 @@
 			f.conns.cutOff(true)
 		case <-tick.C:
 			f.conns.cutOff(false)
+			f.conns.closeIdle()
 			if f.Conns() == 0 {
 				return f.close()
 			}
@@ -122,13 +125,14 @@
 }
 
 func (f *Front) close() error {
+	f.conns.end()
 	if err := f.srv.Close(); !errors.Is(err, net.ErrClosed) { // as the listeners are
 		return err
 	}
 	return nil
 }
 
-func (f *Front) listeners() []net.Listener {
+func (f *Front) listeners() []*listener {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.lns
@@ -153,6 +157,7 @@
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	cc := connOf(hr.Context())
+	defer cc.ended()
 	head, told := cc.head()
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
@@ -228,6 +233,7 @@
 	if target.Plain {
 		forwarded(q.Header, hr.RemoteAddr)
 	}
+	q.Here = cc.here
 	var first *claim
 	if target.Keyed != nil {
 		if !target.Plain && target.Classes()[q.Class].Effect == decide.SingleShot {
@@ -239,11 +245,12 @@
 		}
 		if first != nil {
 			defer first.end()
+			q.Lasts = true // its repeat may wait for it
 		}
 	}
 	pass, err := f.set.Enter(hr.Context(), target, service.Ask{Tenant: tenant(hr, target), Bytes: len(body), Due: q.At.Add(q.Wait)})
 	if err != nil {
-		if hr.Context().Err() != nil && !cc.cut.Load() {
+		if hr.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
 		f.refuse(w, err, target.Plain)
@@ -280,14 +287,17 @@
 	select {
 	case fin = <-x.Final():
 	case <-hr.Context().Done():
-		// One under a key goes on without its client: its repeat may wait for it.
-		// Nor is a client gone whose last byte crossed the end of the reading.
-		if !up.ours() && first == nil && !cc.cut.Load() {
+		if !up.ours() {
 			target.Gone(x)
-			panic(http.ErrAbortHandler)
 		}
 		fin = <-x.Final()
 	}
+	if fin.Status == core.Left {
+		if first != nil {
+			first.arrived = false // nothing of it has been sent
+		}
+		panic(http.ErrAbortHandler)
+	}
 	if end = service.Unserved; fin.Status == core.Served {
 		end = service.Served
 	}
@@ -333,7 +343,7 @@
 	if fault != nil {
 		return nil, fault
 	}
-	q.Message, q.At = was.Message, was.At
+	q.Message, q.At, q.Here, q.Lasts = was.Message, was.At, was.Here, was.Lasts
 	return q, nil
 }
 
--- a/internal/httpup/upstream.go
+++ b/internal/httpup/upstream.go
@@ -52,11 +52,18 @@
 // connection to the next request before it has looked at what else came on it:
 // a surplus answer would be taken for that request's. Here one goroutine owns a
 // connection from its first byte to the verdict on it, and knows of every byte.
-func (s *server) Send(ctx context.Context, addr string, m *core.Message, wait time.Duration, wrote func()) (decide.Result, *core.Answer) {
+func (s *server) Send(ctx context.Context, addr string, m *core.Message, wait time.Duration, on core.Sending) (decide.Result, *core.Answer) {
 	c, err := s.get(ctx, s, addr)
 	if err != nil {
 		return core.Outcome(ctx, true), nil
 	}
+	if !on.Begin() {
+		s.put(c) // nothing has been written to it
+		if ctx.Err() == nil {
+			return decide.Moot, nil
+		}
+		return core.Outcome(ctx, true), nil
+	}
 	// Giving the attempt up ends whatever read or write is going on.
 	stop := context.AfterFunc(ctx, c.expire)
 	req := request(m, addr, wait)
@@ -67,7 +74,7 @@
 			c.Close()
 			return core.Outcome(ctx, !sent), nil
 		}
-		wrote()
+		on.Wrote()
 		resp, err = c.head(req)
 		if err != nil {
 			c.Close()
@@ -75,7 +82,7 @@
 		}
 	} else {
 		var sent bool
-		if resp, sent, err = c.pass(req, m, wrote); err != nil {
+		if resp, sent, err = c.pass(req, m, on.Wrote); err != nil {
 			c.Close()
 			return core.Outcome(ctx, !sent), nil
 		}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -58,7 +58,7 @@
 	t.Helper()
 	d := discoveryOf(t, servers...)
 	n := &testNode{
-		t: t, addr: check.Unused(t), file: filepath.Join(t.TempDir(), "config.json"),
+		t: t, addr: "127.0.0.1:0", file: filepath.Join(t.TempDir(), "config.json"),
 		hup: make(chan os.Signal, 1), ended: make(chan error, 1), logged: &check.Log{},
 	}
 	n.raw = testConfig(n.addr, d.Addr, servers...)
--- /dev/null
+++ b/internal/node/leave_test.go
@@ -0,0 +1,325 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"jasperpin/internal/core"
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+// unready is a server to which no connection comes up until it is opened.
+func unready(t *testing.T) *standin.Unready {
+	t.Helper()
+	return check.Owned(t, func() (*standin.Unready, error) { return standin.NewUnready(standin.Echo) })
+}
+
+// patient has attempts wait for their connections for longer than the test does.
+func patient(raw map[string]any) {
+	raw["settings"].(map[string]any)["ceilings"].(map[string]any)["dialTimeoutMs"] = 20000
+}
+
+// uncalled has no attempt called off.
+func uncalled(raw map[string]any) {
+	raw["settings"].(map[string]any)["ceilings"].(map[string]any)["cancel"] = false
+}
+
+// both makes one change of two.
+func both(changes ...func(map[string]any)) func(map[string]any) {
+	return func(raw map[string]any) {
+		for _, change := range changes {
+			change(raw)
+		}
+	}
+}
+
+// holds waits until the node has taken so many requests that are not ended.
+func (n *testNode) holds(open int64) {
+	n.t.Helper()
+	check.Eventually(n.t, fmt.Sprint(open, " requests are held"), func() bool { return n.node.figures.Open.Load() == open })
+}
+
+// onlyStayed opens the server and sees that it gets one request, of a client that stays.
+func (n *testNode) onlyStayed(s *standin.Unready, text string) {
+	n.t.Helper()
+	if err := s.Open(); err != nil {
+		n.t.Fatal(err)
+	}
+	if status, _, _ := n.once(text); status != http.StatusOK {
+		n.t.Errorf("who stayed was answered %d", status)
+	}
+	// Whatever still waits for a connection has one within seconds, and is sent on it then.
+	check.Eventually(n.t, "nothing waits for a connection", func() bool { return n.node.Room().All() <= 1 || s.Got.Load() > 1 })
+	if got := s.Got.Load(); got != 1 {
+		n.t.Errorf("the server got %d requests, and one client had stayed", got)
+	}
+}
+
+// ways are how clients leave.
+var ways = map[string]func(t *testing.T, c *net.TCPConn){
+	"closes":            func(_ *testing.T, c *net.TCPConn) { c.Close() },
+	"ends its sending":  func(_ *testing.T, c *net.TCPConn) { _ = c.CloseWrite() },
+	"resets":            func(_ *testing.T, c *net.TCPConn) { _ = c.SetLinger(0); c.Close() },
+	"sends more, goes":  func(t *testing.T, c *net.TCPConn) { add(t, c, "x"); c.Close() },
+	"asks on, and goes": func(t *testing.T, c *net.TCPConn) { add(t, c, look("on1")+look("on2")+look("on3")); c.Close() },
+	"sends much, goes":  func(t *testing.T, c *net.TCPConn) { add(t, c, strings.Repeat(look("much"), 500)); c.Close() },
+	"asks on, resets": func(t *testing.T, c *net.TCPConn) {
+		add(t, c, look("on4")+look("on5"))
+		_ = c.SetLinger(0)
+		c.Close()
+	},
+}
+
+func add(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestLeavesBeforeItsConnection has a client leave, in each way, while its request waits for
+// a connection that comes up late: its place is free at once, and nothing is sent on, whether
+// attempts may be called off or not.
+func TestLeavesBeforeItsConnection(t *testing.T) {
+	for way, leave := range ways {
+		for name, change := range map[string]func(map[string]any){"": patient, ", nothing is called off": both(patient, uncalled)} {
+			t.Run(way+name, func(t *testing.T) {
+				t.Parallel()
+				s := unready(t)
+				n := startNode(t, change, s.Addr)
+				c := n.dial()
+				add(t, c, post("credit", "gone", "", "x"))
+				n.holds(1)
+				leave(t, c.(*net.TCPConn))
+				n.holds(0)
+				n.onlyStayed(s, look("stays"))
+			})
+		}
+	}
+}
+
+// TestLeavesAmongSeveral sends several requests at once and goes, while the first waits: none
+// of them is sent on.
+func TestLeavesAmongSeveral(t *testing.T) {
+	s := unready(t)
+	n := startNode(t, both(patient, uncalled), s.Addr)
+	c := n.dial()
+	add(t, c, look("one")+post("order", "two", "Idempotency-Key: 2\r\n", "x")+look("three"))
+	n.holds(1)
+	c.Close()
+	n.holds(0)
+	n.onlyStayed(s, look("stays"))
+}
+
+// TestLeavesTogether has a crowd leave in one moment.
+func TestLeavesTogether(t *testing.T) {
+	const crowd = 1000
+	s := unready(t)
+	n := startNode(t, both(patient, uncalled, func(raw map[string]any) {
+		raw["limits"] = map[string]any{"cores": 1, "memory_mb": 256, "sockets": 4096}
+	}), s.Addr)
+	all := make([]net.Conn, crowd)
+	for i := range all {
+		all[i] = n.dial()
+		add(t, all[i], look(fmt.Sprint("c", i)))
+	}
+	n.holds(crowd)
+	for _, c := range all {
+		c.Close()
+	}
+	n.holds(0)
+	n.onlyStayed(s, look("stays"))
+}
+
+// TestLeavesInADrain has clients leave after SIGTERM.
+func TestLeavesInADrain(t *testing.T) {
+	s := unready(t)
+	n := startNode(t, both(patient, uncalled), s.Addr)
+	gone, stays := n.dial(), n.dial()
+	add(t, gone, post("credit", "gone", "", "x"))
+	add(t, stays, look("stays"))
+	n.holds(2)
+	n.term()
+	check.Eventually(t, "the drain has begun", func() bool { return strings.Contains(n.logged.String(), "draining") })
+	add(t, gone, "x")
+	gone.Close()
+	n.holds(1)
+	if err := s.Open(); err != nil {
+		t.Fatal(err)
+	}
+	n.gone()
+	if got := s.Got.Load(); got > 1 {
+		t.Errorf("%d requests were sent on, and one client had stayed", got)
+	}
+}
+
+// TestLeavesInAReload has a client leave whose request waits in a pool that has been retired.
+func TestLeavesInAReload(t *testing.T) {
+	s := unready(t)
+	n := startNode(t, both(patient, uncalled, withDoor), s.Addr)
+	c := n.dial()
+	add(t, c, post("credit", "gone", "", "x"))
+	n.holds(1)
+	n.classes()[2]["objectiveMs"] = 19000
+	n.retune()
+	add(t, c, "x")
+	c.Close()
+	n.holds(0)
+	n.onlyStayed(s, look("stays"))
+}
+
+// TestLeavesBeforeARetry has a client leave while its attempt is out, that then fails.
+func TestLeavesBeforeARetry(t *testing.T) {
+	for way, leave := range ways {
+		t.Run(way, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			reset := func(c net.Conn, r *http.Request, body []byte) bool {
+				if r.Header.Get("Req-Id") == "gone" {
+					<-release
+					_ = c.(*net.TCPConn).SetLinger(0)
+					return false
+				}
+				return standin.Echo(c, r, body)
+			}
+			a, b := check.Raw(t, reset), check.Raw(t, reset)
+			n := startNode(t, uncalled, a.Addr, b.Addr)
+			c := n.dial()
+			add(t, c, look("gone"))
+			check.Eventually(t, "the request is out", func() bool { return a.Got.Load()+b.Got.Load() == 1 })
+			leave(t, c.(*net.TCPConn))
+			n.holds(0)
+			close(release)
+			if status, _, _ := n.once(look("stays")); status != http.StatusOK {
+				t.Errorf("who stayed was answered %d", status)
+			}
+			check.Eventually(t, "nothing is out", func() bool { return n.node.Room().All() <= 1 })
+			if got := a.Got.Load() + b.Got.Load(); got != 2 {
+				t.Errorf("the servers got %d requests, want 2", got)
+			}
+		})
+	}
+}
+
+// TestLeavesInTheAcceptQueue has clients write whole requests and go before the node has
+// accepted them, as every place is held: none of them is sent on.
+func TestLeavesInTheAcceptQueue(t *testing.T) {
+	const queued = 20
+	release := make(chan struct{})
+	s := check.Raw(t, held(release, ""))
+	n := startNode(t, func(raw map[string]any) {
+		raw["limits"] = map[string]any{"cores": 1, "memory_mb": 64, "sockets": 128}
+	}, s.Addr)
+	places := n.node.machine().Clients()
+	for i := range places {
+		add(t, n.dial(), post("credit", fmt.Sprint("held", i), "", "x"))
+	}
+	n.holds(int64(places))
+	for i := range queued {
+		c := n.dial()
+		add(t, c, look(fmt.Sprint("gone", i)))
+		c.Close()
+	}
+	stays := n.dial() // behind them
+	add(t, stays, look("stays"))
+	close(release)
+	check.Eventually(t, "who stayed is answered", func() bool {
+		b := make([]byte, 12)
+		_, err := io.ReadFull(stays, b)
+		return err == nil && string(b) == "HTTP/1.1 200"
+	})
+	n.holds(0)
+	close(s.Heads)
+	for r := range s.Heads {
+		if strings.HasPrefix(r.Header.Get("Req-Id"), "gone") {
+			t.Errorf("%s was sent on", r.Header.Get("Req-Id"))
+		}
+	}
+}
+
+// TestLeavesUnderAKey has a client leave whose request has a key of the node's: before it has
+// begun it never does, unless a repeat waits for it, which runs in its place.
+func TestLeavesUnderAKey(t *testing.T) {
+	s := unready(t)
+	n := startServices(t, withKeys(svc("orders", "tenant_header = \"Req-Owner\"")+pool("orders", "connect_timeout = \"20s\"\n", s.Addr), ""))
+	alone, first := n.dial(), n.dial()
+	add(t, alone, at("orders", keyed("alone", "k1", "x")))
+	add(t, first, at("orders", keyed("first", "k2", "x")))
+	n.holds(2)
+	repeat := make(chan string, 1)
+	go func() {
+		_, body, _ := n.once(at("orders", keyed("repeat", "k2", "x")))
+		repeat <- body
+	}()
+	n.holds(3)
+	alone.Close()
+	first.Close()
+	n.holds(1)
+	if err := s.Open(); err != nil {
+		t.Fatal(err)
+	}
+	if body := <-repeat; body != "repeat x" {
+		t.Errorf("the repeat got %q", body)
+	}
+	check.Eventually(t, "nothing waits for a connection", func() bool { return n.node.Room().All() <= 1 || s.Got.Load() > 1 })
+	if got := s.Got.Load(); got != 1 {
+		t.Errorf("the server got %d requests", got)
+	}
+}
+
+// TestLateConnectionToOneThatDrains has a server drain, staff take it out, or another process
+// take its place while a connection to it comes up: the request that waited goes elsewhere.
+func TestLateConnectionToOneThatDrains(t *testing.T) {
+	for name, c := range map[string]struct {
+		entry func(e *standin.Entry) // what discovery tells of the server then
+		out   bool                   // staff take it out
+	}{
+		"drains":      {entry: func(e *standin.Entry) { e.Health = "terminating" }},
+		"is gone":     {entry: func(e *standin.Entry) { e.Health = "terminated" }},
+		"began anew":  {entry: func(e *standin.Entry) { e.BornMS = float64(time.Now().UnixMilli()) }},
+		"out by hand": {entry: func(*standin.Entry) {}, out: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, other := unready(t), check.Raw(t, standin.Echo)
+			d := discoveryOf(t, s.Addr)
+			n := startNode(t, both(patient, withDoor, func(raw map[string]any) {
+				raw["discovery"] = d.Addr
+				raw["settings"].(map[string]any)["discovery"] = "push"
+			}), s.Addr)
+			answer := make(chan string, 1)
+			go func() {
+				status, body, _ := n.once(post("credit", "r", "", "x"))
+				answer <- fmt.Sprint(status, " ", body)
+			}()
+			n.holds(1)
+			list := standin.Hosts(s.Addr, other.Addr)
+			c.entry(&list[0])
+			d.Set(list...)
+			check.Eventually(t, "the list has come", func() bool {
+				return slices.ContainsFunc(n.node.set.Memory()[""].Hosts, func(h core.Host) bool { return h.Addr == other.Addr })
+			})
+			if c.out {
+				if got := n.call("exclude s-" + s.Addr); got != "done\n" {
+					t.Fatalf("exclude: %q", got)
+				}
+			}
+			if err := s.Open(); err != nil {
+				t.Fatal(err)
+			}
+			if got := <-answer; got != "200 r x" {
+				t.Errorf("answered %q", got)
+			}
+			if s.Got.Load() != 0 || other.Got.Load() != 1 {
+				t.Errorf("%d went to it and %d to the other", s.Got.Load(), other.Got.Load())
+			}
+		})
+	}
+}
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -46,23 +46,29 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Raw{Addr: ln.Addr().String(), Heads: make(chan *http.Request, 1000), ln: ln, open: make(map[net.Conn]bool)}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			s.Conns.Add(1)
-			s.mu.Lock()
-			s.open[c] = true
-			s.mu.Unlock()
-			go s.serve(c, answer)
-		}
-	}()
+	s := newRaw(ln)
+	go s.accept(answer)
 	return s, nil
 }
 
+func newRaw(ln net.Listener) *Raw {
+	return &Raw{Addr: ln.Addr().String(), Heads: make(chan *http.Request, 1000), ln: ln, open: make(map[net.Conn]bool)}
+}
+
+func (s *Raw) accept(answer Reply) {
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		s.Conns.Add(1)
+		s.mu.Lock()
+		s.open[c] = true
+		s.mu.Unlock()
+		go s.serve(c, answer)
+	}
+}
+
 // Close ends the server and its connections.
 func (s *Raw) Close() error {
 	err := s.ln.Close()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 )
 
 // listen opens a free port on loopback.
@@ -17,11 +19,16 @@
 	return ln, nil
 }
 
-// Unused gives an address on loopback that nothing listens at.
+// unused counts the addresses that Unused has given.
+var unused atomic.Uint32
+
+// Unused gives an address on loopback that nothing listens at. It has an IP address of its
+// own: the port of a common one may be another's before it is listened at.
 func Unused() (string, error) {
-	ln, err := listen()
+	n := unused.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, n/250%250, 1+n%250))
 	if err != nil {
-		return "", err
+		return "", fmt.Errorf("a stand-in needs a port: %w", err)
 	}
 	defer ln.Close()
 	return ln.Addr().String(), nil
