Close no client's connection while something is owed on it: in a drain, at the cap, behind an answer

Ruled out: the watch on leaving clients (the lost ones were served and evicted: a log of evictions named them).

--- a/internal/httpfront/conns.go
+++ b/internal/httpfront/conns.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,7 @@
 	writing  list.List // likewise: with more of it
 	resting  list.List // likewise: between requests
 	accepted atomic.Int64
+	wanted   bool // a newcomer waits for a place
 	closed   bool
 	ending   bool
 }
@@ -121,8 +123,10 @@
 		if c.closed {
 			break
 		}
+		c.wanted = true
 		c.freed.Wait()
 	}
+	c.wanted = false
 	c.all++
 	now := time.Now()
 	cc := &clientConn{Conn: nc, owner: c, heard: now, begun: now, arrived: now, floor: now}
@@ -135,7 +139,7 @@
 	return cc, nil
 }
 
-// victim chooses the connection that makes room, or nil where all hold requests.
+// victim chooses the connection that makes room, or nil where all hold requests, or may.
 func (c *conns) victim() *clientConn {
 	now := time.Now()
 	group := func(l *list.List) limit.Group {
@@ -150,23 +154,13 @@
 	if l == nil {
 		return nil
 	}
-	// Not one whose request has come by now, as far as that is quickly seen.
-	var first *clientConn
+	// Not one whose request may have come by now: it is read in a moment, and that tells.
 	for e, n := l.Front(), 0; e != nil && n < evictLook; e, n = e.Next(), n+1 {
-		cc := e.Value.(*clientConn)
-		if cc.mu.Lock(); cc.owed() {
-			cc.mu.Unlock()
-			continue
-		}
-		cc.mu.Unlock()
-		if !cc.unread() {
+		if cc := e.Value.(*clientConn); !cc.brings() {
 			return cc
 		}
-		if first == nil {
-			first = cc
-		}
 	}
-	return first
+	return nil
 }
 
 // cutOff reads no more of requests that are not whole, on connections that have been quiet
@@ -281,6 +275,14 @@
 	}
 }
 
+// rests frees a connection whose answer has been written, as net/http's hook. When a handler
+// returns, its answer may still be in a buffer, and who makes room would take that along.
+func rests(c net.Conn, state http.ConnState) {
+	if cc, ok := c.(*clientConn); ok && state == http.StateIdle {
+		cc.free()
+	}
+}
+
 // free marks the end of the request held.
 func (cc *clientConn) free() {
 	c := cc.owner
@@ -382,12 +384,19 @@
 	return is&unix.POLLIN != 0 && is&parted == 0
 }
 
+// brings says whether a whole request has been read that is not over, or bytes have come that
+// may make one whole.
+func (cc *clientConn) brings() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.owed() || cc.unread()
+}
+
 // idle says whether a connection is between requests and nothing comes on it.
 func (cc *clientConn) idle() bool {
 	cc.mu.Lock()
-	between := cc.heads.Between() && !cc.owed()
-	cc.mu.Unlock()
-	return between && !cc.unread()
+	defer cc.mu.Unlock()
+	return cc.heads.Between() && !cc.owed() && !cc.unread()
 }
 
 // parted are the signs that the far side has ended its sending, or the connection is broken.
@@ -445,34 +454,16 @@
 			return 0, cc.watch()
 		}
 	}
-	t := time.Now()
-	n, err := cc.Conn.Read(p)
+	n, err := cc.receive(p)
 	if n == 0 {
 		if errors.Is(err, os.ErrDeadlineExceeded) && cc.cut.Load() {
 			cc.cutShort()
 		}
 		return n, err
 	}
-	now := time.Now()
-	cc.mu.Lock()
-	cc.heads.Feed(p[:n])
-	// Bytes that a read found waiting came at some time since the read before.
-	// The earliest is taken: a deadline too early is kept, one too late is not.
-	if now.Sub(t) > waited {
-		cc.arrived = now
-	} else {
-		cc.arrived = cc.floor
-	}
-	if cc.reads == cc.seen && cc.reads > 0 {
-		cc.begun = cc.arrived
-	}
-	cc.floor = now
-	cc.reads++
-	cc.mu.Unlock()
-
 	c := cc.owner
 	c.mu.Lock()
-	cc.heard = now
+	cc.heard = time.Now()
 	switch {
 	case cc.place == nil:
 	case cc.list == &c.silent:
@@ -482,10 +473,69 @@
 	default:
 		cc.list.MoveToBack(cc.place)
 	}
+	if c.wanted {
+		c.freed.Signal() // this one may make room now, or has a request
+	}
 	c.mu.Unlock()
 	return n, err
 }
 
+// receive reads what there is, or waits for it. What it takes off the socket it notes under
+// the same lock: nobody finds a request neither there nor here.
+func (cc *clientConn) receive(p []byte) (n int, err error) {
+	t := time.Now()
+	if cc.raw == nil {
+		if n, err = cc.Conn.Read(p); n > 0 {
+			cc.mu.Lock()
+			defer cc.mu.Unlock()
+			cc.note(p[:n], t)
+		}
+		return n, err
+	}
+	var failed error
+	err = cc.raw.Read(func(fd uintptr) bool {
+		cc.mu.Lock()
+		defer cc.mu.Unlock()
+		for {
+			n, failed = syscall.Read(int(fd), p)
+			if failed != syscall.EINTR {
+				break
+			}
+		}
+		if n > 0 {
+			cc.note(p[:n], t)
+		}
+		return failed != syscall.EAGAIN
+	})
+	switch {
+	case err != nil: // its deadline has passed, or it is closed
+		return 0, err
+	case failed != nil:
+		return 0, &net.OpError{Op: "read", Net: cc.RemoteAddr().Network(), Source: cc.LocalAddr(), Addr: cc.RemoteAddr(), Err: os.NewSyscallError("read", failed)}
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// note takes bytes that a read begun at t has brought. Called under mu.
+func (cc *clientConn) note(p []byte, t time.Time) {
+	now := time.Now()
+	cc.heads.Feed(p)
+	// Bytes that a read found waiting came at some time since the read before.
+	// The earliest is taken: a deadline too early is kept, one too late is not.
+	if now.Sub(t) > waited {
+		cc.arrived = now
+	} else {
+		cc.arrived = cc.floor
+	}
+	if cc.reads == cc.seen && cc.reads > 0 {
+		cc.begun = cc.arrived
+	}
+	cc.floor = now
+	cc.reads++
+}
+
 // head is the verdict on the framing of the request that is being handled. It must be
 // asked for once a request.
 func (cc *clientConn) head() (h framing.Head, ok bool) {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -57,7 +57,7 @@
 	f.names.Store(rand.Uint64()) // so that no two processes of a node give one name
 	f.srv = &http.Server{
 		Handler: f, ReadHeaderTimeout: headWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHead,
-		ConnContext: withConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnContext: withConn, ConnState: rests, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	return f
 }
@@ -222,7 +222,6 @@
 	board.Open.Add(1)
 	defer board.Open.Add(-1)
 	count := target.Counts(q.Class)
-	defer cc.free()
 	defer cc.served()
 	q.Message = core.Message{Method: hr.Method, Target: targetOf(hr), Host: hr.Host, Header: core.EndToEnd(hr.Header), Body: body, Length: int64(len(body))}
 	if !whole {
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -146,6 +146,109 @@
 	}
 }
 
+// TestDrainSparesAHeadHalfRead drains beside kept connections, of which one has brought part of
+// its next request: that one is answered when it comes whole, and one at rest is closed.
+func TestDrainSparesAHeadHalfRead(t *testing.T) {
+	s := check.Raw(t, standin.Echo)
+	n := startNode(t, nil, s.Addr)
+	half, br := n.known()
+	rests, _ := n.known()
+	text := look("half")
+	add(t, half, text[:20])
+	began := time.Now()
+	n.term()
+	if _, err := io.Copy(io.Discard, rests); err != nil {
+		t.Errorf("the connection at rest: %v", err)
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("it was closed after %v", took)
+	}
+	if status, body, h := n.ask(half, br, text[20:]); status != 200 || body != "half " || h.Get("Connection") != "close" {
+		t.Errorf("answered %d %q %v", status, body, h)
+	}
+	n.gone()
+}
+
+// TestDrainTakesWhatIsQueued drains while clients that have written whole requests stand in the
+// accept queue, as every place is held: they are taken before the listener closes, and served or
+// refused.
+func TestDrainTakesWhatIsQueued(t *testing.T) {
+	const queued = 5
+	n, _, release := fullNode(t)
+	var waits []net.Conn
+	for i := range queued {
+		c := n.dial()
+		add(t, c, look(fmt.Sprint("queued", i)))
+		waits = append(waits, c)
+	}
+	n.term()
+	// Past the time for newcomers, at which a listener that nobody came to would have closed.
+	early := time.After(newcomers + 3*quiet)
+	check.Eventually(t, "the time for newcomers is over", func() bool {
+		select {
+		case <-early:
+			return true
+		default:
+			return false
+		}
+	})
+	close(release)
+	for i, c := range waits {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("client %d of the queue: %v %v", i, resp, err)
+		}
+	}
+	n.gone()
+}
+
+// TestDrainWithShortDeadlines drains with deadlines so short that the end comes while newcomers
+// still do: what is not whole then is told so, and not cut off.
+func TestDrainWithShortDeadlines(t *testing.T) {
+	const longest = 100 * time.Millisecond
+	s := check.Raw(t, standin.Echo)
+	n := startNode(t, func(raw map[string]any) {
+		for _, c := range raw["settings"].(map[string]any)["classes"].([]map[string]any) {
+			c["deadlineMs"], c["objectiveMs"] = longest.Milliseconds(), longest.Milliseconds()
+		}
+	}, s.Addr)
+	slow := n.dial()
+	n.term()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() { // newcomers that say nothing, for as long as any is let in
+		for {
+			c, err := net.Dial("tcp", n.addr)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}()
+	go func() { // and one that never ends its head
+		for piece := look("slow"); len(piece) > 1; piece = piece[1:] {
+			if _, err := io.WriteString(slow, piece[:1]); err != nil {
+				return
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("who had not come to its end was told %v, %v", resp, err)
+	}
+	n.gone()
+}
+
 // lateClient writes a request in pieces, the last at a moment, and says what became of it:
 // a status, "cut" where the connection ended before the last piece was written, "lost" where it
 // did after that, or "spoilt".
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -208,13 +208,12 @@
 	}
 }
 
-// TestLeavesInTheAcceptQueue has clients write whole requests and go before the node has
-// accepted them, as every place is held: none of them is sent on.
-func TestLeavesInTheAcceptQueue(t *testing.T) {
-	const queued = 20
-	release := make(chan struct{})
-	s := check.Raw(t, held(release, ""))
-	n := startNode(t, func(raw map[string]any) {
+// fullNode is a node of which every place for clients holds a request, until release is closed.
+func fullNode(t *testing.T) (n *testNode, s *standin.Raw, release chan struct{}) {
+	t.Helper()
+	release = make(chan struct{})
+	s = check.Raw(t, held(release, ""))
+	n = startNode(t, func(raw map[string]any) {
 		raw["limits"] = map[string]any{"cores": 1, "memory_mb": 64, "sockets": 128}
 	}, s.Addr)
 	places := n.node.machine().Clients()
@@ -222,6 +221,14 @@
 		add(t, n.dial(), post("credit", fmt.Sprint("held", i), "", "x"))
 	}
 	n.holds(int64(places))
+	return n, s, release
+}
+
+// TestLeavesInTheAcceptQueue has clients write whole requests and go before the node has
+// accepted them, as every place is held: none of them is sent on.
+func TestLeavesInTheAcceptQueue(t *testing.T) {
+	const queued = 20
+	n, s, release := fullNode(t)
 	for i := range queued {
 		c := n.dial()
 		add(t, c, look(fmt.Sprint("gone", i)))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -349,7 +349,8 @@
 		n.handOver(last.Add(-closing))
 	} else {
 		time.Sleep(newcomers)
-		for seen := int64(-1); seen != n.front.Accepted() && time.Since(began) < 2*newcomers; time.Sleep(quiet) {
+		most := min(2*newcomers, n.longest()+lastWhole) // with short deadlines the end comes sooner
+		for seen := int64(-1); seen != n.front.Accepted() && time.Since(began)+quiet < most; time.Sleep(quiet) {
 			seen = n.front.Accepted()
 		}
 	}
