Open a silent watch anew at once, bound an answer as a whole, and ask for all after an older version

An answer of blanks or entries that never paused for a second was read for ever (call bounded each read alone). A delta of an older version than the one asked after was taken as the newest, and what lay between was never asked for.

Change: the first silent call is followed by another at once; two in a row are a failure. An answer has 3 s in all, half of the 6 s. After an older version the next call asks for the whole list.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -30,8 +30,10 @@
 	// watchMargin is how much later an answer may come before the watch counts
 	// as silent: what it hid counts as told 2 s after the wait.
 	watchMargin = time.Second
-	// bodyStall is how long an answer that has begun may pause.
+	// bodyStall is how long an answer that has begun may pause, and bodyMost how long it may
+	// take in all: half of the 6 s after which what a silent watch hid counts as told.
 	bodyStall = time.Second
+	bodyMost  = 3 * time.Second
 	// watchPace keeps a discovery that answers at once with nothing new from
 	// being flooded; it must stay under 200 ms for the watch to go on.
 	watchPace = 100 * time.Millisecond
@@ -273,6 +275,7 @@
 				return
 			}
 		}
+		reopened := false
 		for {
 			began := time.Now()
 			err := w.call(ctx)
@@ -285,8 +288,18 @@
 			}
 			if err != nil {
 				w.log.Warn("discovery call failed", "err", err)
+			}
+			// What a silent watch hid counts as told soon: it is opened anew at once, and not
+			// when the module has waited as after a failure. A second in a row is one.
+			if errors.Is(err, errStalled) && !reopened {
+				reopened = true
+				w.client.CloseIdleConnections()
+				continue
+			}
+			if err != nil {
 				break
 			}
+			reopened = false
 			if !pause(ctx, watchPace-time.Since(began)) {
 				return
 			}
@@ -334,6 +347,8 @@
 		return fmt.Errorf("watch: %w", err)
 	}
 	defer resp.Body.Close()
+	whole := time.AfterFunc(bodyMost, func() { cancel(errStalled) }) // it may trickle for ever
+	defer whole.Stop()
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("watch: status %d", resp.StatusCode)
 	}
@@ -361,6 +376,9 @@
 	default:
 		w.tell(decide.ListDelta, fresh)
 	}
+	if l.Seq < seq && !l.whole {
+		l.Seq = 0 // it began its count anew: what it knows is asked for as a whole
+	}
 	w.told(addr, l.Seq)
 	return nil
 }
