--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -7,6 +7,8 @@
 	"jasperpin/internal/platform"
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -202,3 +204,59 @@
 	n.reload()
 	check.Eventually(t, "the good file is taken", func() bool { return n.figure("cfg_accepted") == "1" })
 }
+
+// TestReloadTurnsClassesRound renames and reorders classes while requests are held: each ends by
+// the settings that it came under, and the next one is taken by the new ones. Names have what a
+// path writes otherwise.
+func TestReloadTurnsClassesRound(t *testing.T) {
+	release := make(chan struct{})
+	reset := func(c net.Conn, r *http.Request, body []byte) bool {
+		if strings.HasPrefix(r.Header.Get("Req-Id"), "held") {
+			<-release
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		return standin.Echo(c, r, body)
+	}
+	a, b := check.Raw(t, reset), check.Raw(t, reset)
+	n := startNode(t, withDoor, a.Addr, b.Addr)
+	got := func() int64 { return a.Got.Load() + b.Got.Load() }
+	answers := make(map[string]chan int)
+	for _, text := range []string{post("credit", "held-credit", "", "x"), look("held-look")} {
+		answer := make(chan int, 1)
+		answers[text] = answer
+		go func() {
+			status, _, _ := n.once(text)
+			answer <- status
+		}()
+	}
+	check.Eventually(t, "both are out", func() bool { return got() == 2 })
+	look, credit := n.classes()[0], n.classes()[2]
+	n.settings()["classes"] = []map[string]any{credit, n.classes()[1], look} // each in the other's place
+	credit["name"], look["name"] = "credit, large", "a/look"
+	n.retune()
+	close(release)
+	for text, answer := range answers {
+		want := http.StatusServiceUnavailable // it had all its attempts, each reset
+		if strings.HasPrefix(text, "POST") {
+			want = http.StatusBadGateway // one, which may have run
+		}
+		if status := <-answer; status != want {
+			t.Errorf("%.20q was answered %d, want %d", text, status, want)
+		}
+	}
+	if got := got(); got != 3 {
+		t.Errorf("%d attempts, want one of the class that may not run twice and one at each server of the other", got)
+	}
+	for text, want := range map[string]int{
+		strings.Replace(post("credit", "n1", "", "x"), "/credit/", "/credit,%20large/", 1):                               200,
+		strings.Replace(post("credit", "n2", "", "x"), "/credit/", "/credit%2C%20large/", 1):                             200,
+		"GET /a%2Flook/k HTTP/1.1\r\nHost: h\r\nReq-Id: n3\r\nReq-Deadline-Ms: 2000\r\n\r\n":                             200,
+		"GET /look/k HTTP/1.1\r\nHost: h\r\nReq-Id: n4\r\nReq-Deadline-Ms: 2000\r\n\r\n":                                 404,
+		"GET /credit,%20large/k HTTP/1.1\r\nHost: h\r\nReq-Id: n5\r\nReq-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n": 405,
+	} {
+		if status, _, _ := n.once(text); status != want {
+			t.Errorf("%.40q was answered %d, want %d", text, status, want)
+		}
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -196,6 +196,9 @@
 	return c, nil
 }
 
+// longestDial bounds how long a connection may take to come up, in milliseconds.
+const longestDial = 60_000.0
+
 // settings goes through the simulator's form, so that one parser serves both.
 func (c *Config) settings(tree map[string]any) error {
 	flat := make(map[string]string)
@@ -208,23 +211,35 @@
 	if c.Settings, err = wire.ParseSetup(text.Bytes()); err != nil {
 		return fmt.Errorf("%w: settings: %w", ErrConfig, err)
 	}
-	ms := 250.0
+	ms := longestDial // where none is told an attempt's own time ends it
 	if v, ok := flat["ceilings.dialTimeoutMs"]; ok {
-		if ms, err = strconv.ParseFloat(v, 64); err != nil || !(ms > 0) || ms > 60_000 {
+		if ms, err = strconv.ParseFloat(v, 64); err != nil || !(ms > 0) || ms > longestDial {
 			return bad("settings: ceilings.dialTimeoutMs", "%q is not a usable time", v)
 		}
 	}
 	c.DialTimeout = time.Duration(ms * float64(time.Millisecond))
+	// Names as they stand, and not as the simulator's form writes them: clients and discovery
+	// use them so, and two may be one there.
+	classes, _ := tree["classes"].([]any)
 	for i := range c.Settings.Classes {
 		field := fmt.Sprintf("classes.%d.name", i)
-		name := flat[field]
-		if _, twice := c.Classes[name]; name == "" || twice || strings.ContainsAny(name, "/?#") {
-			return bad("settings: "+field, "%q is missing, used twice or not fit for a path", name)
+		name := ""
+		if i < len(classes) {
+			class, _ := classes[i].(map[string]any)
+			name, _ = class["name"].(string)
+		}
+		if _, twice := c.Classes[name]; name == "" || twice {
+			return bad("settings: "+field, "%q is missing or used twice", name)
 		}
 		c.Classes[name] = i
 	}
-	for i, z := range strings.Split(flat["zones"], ",") {
-		c.Zones[z] = i
+	zones, _ := tree["zones"].([]any)
+	for i, z := range zones {
+		name, ok := z.(string)
+		if _, twice := c.Zones[name]; !ok || twice {
+			return bad(fmt.Sprintf("settings: zones.%d", i), "%v is no name or used twice", z)
+		}
+		c.Zones[name] = i
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,105 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"jasperpin/decide"
+)
+
+// distinct are settings in which no two values are alike, with names that another form might
+// make one.
+const distinct = `{"name":"n7","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","control":"127.0.0.1:3","seed":"7f",
+"limits":{"cores":0.25,"memory_mb":48,"sockets":257},
+"known":{"seq":41,"whole":true,"hosts":[
+ {"host":"s-1","dial":"10.1.0.18:8080","site":"b,c","class":"m2","block":3,"health":"in_service","share":1.25,"born_ms":77},
+ {"host":"s-2","dial":"10.1.0.19:8080","site":"b c","class":"m2","block":4,"health":"in_service","share":1.5,"born_ms":0},
+ {"host":"s-3","dial":"10.1.0.20:8080","site":"b_c","class":"m2","block":5,"health":"in_service","share":1.75,"born_ms":0}]},
+"settings":{"az":2,"zones":["b_c","b c","b,c"],"myNumber":5,"nInstances":19,"discovery":"ask","valueBy":"work","weights":"rough",
+ "callers":{"marksRetry":true},"familyInfo":{"warmKeys":true},
+ "ceilings":{"cancel":true,"secondCopies":false,"probes":false,"peers":false,"retryAfter":true,"maxRetryAfterMs":1901,"maxAttempts":6,"dialTimeoutMs":123,"keepaliveMs":4007,"maxStreams":31,"openCap":411,"cpuUsPerS":810000,"cpuUsPerRequest":0},
+ "costs":{"connection":0.08,"crossZone":0.015,"discovery":0.11,"handshake":0.07,"lateFail":0.071,"moves":0.02,"origin":0.03,"peer":0.04,"probe":0.05,"waste":0.3},
+ "objectiveMix":{"whole":0.5,"worstWindow":0.1,"worstClass":0.25,"worstTenant":0.15},"overShareWorth":0.09,
+ "report":{"via":"piggyback","fields":["q","busy"]},
+ "rules":{"askWithinMs":9003,"fallMultiple":3.25,"overloadForMs":1500,"graceToAnswerMs":21,"startCapacity":0.14,"stopSendingWithinMs":1001,"warmWithinMs":22001},
+ "classes":[
+  {"name":"a b","effect":"single_shot","objectiveMs":201,"deadlineMs":302,"windowMs":403,"gain":1.5,"lateWorth":0.25,"aimStretch":0.5,"dedupScope":"cell","streamed":false},
+  {"name":"a_b","effect":"guarded","objectiveMs":504,"deadlineMs":605,"windowMs":706,"gain":2.5,"lateWorth":0.125,"aimStretch":0.75,"dedupScope":"zone","streamed":false},
+  {"name":"a,b","effect":"free","objectiveMs":807,"deadlineMs":908,"windowMs":1009,"gain":3.5,"lateWorth":0.0625,"aimStretch":0.875,"dedupScope":"all","streamed":false}],
+ "tenants":[{"name":"t u","share":0.6,"quotaPerS":61},{"name":"t_u","share":0.4,"quotaPerS":41}]}}`
+
+func none(string) string { return "" }
+
+// TestEverySettingComesFromItsOwn reads settings of a customer nobody knows: each value is where
+// it belongs, and names that are alike to the simulator stay apart.
+func TestEverySettingComesFromItsOwn(t *testing.T) {
+	c, err := parseConfig([]byte(distinct), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const ms = time.Millisecond
+	want := decide.Settings{
+		Self: 5, Nodes: 19, Zone: 2, Zones: 3, Ask: true, AskWithin: 9003 * ms, MaxAttempts: 6, Cancel: true, WorthByWork: true, WarmKeys: true,
+		FallMultiple: 3.25, StartShare: 0.14, WarmWithin: 22001 * ms, FallWithin: 1500 * ms,
+		CrossCost: 0.015, HandshakeCost: 0.07, OpenCost: 0.08, KeepAlive: 4007 * ms, RetryAfterMost: 1901 * ms,
+		Classes: []decide.Class{
+			{Effect: decide.SingleShot, Scope: decide.ScopeCell, Window: 403 * ms, Aim: 201 * ms, Deadline: 302 * ms, AimFactor: 0.5, Worth: 1.5, LateWorth: 0.25},
+			{Effect: decide.Guarded, Scope: decide.ScopeZone, Window: 706 * ms, Aim: 504 * ms, Deadline: 605 * ms, AimFactor: 0.75, Worth: 2.5, LateWorth: 0.125},
+			{Effect: decide.Free, Scope: decide.ScopeAll, Window: 1009 * ms, Aim: 807 * ms, Deadline: 908 * ms, AimFactor: 0.875, Worth: 3.5, LateWorth: 0.0625},
+		},
+	}
+	if got, want := fmt.Sprintf("%+v", c.Settings), fmt.Sprintf("%+v", want); got != want {
+		t.Errorf("settings\n%s, want\n%s", got, want)
+	}
+	if c.DialTimeout != 123*ms || c.Limits.Descriptors != 257 || c.Limits.Memory != 48<<20 || c.Limits.Cores != 0.25 || c.Control != "127.0.0.1:3" {
+		t.Errorf("%+v", c)
+	}
+	for i, name := range []string{"a b", "a_b", "a,b"} {
+		if got, ok := c.Classes[name]; !ok || got != i {
+			t.Errorf("class %q is %d, %t, want %d", name, got, ok, i)
+		}
+	}
+	for i, zone := range []int{2, 1, 0} {
+		if got := c.Known.Hosts[i].Zone; got != zone {
+			t.Errorf("server %d is in zone %d, want %d", i, got, zone)
+		}
+	}
+}
+
+// TestMissingSettings takes out one setting after the other: what is not told has a default of
+// no deployment's, or the error names it.
+func TestMissingSettings(t *testing.T) {
+	for path, want := range map[string]string{ // the error's, "" for none
+		"classes": "classes.count", "zones": "", "discovery": "", "rules": "", "ceilings": "", "costs": "", "az": "",
+	} {
+		var raw map[string]any
+		if err := json.Unmarshal([]byte(distinct), &raw); err != nil {
+			t.Fatal(err)
+		}
+		delete(raw["settings"].(map[string]any), path)
+		text, err := json.Marshal(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := parseConfig(text, none)
+		switch {
+		case want != "" && (err == nil || !strings.Contains(err.Error(), want)):
+			t.Errorf("without %s: %v, want %s named", path, err, want)
+		case want == "" && err != nil:
+			t.Errorf("without %s: %v", path, err)
+		case path == "ceilings" && (c.DialTimeout != time.Minute || c.Settings.MaxAttempts != 1 || c.Settings.SecondCopies || c.Settings.Cancel || c.Settings.RetryAfterMost != 0):
+			t.Errorf("without ceilings something is allowed, or bounded by nobody's setting: %+v", c)
+		}
+	}
+	for name, change := range map[string]string{
+		"classes.1.name": strings.Replace(distinct, `"a_b"`, `"a b"`, 1),
+		"zones.2":        strings.Replace(distinct, `"b c","b,c"`, `"b c","b c"`, 1),
+	} {
+		if _, err := parseConfig([]byte(change), none); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("a name used twice: %v, want %s named", err, name)
+		}
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,9 +37,14 @@
 	line    *line // kept by the pool's name, as its budgets are
 }
 
-// Class gives a class's position by its name.
+// Class gives a class's position by its name, as it is or as a path has it.
 func (p *Pool) Class(name string) (int, bool) {
 	i, ok := p.classes[name]
+	if !ok {
+		if plain, err := url.PathUnescape(name); err == nil {
+			i, ok = p.classes[plain]
+		}
+	}
 	return i, ok
 }
 
