--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -330,3 +331,111 @@
 		})
 	}
 }
+
+// TestLeavesInALine has a client leave that waits for a place in its service's line, and another
+// be told so at SIGTERM.
+func TestLeavesInALine(t *testing.T) {
+	release := make(chan struct{})
+	s := check.Raw(t, held(release, ""))
+	n := startServices(t, svc("orders", "concurrent = 1\nqueue = 10\nqueue_wait = \"20s\"")+pool("orders", "", s.Addr))
+	answers := make(chan int, 2)
+	ask := func(id string) {
+		status, _, _ := n.once(at("orders", look(id)))
+		answers <- status
+	}
+	go ask("first")
+	check.Eventually(t, "the first is out", func() bool { return s.Got.Load() == 1 })
+	c := n.dial()
+	add(t, c, at("orders", look("gone")))
+	n.holds(2)
+	add(t, c, "x")
+	c.Close()
+	n.holds(1)
+	go ask("waits")
+	n.holds(2)
+	n.term()
+	check.Eventually(t, "the drain has begun", func() bool { return strings.Contains(n.logged.String(), "draining") })
+	close(release)
+	for range 2 {
+		if status := <-answers; status != http.StatusOK {
+			t.Errorf("answered %d", status)
+		}
+	}
+	n.gone()
+	if got := s.Got.Load(); got != 2 {
+		t.Errorf("%d requests were sent on, want 2", got)
+	}
+}
+
+// TestLeavesWaitingForRoom has clients leave whose requests wait for one of the node's places for
+// connections to servers.
+func TestLeavesWaitingForRoom(t *testing.T) {
+	const beyond = 5
+	release := make(chan struct{})
+	s := check.Raw(t, held(release, ""))
+	n := startNode(t, both(patient, uncalled), s.Addr)
+	places := n.node.machine().Conns()
+	for i := range places {
+		add(t, n.dial(), post("credit", fmt.Sprint("held", i), "", "x"))
+	}
+	check.Eventually(t, "every place is taken", func() bool { return int(s.Got.Load()) == places })
+	var gone []net.Conn
+	for i := range beyond {
+		c := n.dial()
+		add(t, c, look(fmt.Sprint("gone", i)))
+		gone = append(gone, c)
+	}
+	n.holds(int64(places + beyond))
+	for _, c := range gone {
+		add(t, c, "x")
+		c.Close()
+	}
+	n.holds(int64(places))
+	close(release)
+	n.holds(0)
+	if got := int(s.Got.Load()); got != places {
+		t.Errorf("%d requests were sent on, want %d", got, places)
+	}
+}
+
+// TestLeavesBeforeASecondCopy has a client leave whose answer is lost: no second copy follows,
+// while that of one who stays does.
+func TestLeavesBeforeASecondCopy(t *testing.T) {
+	var mu sync.Mutex
+	seen := make(map[string]int)
+	lost := func(c net.Conn, r *http.Request, body []byte) bool {
+		id := r.Header.Get("Req-Id")
+		mu.Lock()
+		seen[id]++
+		first := seen[id] == 1 && !strings.HasPrefix(id, "quick")
+		mu.Unlock()
+		return first || standin.Echo(c, r, body)
+	}
+	a, b := check.Raw(t, lost), check.Raw(t, lost)
+	n := startNode(t, both(uncalled, func(raw map[string]any) {
+		look := raw["settings"].(map[string]any)["classes"].([]map[string]any)[0]
+		look["objectiveMs"], look["deadlineMs"] = 2000, 4000
+	}), a.Addr, b.Addr)
+	for i := range 40 { // so that it knows how quick answers are
+		if status, _, _ := n.once(look(fmt.Sprint("quick", i))); status != http.StatusOK {
+			t.Fatalf("answered %d", status)
+		}
+	}
+	count := func(id string) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return seen[id]
+	}
+	c := n.dial()
+	add(t, c, look("gone"))
+	check.Eventually(t, "it is out", func() bool { return count("gone") == 1 })
+	add(t, c, "x")
+	c.Close()
+	n.holds(0)
+	if status, _, _ := n.once(look("stays")); status != http.StatusOK || count("stays") != 2 {
+		t.Errorf("who stayed was answered %d, with %d attempts", status, count("stays"))
+	}
+	if got := count("gone"); got != 1 {
+		t.Errorf("%d attempts for who had left", got)
+	}
+}
