--- a/decide/cases_test.go
+++ b/decide/cases_test.go
@@ -202,32 +202,6 @@
 	}
 }
 
-// What a node saves up of a cold server's budget may all be spent at once: it stays within what
-// the settings count together.
-func TestColdBudgetIsSavedForTheTimeCounted(t *testing.T) {
-	saved := func(within time.Duration) float64 {
-		set := testSettings()
-		set.FallWithin = within
-		b, _ := start(set, 9)
-		b.Listed(b.now, ListDelta, []Server{{ID: 99, Condition: Ready, Scale: 1, Since: b.now}})
-		for range 5000 { // nobody goes there for five seconds
-			b.now += time.Millisecond
-			b.record(b.ready[0], false)
-		}
-		b.coldMay(b.byID[99])
-		return b.byID[99].tokens
-	}
-	whole := saved(0) // of coldSpan
-	for within, want := range map[time.Duration]float64{coldSpan: whole, coldSpan / 2: whole, coldSpan / 8: whole / 4, coldSpan / 20: whole / 10} {
-		if got := saved(within); math.Abs(got-want) > 1 {
-			t.Errorf("%v counted together: %.1f calls are saved up, want %.1f", within, got, want)
-		}
-	}
-	if whole < 20 {
-		t.Fatalf("%.1f calls show nothing", whole)
-	}
-}
-
 // During a release half of the fleet may be cold and carries less: a share of
 // the calls answered that counted them as whole kept them from taking any.
 func TestColdBudgetCountsWarmServers(t *testing.T) {
--- a/decide/members.go
+++ b/decide/members.go
@@ -217,6 +217,6 @@
 	rate *= s.Scale * min(1, b.set.FallMultiple*coldMargin*w) * (1 - b.set.Withheld)
 	s.tokens, s.tokensAt = s.tokens+rate*(b.now-s.tokensAt).Seconds(), b.now
 	// A turn not taken passes, and what others hold is spread as before.
-	s.tokens -= max(0, math.Ceil(s.tokens-rate*min(coldSpan, cmp.Or(2*b.set.FallWithin, coldSpan)).Seconds()))
+	s.tokens -= max(0, math.Ceil(s.tokens-rate*coldSpan.Seconds()))
 	return s.tokens >= 0
 }
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -62,7 +62,6 @@
 	FallMultiple float64       // of its capacity, what pushes a cold server over
 	StartShare   float64       // of its capacity, the least a server starts with
 	WarmWithin   time.Duration // the longest it takes to its full capacity
-	FallWithin   time.Duration // the time in which what it is sent is counted; 0 if untold
 	Withheld     float64       // of this node's part of a cold server: 1 until the fleet counts it
 
 	CrossCost, HandshakeCost float64       // prices of crossing zones and of connecting, a request
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -43,7 +43,7 @@
 	const ms = time.Millisecond
 	want := decide.Settings{
 		Self: 5, Nodes: 19, Zone: 2, Zones: 3, Ask: true, AskWithin: 9003 * ms, MaxAttempts: 6, Cancel: true, WorthByWork: true, WarmKeys: true,
-		FallMultiple: 3.25, StartShare: 0.14, WarmWithin: 22001 * ms, FallWithin: 1500 * ms,
+		FallMultiple: 3.25, StartShare: 0.14, WarmWithin: 22001 * ms,
 		CrossCost: 0.015, HandshakeCost: 0.07, OpenCost: 0.08, KeepAlive: 4007 * ms, RetryAfterMost: 1901 * ms,
 		Classes: []decide.Class{
 			{Effect: decide.SingleShot, Scope: decide.ScopeCell, Window: 403 * ms, Aim: 201 * ms, Deadline: 302 * ms, AimFactor: 0.5, Worth: 1.5, LateWorth: 0.25},
--- a/internal/wire/setup.go
+++ b/internal/wire/setup.go
@@ -116,7 +116,6 @@
 		FallMultiple: s.num("rules.fallMultiple", 1),
 		StartShare:   s.num("rules.startCapacity", 1),
 		WarmWithin:   s.ms("rules.warmWithinMs", 0),
-		FallWithin:   s.ms("rules.overloadForMs", 0),
 
 		CrossCost:     s.num("costs.crossZone", 0),
 		HandshakeCost: s.num("costs.handshake", 0),
