Give the stand-in of TestPartEndsByItself answers that take time: it failed 3 of 20

Cause: answers came in no virtual time at all, so that the four warm servers counted as ten times quicker than expected and the cold one, whose record fades to 1 while it has no part, as slow beside them.

--- a/internal/core/stand_test.go
+++ b/internal/core/stand_test.go
@@ -20,6 +20,9 @@
 			if addr == "cold:1" {
 				cold++
 			}
+			// Answers in no time at all would make whoever answered last look quick, and the cold
+			// server, after a pause, slow beside it for good.
+			time.Sleep(10 * time.Millisecond)
 			return decide.OK, &Answer{Code: 200}
 		}}
 		p := NewPool(Settings{
