Force the last rows of the review: a long answer cut, a retired pool and a silent discovery in a drain

Rows of docs/design/ends.md that had no test: an answer that is being passed on at a drain's exit is cut visibly; a request held by a pool that a reload replaced, and one taken while discovery had never answered, are answered within a drain.

--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -112,11 +112,7 @@
 	for round, longest := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, time.Second, 300 * time.Millisecond} {
 		t.Run(fmt.Sprint(round), func(t *testing.T) {
 			t.Parallel()
-			n := startNode(t, func(raw map[string]any) {
-				for _, c := range raw["settings"].(map[string]any)["classes"].([]map[string]any) {
-					c["deadlineMs"], c["objectiveMs"] = longest.Milliseconds(), longest.Milliseconds()
-				}
-			}, s.Addr)
+			n := startNode(t, short(longest), s.Addr)
 			g := rand.New(rand.NewPCG(uint64(round), 1))
 			last := longest + lastDue
 			ends := make(chan string, clients)
@@ -218,13 +214,8 @@
 // TestDrainWithShortDeadlines drains with deadlines so short that the end comes while newcomers
 // still do: what is not whole then is told so, and not cut off.
 func TestDrainWithShortDeadlines(t *testing.T) {
-	const longest = 100 * time.Millisecond
 	s := check.Raw(t, standin.Echo)
-	n := startNode(t, func(raw map[string]any) {
-		for _, c := range raw["settings"].(map[string]any)["classes"].([]map[string]any) {
-			c["deadlineMs"], c["objectiveMs"] = longest.Milliseconds(), longest.Milliseconds()
-		}
-	}, s.Addr)
+	n := startNode(t, short(100*time.Millisecond), s.Addr)
 	slow := n.dial()
 	n.term()
 	stop := make(chan struct{})
@@ -262,6 +253,56 @@
 	n.gone()
 }
 
+// short has all classes wait for so long.
+func short(longest time.Duration) func(map[string]any) {
+	return func(raw map[string]any) {
+		for _, c := range raw["settings"].(map[string]any)["classes"].([]map[string]any) {
+			c["deadlineMs"], c["objectiveMs"] = longest.Milliseconds(), longest.Milliseconds()
+		}
+	}
+}
+
+// TestDrainCutsALongAnswerVisibly drains beside an answer that is being passed on and never ends:
+// its client sees that it is not whole.
+func TestDrainCutsALongAnswerVisibly(t *testing.T) {
+	s := check.Raw(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 1<<20, strings.Repeat("a", 100<<10))
+		select {}
+	})
+	n := startNode(t, short(300*time.Millisecond), s.Addr)
+	c := n.dial()
+	add(t, c, look("long"))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.term()
+	if got, err := io.Copy(io.Discard, resp.Body); err == nil || got >= 1<<20 {
+		t.Errorf("%d bytes passed for the whole answer", got)
+	}
+	n.gone()
+}
+
+// TestDrainOfARetiredPool drains while a pool that a reload has replaced holds a request, and
+// while discovery has never answered: the request is answered in time all the same.
+func TestDrainOfARetiredPool(t *testing.T) {
+	quiet := check.Must[net.Listener](t)(net.Listen("tcp", "127.0.0.1:0")) // which nobody serves
+	defer quiet.Close()
+	s := check.Raw(t, func(net.Conn, *http.Request, []byte) bool { select {} })
+	n := startNode(t, both(withDoor, func(raw map[string]any) { raw["discovery"] = quiet.Addr().String() }), s.Addr)
+	was := n.asked(post("credit", "was", "", "x"))
+	check.Eventually(t, "the request is out", func() bool { return s.Got.Load() == 1 })
+	n.classes()[2]["objectiveMs"] = 19000
+	n.retune()
+	is := n.asked(look("is"))
+	check.Eventually(t, "the next one is out", func() bool { return s.Got.Load() == 2 })
+	n.term()
+	if was, is := <-was, <-is; was != "502 " || is != "503 " {
+		t.Errorf("answered %q and %q", was, is)
+	}
+	n.gone()
+}
+
 // lateClient writes a request in pieces, the last at a moment, and says what became of it:
 // a status, "cut" where the connection ended before the last piece was written, "lost" where it
 // did after that, or "spoilt".
