--- a/internal/httpfront/conns.go
+++ b/internal/httpfront/conns.go
@@ -82,7 +82,7 @@
 // request's last byte came.
 type clientConn struct {
 	net.Conn
-	raw   syscall.RawConn // nil where it has none, as in tests
+	raw   syscall.RawConn // nil where it has none: its end is then heard of by reading alone
 	owner *conns
 	place *list.Element // in list, nil while a request is held or after eviction
 	list  *list.List    // one of the owner's
