Say once in the node's tests what a server that resets held requests does

TestLeavesBeforeARetry and TestReloadTurnsClassesRound had a script each; resets in the harness serves both.

--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -179,6 +179,19 @@
 	}
 }
 
+// resets resets the connections of requests whose names begin so, once release is closed, and
+// echoes the others.
+func resets(release <-chan struct{}, prefix string) standin.Reply {
+	return func(c net.Conn, r *http.Request, body []byte) bool {
+		if strings.HasPrefix(r.Header.Get("Req-Id"), prefix) {
+			<-release
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		return standin.Echo(c, r, body)
+	}
+}
+
 // byFile makes a node of an operator's file, which begin runs.
 func byFile(t testing.TB, text string) *testNode {
 	t.Helper()
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -194,14 +194,7 @@
 		t.Run(way, func(t *testing.T) {
 			t.Parallel()
 			release := make(chan struct{})
-			reset := func(c net.Conn, r *http.Request, body []byte) bool {
-				if r.Header.Get("Req-Id") == "gone" {
-					<-release
-					_ = c.(*net.TCPConn).SetLinger(0)
-					return false
-				}
-				return standin.Echo(c, r, body)
-			}
+			reset := resets(release, "gone")
 			a, b := check.Raw(t, reset), check.Raw(t, reset)
 			n := startNode(t, uncalled, a.Addr, b.Addr)
 			c := n.dial()
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -7,8 +7,6 @@
 	"jasperpin/internal/platform"
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
-	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -210,14 +208,7 @@
 // path writes otherwise.
 func TestReloadTurnsClassesRound(t *testing.T) {
 	release := make(chan struct{})
-	reset := func(c net.Conn, r *http.Request, body []byte) bool {
-		if strings.HasPrefix(r.Header.Get("Req-Id"), "held") {
-			<-release
-			_ = c.(*net.TCPConn).SetLinger(0)
-			return false
-		}
-		return standin.Echo(c, r, body)
-	}
+	reset := resets(release, "held")
 	a, b := check.Raw(t, reset), check.Raw(t, reset)
 	n := startNode(t, withDoor, a.Addr, b.Addr)
 	got := func() int64 { return a.Got.Load() + b.Got.Load() }
