Ask whether a repeat still reaches servers that drop it, with its connection in hand

Cause: maySend (decide/attempt.go) looked at the window when an attempt was decided on; the connection may come up 250 ms later, and core's Begin asked after client, request and server alone.

Change: Balancer.Begin takes the moment in which an attempt begins and says by when its last byte must be out; the window counts from there. httpup ends a write at that time: what is not whole has not run.

Tests that fail without it: node TestLateRepeatIsNotSent (3 of 3), core TestRepeatsBeginInTheWindow, httpup TestWriteEndsInTime, decide TestBegin.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -7,7 +7,6 @@
 	"time"
 )
 
-// Tuning of load shedding.
 const (
 	// fillAim is how much of the room between the latency of an unloaded fleet
 	// and the aim answers may use up on average, squared. From fillMost on what
--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -1,11 +1,10 @@
 package decide
 
 import (
-	"slices"
+	"cmp"
 	"time"
 )
 
-// Tuning of attempts.
 const (
 	// retryShare of the first tries may be repeated, retryBurst at once: in a
 	// storm retries stay a small part of the load.
@@ -19,12 +18,14 @@
 	connectRetry = 500 * time.Millisecond // doubled thrice: so long one without a connection is passed over
 )
 
-// first returns the first attempt that may have run, or nil.
-func (r *request) first() *attempt {
-	if i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.mayRun }); i >= 0 {
-		return &r.attempts[i]
+// first returns the attempt that began first of those that may have run, or nil.
+func (r *request) first() (f *attempt) {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.mayRun && (f == nil || a.at < f.at) {
+			f = a
+		}
 	}
-	return nil
+	return f
 }
 
 // maySend is the effect rule: whether the attempts so far allow another one at this server.
@@ -38,19 +39,32 @@
 		return true
 	}
 	near := s.Zone == f.srv.Zone
-	return c.Effect == Guarded && b.remembered(c, f) &&
+	return c.Effect == Guarded && b.now <= c.dropsUntil(f) &&
 		(c.Scope == ScopeAll || near && (c.Scope == ScopeZone || c.Scope == ScopeCell && s.Cell == f.srv.Cell))
 }
 
-// remembered says whether servers still drop repeats of a guarded attempt.
-func (b *Balancer) remembered(c *Class, f *attempt) bool {
-	return b.now-f.sentAt <= time.Duration(windowMargin*float64(c.Window))
+// dropsUntil is how long servers surely drop repeats of a guarded attempt.
+func (c *Class) dropsUntil(f *attempt) time.Duration {
+	return f.at + time.Duration(windowMargin*float64(c.Window))
+}
+
+// Begin takes note that an attempt has its connection, and says by when its last byte must go out, 0
+// for no bound: whichever of a guarded request's attempts waits, its server must still drop repeats
+// of the others. What is late already may not begin.
+func (b *Balancer) Begin(now time.Duration, id RequestID, n int) time.Duration {
+	b.now = max(b.now, now)
+	r := b.reqs[id]
+	r.attempts[n].at = b.now
+	if c := &b.set.Classes[r.Class]; c.Effect == Guarded && !r.Streams {
+		return c.dropsUntil(r.first())
+	}
+	return 0
 }
 
 // mayRefuse says whether a refusal is truthful: trying again does no harm.
 func (b *Balancer) mayRefuse(r *request) bool {
 	c, f := &b.set.Classes[r.Class], r.first()
-	return c.Effect == Free || f == nil || c.Effect == Guarded && c.Scope == ScopeAll && b.remembered(c, f)
+	return c.Effect == Free || f == nil || c.Effect == Guarded && c.Scope == ScopeAll && b.now <= c.dropsUntil(f)
 }
 
 // step moves a request with nothing outstanding on: another attempt, or its end.
@@ -77,7 +91,7 @@
 	b.sent.add(b.now, 1)
 	s.out++
 	b.poolOf(s).out++
-	r.attempts = append(r.attempts, attempt{srv: s, sentAt: b.now, expect: expect, out: true, mayRun: true})
+	r.attempts = append(r.attempts, attempt{srv: s, sentAt: b.now, at: b.now, expect: expect, out: true, mayRun: true})
 	b.out.Send(r.ID, s.ID, r.aimAt-b.now)
 	r.copyAt = b.now + max((r.aimAt-b.now)*2/3, copyAfter*expect)
 	b.out.Wake(uint64(r.ID)<<4|tokenCopy, r.copyAt)
@@ -115,11 +129,8 @@
 	s := a.srv
 	took := b.now - a.sentAt
 	if o.Result == OK || o.Result == Failed || o.Result == Full {
-		if s.sureAt == 0 {
-			s.sureAt = b.now + listLate
-		}
+		s.sureAt = cmp.Or(s.sureAt, b.now+listLate)
 		s.lastAnswer = b.now
-		s.linkedAt = b.now
 	}
 	if o.Result == Cancelled && r.ended && len(r.attempts) > 1 && took > copyAfter*a.expect {
 		o.Result = TimedOut // its second copy was answered first
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -8,7 +8,6 @@
 	"time"
 )
 
-// Tuning of the event flow.
 const (
 	tickEvery = 100 * time.Millisecond // of housekeeping: short against aims, long against its cost
 	classGain = 1.0 / 64               // smooths what is learned about a class over ~64 answers
@@ -24,6 +23,7 @@
 type attempt struct {
 	srv    *server
 	sentAt time.Duration
+	at     time.Duration // when it began to go out, or was sent and has yet to begin
 	expect time.Duration // the latency expected when it was sent
 	out    bool          // no outcome yet
 	mayRun bool          // out, or ended without proof that it never ran
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -136,7 +136,7 @@
 							set.SecondCopies = copies
 							set.Classes[0] = Class{Effect: effect, Scope: scope, Window: second}
 							b := New(set, 1, 100*second, newTape())
-							a := attempt{srv: &server{Server: Server{Zone: 1, Cell: 1}}, sentAt: b.now}
+							a := attempt{srv: &server{Server: Server{Zone: 1, Cell: 1}}, sentAt: b.now, at: b.now}
 							ran := true
 							if outcome < 0 {
 								a.out, a.mayRun = true, true
@@ -184,6 +184,46 @@
 	}
 }
 
+// TestBegin walks through what waits for its connection: no attempt of a guarded request goes out when
+// servers may have forgotten another that may have run.
+func TestBegin(t *testing.T) {
+	const from = 100 * second
+	part := func(x float64) time.Duration { return time.Duration(x * float64(second)) }
+	for name, c := range map[string]struct {
+		class Class
+		began []time.Duration // of the others, in windows; below 0 for one that never ran
+		now   float64
+		want  float64 // 0 for no bound
+	}{
+		"alone":                    {Class{Effect: Guarded, Window: second}, nil, 0.5, 0.5 + windowMargin},
+		"behind another":           {Class{Effect: Guarded, Window: second}, []time.Duration{0}, 0.5, windowMargin},
+		"too late":                 {Class{Effect: Guarded, Window: second}, []time.Duration{0}, 1, windowMargin},
+		"behind the first of two":  {Class{Effect: Guarded, Window: second}, []time.Duration{part(0.4), part(0.2)}, 0.5, 0.2 + windowMargin},
+		"the first never ran":      {Class{Effect: Guarded, Window: second}, []time.Duration{-1, part(0.4)}, 0.5, 0.4 + windowMargin},
+		"free":                     {Class{Effect: Free}, []time.Duration{0}, 5, 0},
+		"unsafe, of one never ran": {Class{Effect: SingleShot}, []time.Duration{-1}, 5, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			set := testSettings()
+			set.Classes[0] = c.class
+			b := New(set, 1, from, newTape())
+			r := &request{Request: Request{ID: 1}}
+			for _, at := range c.began {
+				r.attempts = append(r.attempts, attempt{at: from + at, out: at >= 0, mayRun: at >= 0})
+			}
+			r.attempts = append(r.attempts, attempt{at: from, out: true, mayRun: true})
+			b.reqs[1] = r
+			want := time.Duration(0)
+			if c.want > 0 {
+				want = from + part(c.want)
+			}
+			if got := b.Begin(from+part(c.now), 1, len(c.began)); got != want {
+				t.Errorf("by %v, want %v", got-from, want-from)
+			}
+		})
+	}
+}
+
 // world drives a Balancer through random legal events and checks the rules on
 // its own: it keeps its own account of requests, attempts and the list.
 type world struct {
--- a/decide/members.go
+++ b/decide/members.go
@@ -8,7 +8,6 @@
 	"time"
 )
 
-// Tuning of the server list, slow start and discovery.
 const (
 	// coldMargin is the part of a cold server's budget that the nodes use
 	// together: the rest is for chance and for servers slower than the mean.
@@ -34,7 +33,7 @@
 	Server
 	health
 	out        int           // own attempts outstanding
-	lastAnswer time.Duration // the last sign of life
+	lastAnswer time.Duration // the last sign of life, when a connection was last idle; 0 for never
 	stretch    float64       // its latency over the expected one, smoothed
 	seenAt     time.Duration
 	restUntil  time.Duration // it said that it is full
@@ -43,7 +42,6 @@
 	sureAt     time.Duration // by then the list has told of a start before its answer; 0 for none yet
 	tokens     float64       // slow-start budget, in average requests
 	tokensAt   time.Duration
-	linkedAt   time.Duration // when a connection was last idle; 0 for never
 }
 
 // members is the list and what is drawn from it.
@@ -101,11 +99,10 @@
 		return
 	}
 	if s == nil {
-		s = &server{stretch: 1}
-		b.chill(s)
+		s = &server{Server: Server{Since: -1}} // no process so far
 		b.byID[e.ID] = s
-	} else if e.Since != s.Since {
-		// A restart: a new process owes nothing to the old one's record.
+	}
+	if e.Since != s.Since { // a new process owes nothing to an old one's record
 		*s = server{stretch: 1, out: s.out}
 		b.chill(s)
 	}
--- a/decide/outlier.go
+++ b/decide/outlier.go
@@ -145,11 +145,7 @@
 		return
 	}
 	for _, s := range b.ready {
-		t := s.closed.total()
-		if !b.mayEject() {
-			return
-		}
-		if t >= volume && !s.ejected && s.closed.bad > share*t {
+		if t := s.closed.total(); t >= volume && !s.ejected && s.closed.bad > share*t && b.mayEject() {
 			b.eject(s, why)
 		}
 	}
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -8,7 +8,6 @@
 	"time"
 )
 
-// Tuning of the picker.
 const (
 	// draws is how many servers of the own zone, and of the others, are looked at:
 	// enough to avoid the worst; looking at all would send nodes the same way.
@@ -59,7 +58,7 @@
 
 // linked says whether a connection to a server is idle and so open still, as far as is known.
 func (b *Balancer) linked(s *server) bool {
-	return s.out == 0 && s.linkedAt > 0 && b.now-s.linkedAt < b.set.KeepAlive
+	return s.out == 0 && s.lastAnswer > 0 && b.now-s.lastAnswer < b.set.KeepAlive
 }
 
 // reweigh sets the servers' weights, size over stretch and little while cold,
--- /dev/null
+++ b/internal/core/begin_test.go
@@ -0,0 +1,119 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"jasperpin/decide"
+)
+
+// dials is an upstream whose n-th attempt waits for its connection for so long, and then ends as told;
+// without waits all are served at once.
+type dials struct {
+	waits []time.Duration
+	ends  func(ctx context.Context, n int) decide.Result
+
+	mu    sync.Mutex
+	tries int
+	begun []time.Time
+}
+
+func (d *dials) Server() Server { return d }
+func (d *dials) Close()         {}
+func (d *dials) Leave()         {}
+
+func (d *dials) Send(ctx context.Context, _ string, _ *Message, _ time.Duration, on Sending) (decide.Result, *Answer) {
+	d.mu.Lock()
+	n, waits := d.tries, d.waits
+	d.tries++
+	d.mu.Unlock()
+	if waits == nil {
+		on.Begin()
+		return decide.OK, &Answer{Code: 200}
+	}
+	select {
+	case <-time.After(waits[n]):
+	case <-ctx.Done():
+		return Outcome(ctx, true), nil
+	}
+	until, ok := on.Begin()
+	if !ok {
+		return decide.Moot, nil
+	}
+	d.mu.Lock()
+	d.begun = append(d.begun, time.Now())
+	d.mu.Unlock()
+	if left := time.Until(until); left <= 0 || left > time.Second {
+		return decide.OK, &Answer{Code: 599} // the test looks at it
+	}
+	return d.ends(ctx, n), nil
+}
+
+// TestRepeatsBeginInTheWindow has a repeat of a guarded request wait for its connection: while servers
+// drop repeats for a second, none begins later, and the last byte of each may go out only until then.
+func TestRepeatsBeginInTheWindow(t *testing.T) {
+	const ms = time.Millisecond
+	reset := func(context.Context, int) decide.Result { return decide.Reset }
+	silent := func(ctx context.Context, _ int) decide.Result {
+		<-ctx.Done()
+		return Outcome(ctx, false)
+	}
+	full := func(context.Context, int) decide.Result { return decide.Full }
+	for name, c := range map[string]struct {
+		waits []time.Duration
+		ends  func(ctx context.Context, n int) decide.Result
+		begun int
+	}{
+		"a retry within":              {[]time.Duration{0, 800 * ms, 5000 * ms}, reset, 2},
+		"a retry behind":              {[]time.Duration{0, 1100 * ms, 5000 * ms}, reset, 1},
+		"a copy within":               {[]time.Duration{0, 20 * ms, 5000 * ms}, silent, 2},
+		"a copy behind":               {[]time.Duration{0, 200 * ms, 5000 * ms}, silent, 1},
+		"the first begins late":       {[]time.Duration{30 * ms, 60 * ms, 5000 * ms}, silent, 2},
+		"the first begins last":       {[]time.Duration{1000 * ms, 0, 5000 * ms}, silent, 2},
+		"turned away, and late again": {[]time.Duration{0, 1150 * ms, 5000 * ms}, full, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &dials{ends: c.ends}
+				p := NewPool(Settings{
+					Decide: decide.Settings{
+						Nodes: 1, MaxAttempts: 3, SecondCopies: true, Cancel: true,
+						Classes: []decide.Class{{Effect: decide.Guarded, Window: time.Second, Aim: 1290 * ms, Deadline: 3 * time.Second, Worth: 1}},
+					},
+					Seed: 1, Upstream: d, Log: slog.New(slog.DiscardHandler),
+				})
+				defer p.Close()
+				p.Listed(decide.ListFull, []Host{
+					{Name: "a", Addr: "a:1", Condition: decide.Ready, Share: 1},
+					{Name: "b", Addr: "b:1", Condition: decide.Ready, Share: 1},
+					{Name: "c", Addr: "c:1", Condition: decide.Ready, Share: 1},
+				})
+				for range 40 { // so that it knows how quick answers are
+					x, err := p.Arrive(&Request{Name: "quick", At: time.Now(), Wait: 2 * time.Second})
+					if err != nil {
+						t.Fatal(err)
+					}
+					<-x.Final()
+					synctest.Wait()
+				}
+				d.waits, d.tries = c.waits, 0
+				x, err := p.Arrive(&Request{Name: "r", At: time.Now(), Wait: 2 * time.Second})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if fin := only(t, x); fin.Answer != nil {
+					t.Error("an attempt was given a time beyond the window")
+				}
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				if len(d.begun) != c.begun {
+					t.Errorf("%d attempts began, want %d: %v", len(d.begun), c.begun, d.begun)
+				}
+			})
+		})
+	}
+}
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -140,8 +140,9 @@
 type Sending interface {
 	// Begin says whether the attempt may be written: it is called once, with a connection at
 	// hand and nothing written, as much may have ended in the wait for that connection. Where
-	// it says no the attempt is moot, or ended as its context says.
-	Begin() bool
+	// it says no the attempt is moot, or ended as its context says. The last byte may go out
+	// until the time given, the zero time for no bound: later a repeat is dropped no more.
+	Begin() (until time.Time, ok bool)
 	// Wrote is called once the request's last byte is written, if it comes to that.
 	Wrote()
 }
@@ -768,16 +769,23 @@
 }
 
 // Begin lets an attempt be written unless its request has ended meanwhile, its client has
-// gone, or its server is not the process that was chosen, or wants nothing new.
-func (a *attempt) Begin() bool {
+// gone, its server is not the process that was chosen, or wants nothing new, or the module
+// says that it comes too late.
+func (a *attempt) Begin() (until time.Time, ok bool) {
 	here := a.req.Here == nil || a.req.Here()
-	a.pool.do(func(now time.Duration) {
+	p := a.pool
+	p.do(func(now time.Duration) {
 		if !here {
-			a.pool.gone(now, a.req)
+			p.gone(now, a.req)
+		}
+		if a.begun = !a.req.settled && a.ctx.Err() == nil && p.fit(a); !a.begun {
+			return
+		}
+		if by := p.b.Begin(now, a.req.id, a.n); by > 0 {
+			until, a.begun = p.start.Add(by-time.Duration(p.start.UnixNano())), by > now
 		}
-		a.begun = !a.req.settled && a.ctx.Err() == nil && a.pool.fit(a)
 	})
-	return a.begun
+	return until, a.begun
 }
 
 // fit says whether an attempt's server still is as it was when it was chosen.
--- a/internal/core/pool_test.go
+++ b/internal/core/pool_test.go
@@ -30,7 +30,7 @@
 }
 
 func (s *script) Send(ctx context.Context, addr string, _ *Message, _ time.Duration, on Sending) (decide.Result, *Answer) {
-	if !on.Begin() {
+	if _, ok := on.Begin(); !ok {
 		return Outcome(ctx, true), nil
 	}
 	s.mu.Lock()
--- a/internal/httpup/upstream.go
+++ b/internal/httpup/upstream.go
@@ -57,13 +57,16 @@
 	if err != nil {
 		return core.Outcome(ctx, true), nil
 	}
-	if !on.Begin() {
+	until, ok := on.Begin()
+	if !ok {
 		s.put(c) // nothing has been written to it
 		if ctx.Err() == nil {
 			return decide.Moot, nil
 		}
 		return core.Outcome(ctx, true), nil
 	}
+	// What is not written whole by then has not run. The connection's next attempt has its own time.
+	_ = c.SetWriteDeadline(until)
 	// Giving the attempt up ends whatever read or write is going on.
 	stop := context.AfterFunc(ctx, c.expire)
 	req := request(m, addr, wait)
--- /dev/null
+++ b/internal/node/repeat_test.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"jasperpin/internal/core"
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+// TestLateRepeatIsNotSent has a keyed request's first attempt reset, and the connection for its repeat
+// come up once servers do not drop repeats any more: it is not sent, and the request has failed.
+func TestLateRepeatIsNotSent(t *testing.T) {
+	t.Parallel()
+	const window = 2 * time.Second
+	release := make(chan struct{})
+	s, late := check.Raw(t, resets(release, "r")), unready(t)
+	d := discoveryOf(t, s.Addr)
+	n := startNode(t, both(patient, func(raw map[string]any) {
+		raw["discovery"] = d.Addr
+		settings := raw["settings"].(map[string]any)
+		settings["discovery"] = "push"
+		settings["classes"].([]map[string]any)[1]["windowMs"] = window.Milliseconds()
+	}), s.Addr)
+	began := time.Now()
+	answer := n.asked(post("order", "r", "Idempotency-Key: 1\r\n", "x"))
+	check.Eventually(t, "the first attempt has begun", func() bool { return s.Got.Load() == 1 })
+	d.Set(standin.Hosts(s.Addr, late.Addr)...)
+	check.Eventually(t, "the list has come", func() bool {
+		return slices.ContainsFunc(n.node.set.Memory()[""].Hosts, func(h core.Host) bool { return h.Addr == late.Addr })
+	})
+	close(release)
+	check.Eventually(t, "servers forget it, or it has ended", func() bool { return time.Since(began) > window || len(answer) > 0 })
+	if err := late.Open(); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-answer; got[:3] == "200" || got[:3] == "429" || got[:3] == "503" {
+		t.Errorf("answered %q", got)
+	}
+	if got := late.Got.Load(); got != 0 {
+		t.Errorf("the repeat was sent %d times", got)
+	}
+	if status, _, _ := n.once(post("order", "other", "Idempotency-Key: 2\r\n", "x")); status != http.StatusOK {
+		t.Errorf("another was answered %d", status)
+	}
+}
