Find routes that match the same in one look each, and name each once

A route was compared with all before it of its host and path, and a wrong one complained of each that it equals: many that are equal took the square of their number in time and memory. Now each is looked up by host, path, method and class, and complains of the first that it equals. Every line that was named still is; a third route that is equal is told once where it was twice.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -72,6 +72,8 @@
 func New(rules []Rule) (*Table, error) {
 	t := &Table{exact: make(map[string]*paths), wild: make(map[string]*paths)}
 	var errs []error
+	type key struct{ host, path, method, class string }
+	first := make(map[key]*Rule, len(rules))
 	for i := range rules {
 		r := &rules[i]
 		if err := r.check(); err != nil {
@@ -79,11 +81,12 @@
 			continue
 		}
 		p := t.host(r.Host)
-		for _, o := range p.rules[r.Path] {
-			if o.Method == r.Method && o.Class == r.Class {
-				errs = append(errs, &RuleError{r.Origin, fmt.Errorf("matches the same as the route at %s: want another host, path, method or class", o.Origin)})
-			}
+		k := key{r.Host, r.Path, r.Method, r.Class}
+		if o := first[k]; o != nil {
+			errs = append(errs, &RuleError{r.Origin, fmt.Errorf("matches the same as the route at %s: want another host, path, method or class", o.Origin)})
+			continue
 		}
+		first[k] = r
 		if p.rules[r.Path] == nil {
 			p.lengths = append(p.lengths, len(r.Path))
 		}
