Read the operator's file part by part, in time that grows as the file does

The whole file's tables, and a line for each path, were held besides.

The file is now split where the elements of its outermost arrays of tables begin. Each is decoded by the library when its turn comes and let go then; its lines are counted as the reader goes forward, and only where a mistake or a route asks for one. All mistakes are still told at once, each with its line; of what is not TOML the first place is. A route to a pool that is not there no longer sorts all names anew.

A property test and the fuzz test compare each reading with one of the whole text that counts lines from the start. A growth test compares the bytes allocated for files of one and of four times a size, sound and spoiled; another reads the stated size of the product, written by internal/standin/bigfile, which the code before does not end within a minute.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -135,7 +135,11 @@
 
 // Table builds the route table.
 func (c *Config) Table() (*route.Table, error) {
-	var rules []route.Rule
+	n := 0
+	for i := range c.Services {
+		n += len(c.Services[i].Routes)
+	}
+	rules := make([]route.Rule, 0, n)
 	for i := range c.Services {
 		rules = append(rules, c.Services[i].Routes...)
 	}
@@ -193,6 +197,11 @@
 	if root == nil {
 		return nil, r.result()
 	}
+	return read(r, root)
+}
+
+// read reads a file by its tables.
+func read(r *reader, root *table) (*Config, error) {
 	c := &Config{Budgets: true}
 	node := root.table("node")
 	c.Name = node.word("name", "node")
@@ -240,19 +249,19 @@
 	c.readCluster(root)
 	c.readMembers(root)
 
-	pools := make(map[string]*Pool)
-	for _, t := range root.tables("pool") {
+	pools := &known{pools: make(map[string]*Pool)}
+	for t := range root.tables("pool") {
 		p := readPool(t)
 		p.Settings.Self, p.Settings.Nodes = number, nodes
-		if pools[p.Name] != nil {
+		if pools.pools[p.Name] != nil {
 			t.fail("name", "%q is used twice: want another name for each pool", p.Name)
 		}
-		pools[p.Name] = &p
+		pools.pools[p.Name] = &p
 		c.Pools = append(c.Pools, p)
 	}
 	c.share(root)
 	names := make(map[string]bool)
-	for _, t := range root.tables("service") {
+	for t := range root.tables("service") {
 		s := readService(t, pools)
 		if names[s.Name] {
 			t.fail("name", "%q is used twice: want another name for each service", s.Name)
@@ -267,7 +276,8 @@
 		root.fail("service", "is missing: want one [[service]] or more")
 	}
 	root.done()
-	if len(r.errs) == 0 {
+	root.decodeUnread()
+	if r.broken == nil && len(r.errs) == 0 {
 		if _, err := c.Table(); err != nil {
 			r.routes(err)
 		}
@@ -376,7 +386,7 @@
 	cold.done()
 
 	seen := make(map[string]bool)
-	for _, s := range t.tables("server") {
+	for s := range t.tables("server") {
 		h := core.Host{
 			Addr: s.text("address", "", "an address and port such as 127.0.0.1:9001", isAddr), Condition: decide.Ready,
 			Share: s.number("share", 1, 0.001, 1000), Cell: s.count("cell", 0, 0, math.MaxUint16),
@@ -417,7 +427,7 @@
 		t.fail("servers", "is missing: want servers = [\"127.0.0.1:9001\"], [[pool.server]] tables or discovery = \"127.0.0.1:8500\"")
 	}
 	p.Keys = make(map[string]KeyRule)
-	for _, s := range t.tables("class") {
+	for s := range t.tables("class") {
 		readClass(s, &p)
 	}
 	if len(p.Classes) == 0 {
@@ -475,12 +485,12 @@
 	return set
 }
 
-func readService(t *table, pools map[string]*Pool) Service {
+func readService(t *table, pools *known) Service {
 	s := Service{Name: t.word("name", ""), TenantHeader: canonical(t.text("tenant_header", "", "the name of a header", isWord))}
 	s.Gate = readPlaces(t)
 	s.Gate.Rate, s.Gate.Burst = t.number("rate", 0, 0, maxRate), t.number("burst", 0, 0, maxRate)
 	s.Gate.Tenants = make(map[string]limit.TenantSettings)
-	for _, n := range t.tables("tenant") {
+	for n := range t.tables("tenant") {
 		name := n.text("name", "", "a tenant's name, or \"*\" for all others", func(s string) bool { return s == "*" || isWord(s) })
 		n.must("name")
 		if name == "*" {
@@ -498,11 +508,10 @@
 	if len(s.Gate.Tenants) > 0 && s.TenantHeader == "" {
 		t.fail("tenant_header", "is missing: want the header that names the tenant, such as \"Req-Owner\"")
 	}
-	routes := t.tables("route")
-	for _, n := range routes {
+	for n := range t.tables("route") {
 		s.Routes = append(s.Routes, readRoute(n, s.Name, pools)...)
 	}
-	if len(routes) == 0 {
+	if len(s.Routes) == 0 {
 		t.fail("route", "is missing: want one [[service.route]] or more")
 	}
 	t.done()
@@ -510,7 +519,7 @@
 }
 
 // readRoute makes a rule for each host of a route.
-func readRoute(t *table, service string, pools map[string]*Pool) []route.Rule {
+func readRoute(t *table, service string, pools *known) []route.Rule {
 	r := route.Rule{
 		Service: service, Path: t.text("path", "", "a prefix that begins with /", func(s string) bool { return strings.HasPrefix(s, "/") }),
 		Method: t.text("method", "", "a method in upper case such as GET", isMethod),
@@ -520,11 +529,11 @@
 	hosts := t.texts("hosts", "a host such as orders.example.org or *.example.org", func(s string) bool { return s != "" })
 	if pool := t.text("pool", "", "the name of a pool", isWord); pool != "" {
 		r.Targets = []route.Target{{Pool: pool, Weight: 1}}
-		t.known("pool", pool, r, pools)
+		pools.check(t, "pool", pool, r)
 	}
-	for _, n := range t.tables("pools") {
+	for n := range t.tables("pools") {
 		g := route.Target{Pool: n.word("name", ""), Weight: n.count("weight", 1, 0, route.MaxWeight)}
-		n.known("name", g.Pool, r, pools)
+		pools.check(n, "name", g.Pool, r)
 		n.done()
 		r.Targets = append(r.Targets, g)
 	}
@@ -546,12 +555,21 @@
 	return rules
 }
 
-// known checks that a route's target is there and knows the class it is given.
-func (t *table) known(key, pool string, r route.Rule, pools map[string]*Pool) {
-	p := pools[pool]
+// known are the pools of a file, by name.
+type known struct {
+	pools map[string]*Pool
+	want  string // the names, worded when the first route asks for another one
+}
+
+// check checks that a route's target is there and knows the class it is given.
+func (k *known) check(t *table, key, pool string, r route.Rule) {
+	p := k.pools[pool]
 	if p == nil {
 		if pool != "" {
-			t.fail(key, "%q is no pool of this file: want %s", pool, oneOf(slices.Sorted(maps.Keys(pools))))
+			if k.want == "" {
+				k.want = oneOf(slices.Sorted(maps.Keys(k.pools)))
+			}
+			t.fail(key, "%q is no pool of this file: want %s", pool, k.want)
 		}
 		return
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -227,7 +227,7 @@
 }
 
 // FuzzParse never panics, names every mistake's line within the file, and what it
-// takes has a table and guarantees that fit.
+// takes has a table and guarantees that fit. Parts of it read as the whole of it does.
 func FuzzParse(f *testing.F) {
 	f.Add(small)
 	f.Add(example(f))
@@ -241,6 +241,7 @@
 	}
 	f.Add("a.b = 1\n[a.b.c]\n[[x]]\n[[x.y]]\n[x.y.z]\nq = [{r = [1, {s = 2}]}]")
 	f.Fuzz(func(t *testing.T, text string) {
+		sameAsWhole(t, []byte(text))
 		c, err := Parse("f", []byte(text))
 		if err != nil {
 			for _, m := range err.(Mistakes) {
--- /dev/null
+++ b/internal/config/parts_test.go
@@ -0,0 +1,291 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+	"pgregory.net/rapid"
+
+	_ "jasperpin/internal/seeded"
+	"jasperpin/internal/standin/bigfile"
+)
+
+// parseWhole reads a file in one piece, with each line counted from the file's beginning:
+// slowly, but plainly right.
+func parseWhole(name string, text []byte) (*Config, error) {
+	r := &reader{file: name}
+	whole := &part{reader: r, spans: []span{{text, 1}}, lines: plainLines(text)}
+	m := whole.decode()
+	if m == nil {
+		return nil, r.result()
+	}
+	return read(r, &table{part: whole, m: m})
+}
+
+func plainLines(text []byte) map[string]int {
+	lines := make(map[string]int)
+	note := func(path string, line int) {
+		if _, ok := lines[path]; !ok {
+			lines[path] = line
+		}
+	}
+	var p unstable.Parser
+	p.Reset(text)
+	var keyValue func(at string, e *unstable.Node)
+	var value func(at string, line int, v *unstable.Node)
+	keyValue = func(at string, e *unstable.Node) {
+		line := 0
+		for it := e.Key(); it.Next(); {
+			line = p.Shape(it.Node().Raw).Start.Line
+			at = join(at, string(it.Node().Data))
+			note(at, line)
+		}
+		value(at, line, e.Value())
+	}
+	value = func(at string, line int, v *unstable.Node) {
+		i := 0
+		for it := v.Children(); it.Next(); {
+			switch {
+			case v.Kind == unstable.InlineTable:
+				keyValue(at, it.Node())
+			case v.Kind == unstable.Array && it.Node().Kind != unstable.Comment:
+				path := fmt.Sprintf("%s[%d]", at, i)
+				note(path, line)
+				value(path, line, it.Node())
+				i++
+			}
+		}
+	}
+	arrays := make(map[string]int)
+	at := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		if e.Kind == unstable.KeyValue {
+			keyValue(at, e)
+			continue
+		}
+		at = ""
+		line := 0
+		for it := e.Key(); it.Next(); {
+			line = p.Shape(it.Node().Raw).Start.Line
+			at = join(at, string(it.Node().Data))
+			if n := arrays[at]; n > 0 && (!it.IsLast() || e.Kind == unstable.Table) {
+				at = fmt.Sprintf("%s[%d]", at, n-1)
+			}
+		}
+		if e.Kind == unstable.ArrayTable {
+			arrays[at]++
+			note(at, line)
+			at = fmt.Sprintf("%s[%d]", at, arrays[at]-1)
+		}
+		note(at, line)
+	}
+	return lines
+}
+
+// sameAsWhole checks that a file is taken or refused as one piece of it is: with the same
+// configuration, or the same mistakes at the same lines.
+func sameAsWhole(t interface{ Errorf(string, ...any) }, text []byte) error {
+	got, err := Parse("f", text)
+	want, wantErr := parseWhole("f", text)
+	switch {
+	case (err == nil) != (wantErr == nil) || err != nil && err.Error() != wantErr.Error():
+		t.Errorf("got\n%v\nwant\n%v\nof\n%s", err, wantErr, text)
+	case err == nil && !reflect.DeepEqual(got, want):
+		t.Errorf("got\n%+v\nwant\n%+v\nof\n%s", got, want, text)
+	}
+	return err
+}
+
+// TestLinesStay reads files of many forms, sound and spoiled, in parts and as a whole.
+func TestLinesStay(t *testing.T) {
+	sound, wrong, broken := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		err := sameAsWhole(t, []byte(drawFile(t)))
+		switch ms := (Mistakes)(nil); {
+		case err == nil:
+			sound++
+		case errors.As(err, &ms) && strings.HasPrefix(ms[0].Text, "not TOML"):
+			broken++
+		default:
+			wrong++
+		}
+	})
+	if !t.Failed() && min(sound, wrong, broken) == 0 {
+		t.Errorf("%d sound files, %d with mistakes, %d that are not TOML: want some of each", sound, wrong, broken)
+	}
+}
+
+// drawFile draws a file that names a few services and pools in any order, with up to a few
+// places spoiled.
+func drawFile(t *rapid.T) string {
+	quality := rapid.SampledFrom([]string{"sound", "wrong", "broken"}).Draw(t, "quality")
+	pick := func(good string, spoiled ...string) string {
+		if quality != "sound" && rapid.IntRange(0, 7).Draw(t, "spoil") == 0 {
+			return rapid.SampledFrom(spoiled).Draw(t, "spoiled")
+		}
+		return good
+	}
+	either := func(forms ...string) string { return rapid.SampledFrom(forms).Draw(t, "form") }
+	pools := rapid.IntRange(1, 4).Draw(t, "pools")
+	var blocks []string
+	for i := range pools {
+		b := "[[pool]]\n" + fmt.Sprintf("name = \"p%d\"\n", i) +
+			pick("", "strange = 1\n", "name.x = 2\n", "attempts = \"many\"\n", "cold.start = 7\n", "zones = [\"a\",\n  3,\n  \"b\"]\n", "share = [1, {a = 2}]\n", "keepalive = \"\"\"\n[[pool]]\n\"\"\"\n")
+		b += either("", "cold.start = 0.5\ncold.warm = \"1s\"\n", "cold = { start = 0.5, warm = \"1s\" } # so\n", "# [[pool]]\n\n", "[pool.cold]\nstart = 0.5\n")
+		if strings.Contains(b, "[pool.cold]") {
+			b += "\n  [[pool.server]]\n  address = \"127.0.0.1:2\"\n"
+		} else {
+			b += either("servers = [ # some\n\n \"127.0.0.1:1\", # one\n \"127.0.0.1:2\",\n]\n", "server = [{ address = \"127.0.0.1:1\" }, { address = \"127.0.0.1:2\", drain = true }]\n")
+		}
+		b += pick("", "[[pool.server]]\naddress = \"nowhere\"\n", "[[pool.server]]\n[[pool.server]]\ndrain = 1\n", "[pool.strange.deep]\nx = 1\n")
+		blocks = append(blocks, b, "[[pool.class]]\n\"name\" = 'look'\nrepeat = "+pick("\"safe\"", "\"maybe\"", "\"\"\"\nsafe\n\n\"\"\"", "'''\n[node]'''", "2024-01-01", "{ a.b = 1 }")+"\n")
+	}
+	for i := range rapid.IntRange(1, 3).Draw(t, "services") {
+		b := fmt.Sprintf("[[ service ]]\nname = \"s%d\"\ntenant_header = \"Req-Owner\"\n", i) + pick("", "rate = -1\n", "qeue = 3\n", "route = 3\n", "route.path = 3\n")
+		for k := range rapid.IntRange(0, 3).Draw(t, "tenants") {
+			b += "\n\t[[service.tenant]]\n\tname = " + pick(fmt.Sprintf("\"t%d\"", k), "\"t0\"", "7", "\"\\u0000\"") + "\n" + pick("", "\trate = 0x7fffffffffff\n", "\tweight = nan\n", "\tlimits.rate = 1\n\tlimits.more = [{}, {a = 1}]\n")
+		}
+		blocks = append(blocks, b)
+		for k := range rapid.IntRange(1, 3).Draw(t, "routes") {
+			target := either(fmt.Sprintf("pool = \"p%d\"", i%pools), fmt.Sprintf("pools = [ { name = \"p%d\", weight = 2 }, { name = \"p0\" } ]", i%pools))
+			blocks = append(blocks, fmt.Sprintf("[[service.route]]\nhosts = [%s]\npath = \"/r%d-%d\"\nas = \"look\"\n%s\n",
+				pick(either("", "\"a.example.org\"", "\n\"a.example.org\",\n\n\"*.example.org\"\n"), "\"A.example.org\"", "\"\"", "7"), i,
+				rapid.SampledFrom([]int{k, k, k, 0}).Draw(t, "path"), pick(target, "pool = \"q\"", "pools = [{ name = \"q\" }, { name = \"r\", wieght = 1 }]", "pool = \"p0\"\npools = []")))
+		}
+	}
+	node := "[node]\nlisten = [\"127.0.0.1:0\"]\n" + pick("", "seed = \"x\"\n", "number = 3\n", "[node.strange]\n", "\"node\".a = 1\n")
+	others := either("", "[limits]\ncores = 2.0\n", "[keys]\nentries = 5\n\n\n[limits]\n") + pick("", "[strange]\nx = 1\n", "[[strange]]\nx = 1\n[[strange]]\n", "[[limits]]\n", "[[keys]]\nx.y = 1\n", "[members]\n", "[[members]]\nx = 1\n")
+	// What belongs to the last service may stand behind pools, and the other way round.
+	var first, second []string
+	for _, b := range blocks {
+		if strings.Contains(strings.SplitN(b, "\n", 2)[0], "pool") {
+			first = append(first, b)
+		} else {
+			second = append(second, b)
+		}
+	}
+	var mixed []string
+	for len(first)+len(second) > 0 {
+		from := &first
+		if len(first) == 0 || len(second) > 0 && rapid.Bool().Draw(t, "other") {
+			from = &second
+		}
+		mixed, *from = append(mixed, (*from)[0]), (*from)[1:]
+	}
+	at := rapid.IntRange(0, len(mixed)).Draw(t, "node at")
+	text := either("", "# none\n\n", "\n") + pick("", "x = 1\n", "service = 1\n", "pool = []\n", "limits.cores = 1\n") +
+		strings.Join(mixed[:at], either("", "\n")) + node + others + strings.Join(mixed[at:], "\n")
+	if quality == "broken" {
+		lines := strings.SplitAfter(text, "\n")
+		for range rapid.IntRange(1, 2).Draw(t, "breaks") {
+			i := rapid.IntRange(0, len(lines)-1).Draw(t, "break at")
+			lines[i] = either(lines[i]+lines[i], "", "[service]\n", "[[pool.cold]]\n", "[pool]\n", "= 3\n", "x = [1,\n\n", "x = \"\"\"\n", "x = \"", "[[service.route]\n", "x = 0777\n", "x = 99999999999999999999\n", "x = 2024-13-01\n", "\x00", "\r", "[service.route]\n", "\"\" = {a = 1, a = 2}\n", "[[service.name]]\n")
+		}
+		text = strings.Join(lines, "")
+	}
+	if rapid.Bool().Draw(t, "CRLF") {
+		text = strings.ReplaceAll(text, "\n", "\r\n")
+	}
+	if rapid.Bool().Draw(t, "no end") {
+		text = strings.TrimRight(text, "\r\n")
+	}
+	return text
+}
+
+// TestCounterLooksOnce has the counter pass each byte once: what it has passed may change.
+func TestCounterLooksOnce(t *testing.T) {
+	text := []byte(strings.Repeat("key = 1\n", 100))
+	c := counter{text: text, line: 1}
+	for i := range 100 {
+		if line := c.lineOf(8 * i); line != i+1 {
+			t.Fatalf("offset %d is at line %d: want %d", 8*i, line, i+1)
+		}
+		for k := range text[:8*i] {
+			text[k] = '\n'
+		}
+	}
+}
+
+// allocated tells the bytes that a reading takes, all told.
+func allocated(text []byte) float64 {
+	least := math.Inf(1)
+	for range 3 { // others may allocate in between
+		var was, is runtime.MemStats
+		runtime.ReadMemStats(&was)
+		Parse("f", text)
+		runtime.ReadMemStats(&is)
+		least = min(least, float64(is.TotalAlloc-was.TotalAlloc))
+	}
+	return least
+}
+
+// TestGrowth reads files and files of four times their size, of which each must take four
+// times the work at the most, whatever is wrong with them.
+func TestGrowth(t *testing.T) {
+	for _, c := range []struct{ name, was, is string }{
+		{"sound", "", ""},
+		{"pools that are not there", "pool = \"pool-", "pool = \"none-"},
+		{"routes that are all the same", "path = \"/part-", "path = \"/same\" # "},
+		{"keys of no table", "rate = ", "rat = "},
+		{"a service broken", "rate = 100", "rate = 100\nrate = 100"},
+	} {
+		work := func(t *testing.T, size bigfile.Size) float64 {
+			var b bytes.Buffer
+			if err := size.Write(&b, "127.0.0.1:0"); err != nil {
+				t.Fatal(err)
+			}
+			text := b.Bytes()
+			if c.was != "" {
+				text = bytes.ReplaceAll(text, []byte(c.was), []byte(c.is))
+			}
+			if _, err := Parse("f", text); (err == nil) != (c.was == "") {
+				t.Fatal(err)
+			}
+			return allocated(text)
+		}
+		t.Run(c.name, func(t *testing.T) {
+			small := bigfile.Full.Part(130)
+			was := work(t, small)
+			large := bigfile.Size{Services: small.Services, Servers: 4 * small.Servers, Routes: 4 * small.Routes, Tenants: 4 * small.Tenants}
+			for _, services := range []int{small.Services, 4 * small.Services} {
+				large.Services = services
+				if is := work(t, large); is > 4.6*was {
+					t.Errorf("%.0f bytes, and %.0f for a file of four times the size in %d services: want four times at the most", was, is, services)
+				}
+			}
+		})
+	}
+}
+
+// TestFullSize reads the stated size of the product. Work that grows with the square of the
+// file does not end in the time that a test has.
+func TestFullSize(t *testing.T) {
+	var b bytes.Buffer
+	if err := bigfile.Full.Write(&b, "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	c, err := Parse("f", b.Bytes())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got bigfile.Size
+	for _, s := range c.Services {
+		got.Services++
+		got.Routes += len(s.Routes)
+		got.Tenants += len(s.Gate.Tenants)
+	}
+	for _, p := range c.Pools {
+		got.Servers += len(p.Servers)
+	}
+	if got != bigfile.Full || len(c.Pools) != bigfile.Full.Services {
+		t.Errorf("%+v in %d pools: want %+v", got, len(c.Pools), bigfile.Full)
+	}
+}
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"maps"
+	"iter"
 	"math"
 	"net/netip"
 	"net/textproto"
@@ -13,9 +13,6 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
-
 	"jasperpin/internal/route"
 )
 
@@ -48,117 +45,18 @@
 // the first value of a wrong type; reading value by value finds them all, and the
 // library's parser gives each its line.
 type reader struct {
-	file  string
-	lines map[string]int // by path, such as service[0].route[1].path
-	errs  Mistakes
+	file   string
+	errs   Mistakes
+	broken *Mistake // the first place that is not TOML: nothing else counts beside it
 }
 
 // table is one table of the file, from which keys are read by name. A nil map
 // stands for a table that is not there: all its keys have their defaults.
 type table struct {
-	*reader
+	*part
 	path string
 	m    map[string]any
-	read map[string]bool
-}
-
-// open parses the text. The table is nil where that fails.
-func open(file string, text []byte) (*reader, *table) {
-	r := &reader{file: file, lines: make(map[string]int)}
-	if len(text) > maxFile {
-		r.add(0, "%d bytes: want %d at the most", len(text), maxFile)
-		return r, nil
-	}
-	var m map[string]any
-	if err := toml.Unmarshal(text, &m); err != nil {
-		line := 0
-		if d := (*toml.DecodeError)(nil); errors.As(err, &d) {
-			line, _ = d.Position()
-		}
-		r.add(line, "not TOML: %s", strings.TrimPrefix(err.Error(), "toml: "))
-		return r, nil
-	}
-	r.locate(text)
-	return r, &table{reader: r, m: m, read: make(map[string]bool)}
-}
-
-// locate notes the line of each key.
-func (r *reader) locate(text []byte) {
-	var p unstable.Parser
-	p.Reset(text)
-	arrays := make(map[string]int) // of tables, by path: how many so far
-	at := ""
-	for p.NextExpression() {
-		e := p.Expression()
-		switch e.Kind {
-		case unstable.Table, unstable.ArrayTable:
-			at = ""
-			var line int
-			it := e.Key()
-			for it.Next() {
-				k := it.Node()
-				line = p.Shape(k.Raw).Start.Line
-				at = join(at, string(k.Data))
-				if !it.IsLast() || e.Kind == unstable.Table {
-					if n := arrays[at]; n > 0 {
-						at = fmt.Sprintf("%s[%d]", at, n-1)
-					}
-				}
-			}
-			if e.Kind == unstable.ArrayTable {
-				arrays[at]++
-				r.note(at, line)
-				at = fmt.Sprintf("%s[%d]", at, arrays[at]-1)
-			}
-			r.note(at, line)
-		case unstable.KeyValue:
-			r.locateValue(&p, at, e)
-		}
-	}
-}
-
-func (r *reader) note(path string, line int) {
-	if _, ok := r.lines[path]; !ok {
-		r.lines[path] = line
-	}
-}
-
-func (r *reader) locateValue(p *unstable.Parser, at string, e *unstable.Node) {
-	line := 0
-	for it := e.Key(); it.Next(); {
-		k := it.Node()
-		line = p.Shape(k.Raw).Start.Line
-		at = join(at, string(k.Data))
-		r.note(at, line)
-	}
-	r.locateIn(p, at, line, e.Value())
-}
-
-func (r *reader) locateIn(p *unstable.Parser, at string, line int, v *unstable.Node) {
-	switch v.Kind {
-	case unstable.InlineTable:
-		for it := v.Children(); it.Next(); {
-			r.locateValue(p, at, it.Node())
-		}
-	case unstable.Array:
-		i := 0
-		for it := v.Children(); it.Next(); {
-			if it.Node().Kind == unstable.Comment {
-				continue
-			}
-			path := fmt.Sprintf("%s[%d]", at, i)
-			r.note(path, line)
-			r.locateIn(p, path, line, it.Node())
-			i++
-		}
-	}
-}
-
-func join(path, key string) string {
-	if path == "" {
-		return key
-	}
-	return path + "." + key
+	read []string
 }
 
 func (r *reader) add(line int, format string, args ...any) {
@@ -167,6 +65,9 @@
 
 // result gives all mistakes in the order of their lines, or nil.
 func (r *reader) result() error {
+	if r.broken != nil {
+		return Mistakes{*r.broken}
+	}
 	if len(r.errs) == 0 {
 		return nil
 	}
@@ -193,30 +94,43 @@
 
 // fail complains about a key, at its line or, where it is not there, its table's.
 func (t *table) fail(key, format string, args ...any) {
-	line, ok := t.lines[join(t.path, key)]
+	line, ok := t.line(join(t.path, key))
 	if !ok {
-		line = t.lines[t.path]
+		line, _ = t.line(t.path)
 	}
 	t.add(line, "%s %s", key, fmt.Sprintf(format, args...))
 }
 
 // origin is where the table stands.
-func (t *table) origin() string { return fmt.Sprintf("%s:%d", t.file, t.lines[t.path]) }
+func (t *table) origin() string {
+	line, _ := t.line(t.path)
+	return t.file + ":" + strconv.Itoa(line)
+}
 
 func (t *table) get(key string) any {
-	if t.read != nil {
-		t.read[key] = true
+	if t.read == nil {
+		t.read = make([]string, 0, 8) // few tables have more keys
+	}
+	if !slices.Contains(t.read, key) {
+		t.read = append(t.read, key)
 	}
 	return t.m[key]
 }
 
 // done complains about the keys that nobody has read.
 func (t *table) done() {
-	known := slices.Sorted(maps.Keys(t.read))
-	for _, key := range slices.Sorted(maps.Keys(t.m)) {
-		if t.read[key] {
-			continue
+	var others []string
+	for key := range t.m {
+		if !slices.Contains(t.read, key) {
+			others = append(others, key)
 		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	slices.Sort(others)
+	known := slices.Sorted(slices.Values(t.read))
+	for _, key := range others {
 		if near := nearest(key, known); near != "" {
 			t.fail(key, "is no key of this table: did you mean %s?", near)
 		} else {
@@ -231,13 +145,15 @@
 
 // show words a value as it may stand in a file, cut to a length that can be read.
 func show(v any) string {
-	text := fmt.Sprint(v)
+	var text string
 	switch v := v.(type) {
+	default:
+		text = fmt.Sprint(v)
 	case string:
 		text = strconv.Quote(v)
 	case map[string]any:
 		text = "a table"
-	case []any:
+	case []any, *elements:
 		text = "an array"
 	}
 	if len(text) > 80 {
@@ -247,7 +163,7 @@
 }
 
 func (t *table) table(key string) *table {
-	sub := &table{reader: t.reader, path: join(t.path, key), read: make(map[string]bool)}
+	sub := &table{part: t.part, path: join(t.path, key)}
 	switch v := t.get(key).(type) {
 	case nil:
 	case map[string]any:
@@ -258,26 +174,38 @@
 	return sub
 }
 
-func (t *table) tables(key string) []*table {
+// tables gives the tables of an array one by one. One that stands in the file's own text
+// is decoded when its turn comes, so that one at a time is held.
+func (t *table) tables(key string) iter.Seq[*table] {
 	v := t.get(key)
 	list, ok := v.([]any)
-	if v != nil && !ok {
+	apart, isApart := v.(*elements)
+	if v != nil && !ok && !isApart {
 		t.wrong(key, v, "tables in double brackets [["+join(plain(t.path), key)+"]]")
 	}
-	if len(list) > maxNames {
-		t.fail(key, "stands %d times: want %d at the most", len(list), maxNames)
-		return nil
+	n := len(list)
+	if isApart {
+		n = len(apart.parts)
 	}
-	var subs []*table
-	for i, x := range list {
-		m, ok := x.(map[string]any)
-		if !ok {
-			t.wrong(key, x, "a table")
-			continue
+	return func(yield func(*table) bool) {
+		if n > maxNames {
+			t.fail(key, "stands %d times: want %d at the most", n, maxNames)
+			return
+		}
+		for i, x := range list {
+			m, ok := x.(map[string]any)
+			if !ok {
+				t.wrong(key, x, "a table")
+				continue
+			}
+			if !yield(&table{part: t.part, path: entry(join(t.path, key), i), m: m}) {
+				return
+			}
+		}
+		if isApart {
+			apart.each(yield)
 		}
-		subs = append(subs, &table{reader: t.reader, path: fmt.Sprintf("%s[%d]", join(t.path, key), i), m: m, read: make(map[string]bool)})
 	}
-	return subs
 }
 
 // plain is a path without the positions in it.
