Call discovery no more than 5 s apart: a change is told within 6 s of its return

A change of the list counts as told 6 s after discovery had it and could be reached, whatever a call met before. Where discovery is asked, Watcher.Run waited for the module's order after each failure, and decide.Listed lets that wait grow to 6.75 s (3 x 1.5 s, half as much again by jitter); a call that was queued, never connected or fell silent a second time in a row came on top of it.

The watcher itself now begins its next call no later than 5 s after the last one began; the module still may order it sooner. The module is as it was. Where discovery moves during a wait of the agent's deployment it is called at once.

Ruled out: a shorter wait of the module's.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -34,6 +34,12 @@
 	// take in all: half of the 6 s after which what a silent watch hid counts as told.
 	bodyStall = time.Second
 	bodyMost  = 3 * time.Second
+	// longestApart is the longest from one call's beginning to the next one's, whatever ended it and
+	// however long the module waits after a failure: a change counts as told 6 s after discovery had
+	// it and could be reached. What is left is for the next call's connection and its answer.
+	longestApart = 5 * time.Second
+	// dialMost is how long a connection may take to come up.
+	dialMost = time.Second
 	// watchPace keeps a discovery that answers at once with nothing new from
 	// being flooded; it must stay under 200 ms for the watch to go on.
 	watchPace = 100 * time.Millisecond
@@ -205,13 +211,13 @@
 }
 
 // NewWatcher makes a watcher of the discovery at an address, from a version on.
-// Where discovery is asked, each watch waits for an order (Order) and a failure
+// Where discovery is asked, the first watch waits for an order (Order) and a failure
 // ends it; otherwise an agent pushes the lists and the watch begins by itself.
 func NewWatcher(addr string, seq uint64, ask bool, zones Zones, log *slog.Logger) *Watcher {
 	return &Watcher{
 		addr: addr, seq: seq, ask: ask, zones: zones, start: make(chan struct{}, 1), log: log,
 		client: &http.Transport{
-			DialContext:     (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext,
+			DialContext:     (&net.Dialer{Timeout: dialMost, KeepAlive: -1}).DialContext,
 			MaxConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxHead, IdleConnTimeout: watchWait,
 		},
 	}
@@ -263,55 +269,63 @@
 }
 
 // Run watches until the context ends, and tells what it hears. A failure ends the watch; the next one is
-// the module's to order, or follows by itself where an agent pushes lists.
+// the module's to order, no later than longestApart, or follows by itself where an agent pushes lists.
 func (w *Watcher) Run(ctx context.Context, tell func(kind decide.ListKind, hosts []core.Host)) {
 	w.tell = tell
 	defer w.client.CloseIdleConnections()
-	for {
-		if w.ask {
-			select {
-			case <-w.start:
-			case <-ctx.Done():
+	if w.ask && !w.rest(ctx, nil) {
+		return
+	}
+	for stalls := 0; ; { // in a row
+		began := time.Now()
+		err := w.call(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			stalls = 0
+			if !pause(ctx, watchPace-time.Since(began)) {
 				return
 			}
+			continue
+		case errors.Is(err, errMoved):
+			w.client.CloseIdleConnections()
+			continue
 		}
-		reopened := false
-		for {
-			began := time.Now()
-			err := w.call(ctx)
-			if ctx.Err() != nil {
-				return
-			}
-			if errors.Is(err, errMoved) {
-				w.client.CloseIdleConnections()
-				continue
-			}
-			if err != nil {
-				w.log.Warn("discovery call failed", "err", err)
-			}
+		w.log.Warn("discovery call failed", "err", err)
+		if !errors.Is(err, errStalled) {
+			stalls = 0
+		} else {
 			// What a silent watch hid counts as told soon: it is opened anew at once, and not
 			// when the module has waited as after a failure. A second in a row is one.
-			if errors.Is(err, errStalled) && !reopened {
-				reopened = true
-				w.client.CloseIdleConnections()
+			w.client.CloseIdleConnections()
+			if stalls++; stalls == 1 {
 				continue
 			}
-			if err != nil {
-				break
-			}
-			reopened = false
-			if !pause(ctx, watchPace-time.Since(began)) {
-				return
-			}
 		}
+		next := agentRetry
 		if w.ask {
 			w.tell(decide.ListFailed, nil)
-		} else if !pause(ctx, agentRetry) {
+			next = longestApart - time.Since(began)
+		}
+		if !w.rest(ctx, time.After(next)) {
 			return
 		}
 	}
 }
 
+// rest waits for an order, or until a moment if that is sooner. It says false where the context ended
+// first.
+func (w *Watcher) rest(ctx context.Context, until <-chan time.Time) bool {
+	select {
+	case <-w.start:
+	case <-until:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // pause waits, and says false where the context ended first.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- /dev/null
+++ b/internal/discovery/return_test.go
@@ -0,0 +1,356 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"jasperpin/decide"
+	"jasperpin/internal/core"
+)
+
+// toldBy is when a change has to be known, from when discovery had it and could be reached: the
+// protocol counts it as told after 6 s.
+const toldBy = 6*time.Second - 500*time.Millisecond
+
+// way is how a discovery meets calls for a while. Connections that it was met on stay as they are:
+// what fell silent says nothing any more, also once it is back.
+type way int
+
+const (
+	serves   way = iota
+	refuses      // connections; watches end
+	busy         // 503 at once
+	queues       // 503 after two seconds in its queue
+	resets       // the connection, without an answer
+	ends         // a watch, cleanly, instead of telling
+	vanished     // connections never come up, and open ones are silent for good
+	mute         // a call is taken and never answered
+	half         // of the head is the answer
+	stops        // in the middle of the answer
+	endless      // the answer never ends, and never pauses for long
+	garbled      // the answer is no list
+	ways
+)
+
+func (w way) String() string {
+	return []string{"serves", "refuses", "busy", "queues", "resets", "ends", "vanished", "mute", "half", "stops", "endless", "garbled"}[w]
+}
+
+// phase is a way of meeting calls from some time on.
+type phase struct {
+	from time.Duration
+	way  way
+}
+
+// returning is a discovery that goes through phases, in virtual time.
+type returning struct {
+	began  time.Time
+	phases []phase
+	change time.Duration // when its list changes
+	late   time.Duration // what its answers take
+	stop   chan struct{} // ends all calls
+	served sync.WaitGroup
+	mu     sync.Mutex
+	calls  []time.Duration
+}
+
+func (d *returning) now() time.Duration { return time.Since(d.began) }
+
+// at is the phase of a moment, and when it ends, if ever.
+func (d *returning) at(t time.Duration) (p phase, end time.Duration) {
+	end = time.Hour
+	for _, next := range d.phases {
+		if next.from > t {
+			return p, next.from
+		}
+		p = next
+	}
+	return p, end
+}
+
+// dial connects as a net.Dialer would.
+func (d *returning) dial(ctx context.Context) (net.Conn, error) {
+	switch p, _ := d.at(d.now()); p.way {
+	case refuses:
+		return nil, errors.New("connection refused")
+	case vanished:
+		select {
+		case <-time.After(dialMost): // a connection that was tried before the return is tried again too late
+		case <-ctx.Done():
+		}
+		return nil, errors.New("connection timed out")
+	}
+	near, far := net.Pipe()
+	d.served.Go(func() { d.serve(far) })
+	return near, nil
+}
+
+// wait waits, and says false where the connection or the test ends first.
+func (d *returning) wait(gone <-chan struct{}, t time.Duration) bool {
+	select {
+	case <-time.After(t):
+		return true
+	case <-gone:
+	case <-d.stop:
+	}
+	return false
+}
+
+// serve answers the calls of one connection.
+func (d *returning) serve(c net.Conn) {
+	defer c.Close()
+	calls, gone := make(chan *http.Request), make(chan struct{})
+	d.served.Go(func() {
+		defer close(gone)
+		for r := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			select {
+			case calls <- req:
+			case <-d.stop:
+				return
+			}
+		}
+	})
+	for {
+		select {
+		case req := <-calls:
+			d.mu.Lock()
+			d.calls = append(d.calls, d.now())
+			d.mu.Unlock()
+			if !d.answer(c, req, gone) {
+				c.Close()
+				<-gone
+				return
+			}
+		case <-gone:
+			return
+		case <-d.stop:
+			c.Close()
+			<-gone
+			return
+		}
+	}
+}
+
+// answer meets one call. It says false where the connection ends.
+func (d *returning) answer(c net.Conn, r *http.Request, gone <-chan struct{}) bool {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	waited := d.now() + time.Duration(ms)*time.Millisecond
+	for {
+		now := d.now()
+		p, end := d.at(now)
+		seq, name := uint64(1), "before"
+		if now >= d.change {
+			seq, name = 2, "after"
+		}
+		head, body := "HTTP/1.1 200 OK\r\n", fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[{"host":%q,"dial":"127.0.0.1:1","site":"a","health":"in_service","share":1,"born_ms":0}]}`, seq, name)
+		if after == seq {
+			body = fmt.Sprintf(`{"seq":%d,"whole":false,"hosts":[]}`, seq)
+		}
+		whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		say := func(text string) bool {
+			_, err := io.WriteString(c, text)
+			return err == nil
+		}
+		switch p.way {
+		case serves:
+			if after != seq || now >= waited {
+				return d.wait(gone, d.late) && say(whole)
+			}
+			next := min(waited, end)
+			if d.change > now {
+				next = min(next, d.change)
+			}
+			if !d.wait(gone, next-now) {
+				return false
+			}
+			continue
+		case queues:
+			if !d.wait(gone, 2*time.Second) {
+				return false
+			}
+			fallthrough
+		case busy:
+			return say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		case ends:
+			d.wait(gone, end-now)
+			return false
+		case garbled:
+			return say(head + "Content-Length: 4\r\n\r\nnone")
+		case half:
+			say(head)
+		case stops:
+			say(whole[:len(whole)-len(body)/2])
+		case endless:
+			for text := head + "Content-Length: 99999\r\n\r\n"; say(text) && d.wait(gone, 50*time.Millisecond); {
+				text = " "
+			}
+			return false
+		case mute, vanished:
+		default:
+			return false
+		}
+		d.wait(gone, time.Hour)
+		return false
+	}
+}
+
+// plan is one deployment's discovery and what befalls it.
+type plan struct {
+	ask       bool
+	askWithin time.Duration
+	nodes     int
+	seed      uint64
+	late      time.Duration
+	phases    [2][]phase      // of two discoveries; both serve from back on
+	moves     []time.Duration // when SIGHUP goes over to the other one
+	change    time.Duration
+}
+
+// back is from when on new calls are served by the node's discovery.
+func (p *plan) back() (at time.Duration) {
+	for _, phases := range p.phases {
+		at = max(at, phases[len(phases)-1].from)
+	}
+	return at
+}
+
+// play runs a pool's module with its feed through a plan, in virtual time. It gives when the change was
+// told, and when calls were made.
+func (p *plan) play(t *testing.T) (told time.Duration, calls []time.Duration) {
+	synctest.Test(t, func(*testing.T) {
+		began, stop := time.Now(), make(chan struct{})
+		var sites [2]*returning
+		for i := range sites {
+			sites[i] = &returning{began: began, phases: p.phases[i], change: p.change, late: p.late, stop: stop}
+		}
+		log := slog.New(slog.DiscardHandler)
+		addrs := []string{"127.0.0.1:1", "127.0.0.1:2"}
+		f := NewFeed(FeedOptions{Discovery: addrs[0], Known: List{Seq: 1, Hosts: []core.Host{{Name: "before", Addr: "127.0.0.1:1", Condition: decide.Ready, Share: 1}}}, Ask: p.ask, Log: log})
+		f.watcher.client.DialContext = func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return sites[slices.Index(addrs, addr)].dial(ctx)
+		}
+		pool := core.NewPool(core.Settings{
+			Decide:   decide.Settings{Ask: p.ask, AskWithin: p.askWithin, Self: p.nodes - 1, Nodes: p.nodes, Zones: 1, Classes: []decide.Class{{Deadline: time.Second, Aim: time.Second}}},
+			Seed:     p.seed,
+			Upstream: nowhere{}, Watch: f.Order, Log: log,
+		})
+		told = -1
+		n := f.Start(func(kind decide.ListKind, hosts []core.Host) {
+			pool.Listed(kind, hosts)
+			if told < 0 && slices.ContainsFunc(hosts, func(h core.Host) bool { return h.Name == "after" }) {
+				told = time.Since(began)
+			}
+		})
+		for i, at := range p.moves {
+			time.Sleep(at - time.Since(began))
+			f.Move(nil, addrs[(i+1)%2])
+		}
+		time.Sleep(max(p.back(), p.change) + 30*time.Second - time.Since(began))
+		f.Leave(n)
+		pool.Close()
+		close(stop)
+		for _, d := range sites {
+			d.served.Wait()
+			calls = append(calls, d.calls...)
+		}
+	})
+	return told, calls
+}
+
+// nowhere is an upstream to which nothing is sent.
+type nowhere struct{}
+
+func (nowhere) Server() core.Server { return nowhere{} }
+func (nowhere) Close()              {}
+func (nowhere) Leave()              {}
+func (nowhere) Send(context.Context, string, *core.Message, time.Duration, core.Sending) (decide.Result, *core.Answer) {
+	return decide.TimedOut, nil
+}
+
+// lateness is how long after the change could be had it was told.
+func (p *plan) lateness(told time.Duration) time.Duration {
+	if told < 0 {
+		return time.Hour
+	}
+	return told - max(p.back(), p.change)
+}
+
+// TestChangeIsToldAfterDiscoveryReturns has discovery fail in one way for a while, or in two in turn,
+// and return with a change, at many moments of a node's rhythm of calls. Whatever a call met and however
+// often before, the change is told soon after; and who is away is not called for ever more.
+func TestChangeIsToldAfterDiscoveryReturns(t *testing.T) {
+	t.Parallel()
+	const down, steps = 4 * time.Second, 8
+	for _, ask := range []bool{false, true} {
+		for first := refuses; first < ways; first++ {
+			worst := time.Duration(0)
+			for _, second := range []way{first, vanished, mute} {
+				for step := range steps {
+					back := 12*time.Second + time.Duration(step)*1850*time.Millisecond
+					p := &plan{ask: ask, askWithin: 30 * time.Second, nodes: 300, seed: uint64(step), late: 300 * time.Millisecond, change: back}
+					for i := range p.phases {
+						p.phases[i] = []phase{{0, serves}, {down, first}, {back - 1500*time.Millisecond, second}, {back, serves}}
+					}
+					told, calls := p.play(t)
+					worst = max(worst, p.lateness(told))
+					calls = slices.DeleteFunc(calls, func(at time.Duration) bool { return at < down || at >= back })
+					if most := 3 + int((back-down)/(2*time.Second)); ask && len(calls) > most {
+						t.Errorf("%v and then %v: %d calls in %v, want at most %d", first, second, len(calls), back-down, most)
+					}
+				}
+			}
+			if worst > toldBy {
+				t.Errorf("asked %v, %v: told %v after the return, want at most %v", ask, first, worst, toldBy)
+			}
+		}
+	}
+}
+
+// TestChangeIsToldWhateverWentBefore draws what befalls two discoveries, and when SIGHUP goes over from
+// one to the other, until both serve.
+func TestChangeIsToldWhateverWentBefore(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		span := func(least, most time.Duration) time.Duration {
+			return least + time.Duration(rng.Int64N(int64(most-least)))
+		}
+		p := &plan{ask: rng.IntN(3) > 0, askWithin: span(time.Second, time.Minute), nodes: 1 + rng.IntN(600), seed: seed, late: span(0, 400*time.Millisecond)}
+		for i := range p.phases {
+			at := time.Duration(0)
+			for range rng.IntN(5) {
+				p.phases[i] = append(p.phases[i], phase{at, way(rng.IntN(int(ways)))})
+				at += span(10*time.Millisecond, 12*time.Second)
+			}
+			p.phases[i] = append(p.phases[i], phase{at, serves})
+		}
+		for at := span(0, 20*time.Second); at < p.back() && rng.IntN(2) > 0; at += span(10*time.Millisecond, 9*time.Second) {
+			p.moves = append(p.moves, at)
+		}
+		p.change = p.back()
+		if rng.IntN(2) > 0 { // it has been back for a while, or is not yet
+			p.change = max(0, p.back()+span(-5*time.Second, 5*time.Second))
+		}
+		if told, calls := p.play(t); p.lateness(told) > toldBy {
+			t.Errorf("told %v after it could be; plan %+v, calls at %v", p.lateness(told), p, calls)
+		}
+	}
+}
