--- a/cmd/proof/child.go
+++ b/cmd/proof/child.go
@@ -23,7 +23,7 @@
 // childEnv has this program play what is measured, in a process of its own.
 const childEnv = "JASPERPIN_PROOF_CHILD"
 
-// child plays a node by its file, or the plain reverse proxy before some servers,
+// child plays a node by its file or by the platform's, or the plain reverse proxy before some servers,
 // on one core, and prints the address it listens at.
 func child(kind string, args []string) error {
 	runtime.GOMAXPROCS(1)
@@ -33,7 +33,11 @@
 	case "node":
 		reload := make(chan os.Signal, 1)
 		signal.Notify(reload, syscall.SIGHUP)
-		n, err := node.Start(node.File{Path: args[0]}, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		var source node.Source = &node.Platform{Getenv: os.Getenv}
+		if len(args) > 0 {
+			source = node.File{Path: args[0]}
+		}
+		n, err := node.Start(source, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 		if err != nil {
 			return err
 		}
@@ -76,11 +80,20 @@
 
 // start starts a child and waits for its address, which is its Line. Its log goes to a file in dir.
 func start(dir, kind string, args ...string) (*stand.Process, error) {
+	self, err := program(kind)
+	if err != nil {
+		return nil, err
+	}
+	return self.Start(dir, kind, args...)
+}
+
+// program is this program as a child of a kind.
+func program(kind string) (stand.Program, error) {
 	self, err := os.Executable()
 	if err != nil {
-		return nil, fmt.Errorf("finding this program: %w", err)
+		return stand.Program{}, fmt.Errorf("finding this program: %w", err)
 	}
-	return stand.Program{Path: self, Env: []string{childEnv + "=" + kind}, Says: true}.Start(dir, kind, args...)
+	return stand.Program{Path: self, Env: []string{childEnv + "=" + kind}, Says: true}, nil
 }
 
 // beside starts a node by its file and the plain proxy before the same servers.
--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -31,6 +31,7 @@
 	"operation":    {"the operators' door, long bodies beside httputil.ReverseProxy, and their memory", operation},
 	"cluster":      {"a group of three voters: memory, compare-and-sets, and leaders killed and stopped", clusterRun},
 	"members":      {"fleets of 5, 12 and 30 processes through joins, leaves, kills, splits, loss and pauses", membersRun},
+	"ready":        {"thirty and sixty processes restarted together, before a discovery that serves, is overrun or is down", readyRun},
 	"keys":         {"a node's idempotency keys in memory, on the disk, and through kills", keysRun},
 	"overhead":     {"processor time and p99 beside httputil.ReverseProxy", overhead},
 }
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -42,6 +42,8 @@
 	seq  uint64
 	list []Entry
 	down bool
+	slow time.Duration
+	slot time.Time // when the call after the last has its turn
 }
 
 // NewDiscovery starts a discovery whose first version is 5.
@@ -76,8 +78,49 @@
 	d.down = on
 }
 
+// Overrun has it meet calls as one that has too many callers, in turn: each takes it so long, one that
+// would wait for more than ten is refused, and one in five gets no answer.
+func (d *Discovery) Overrun(each time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slow = each
+}
+
+// turn waits for a call's turn, where it has too many callers. It says false where the call has been met.
+func (d *Discovery) turn(n int64, w http.ResponseWriter, r *http.Request) bool {
+	d.mu.Lock()
+	slow, now := d.slow, time.Now()
+	if d.slot.Before(now) {
+		d.slot = now
+	}
+	wait := d.slot.Sub(now) + slow
+	mute, refused := slow > 0 && n%5 == 0, wait > 10*slow
+	if !mute && !refused {
+		d.slot = now.Add(wait)
+	}
+	d.mu.Unlock()
+	switch {
+	case mute:
+		<-r.Context().Done()
+		return false
+	case refused:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
 func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	d.Calls.Add(1)
+	if !d.turn(d.Calls.Add(1), w, r) {
+		return
+	}
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	t := time.NewTimer(time.Duration(ms) * time.Millisecond)
