Let a pool in trouble have one request at a time, or its trouble never ends

A pool half of whose requests fail borrows nothing of the shared budgets until it has recovered. One whose guaranteed part is less than one request wants (none at all with many pools: half of the limits over their number, rounded down) then held nothing, so that no request of its ended any more and it stayed in trouble for ever; the requests that came before its first list were enough. At fault: limit.Budget.Take, which asked for trouble alone. A holder in trouble that holds nothing may now borrow like any other, so that one request goes through.

--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -16,7 +16,8 @@
 // Budget shares a number of units (descriptors, bytes, requests) out among
 // holders. Each has a guaranteed part that nobody else can take, and may borrow
 // of what is guaranteed to nobody. A holder in trouble borrows nothing more, so
-// that what it gives back goes to the others.
+// that what it gives back goes to the others; one that holds nothing may, or it
+// could never show that its trouble is over.
 type Budget struct {
 	total, used int
 	owed        int // guaranteed and not in use, over all holders
@@ -79,7 +80,7 @@
 	if h == nil || n < 0 || b.used+n > b.total {
 		return false
 	}
-	if n > h.owed() && (h.trouble || b.total-b.used-n < b.owed-h.owed()) {
+	if n > h.owed() && (h.trouble && h.used > 0 || b.total-b.used-n < b.owed-h.owed()) {
 		return false
 	}
 	b.owed -= h.owed()
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -352,3 +352,30 @@
 		synctest.Wait()
 	})
 }
+
+// TestTroubleEndsWithNoPartOfItsOwn has the requests of a pool fail that has no guaranteed part, as
+// one has whose list has yet to come: one at a time is let in, and once these are served all are.
+func TestTroubleEndsWithNoPartOfItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := two()
+		cfg.Pools[0].Share = 0
+		s := newSet(t, cfg)
+		defer s.Close()
+		a := find(t, s, "a.org")
+		well := fill(t, s, a, 0)
+		leave(well[20:], Void)
+		leave(well[:20], Unserved)
+		for range 100 {
+			if ill := fill(t, s, a, 0); len(ill) != 1 {
+				t.Fatalf("in trouble it holds %d, want 1", len(ill))
+			} else if leave(ill, Served); !a.own.health.trouble {
+				break
+			}
+		}
+		if again := fill(t, s, a, 0); len(again) != len(well) {
+			t.Errorf("after its trouble it holds %d, before %d", len(again), len(well))
+		} else {
+			leave(again, Void)
+		}
+	})
+}
