Leave descriptors to every watch and planner's connection, and count what the system allows

Idle clients could fill the descriptors so that watches stayed down. 40 stay free of clients and servers, whatever there is beside them; each pool's watch of a discovery is one more, and so is each pool's connection to each planner. At fault: limit.Machine, which knew of no such connections (servers, Clients, Part, Beside). It is told of them now, before a configuration is put in force; one that leaves fewer than 64 descriptors in all is refused with what it wants.

A process that the system lets open fewer descriptors than its limits say (ulimit -n) ran out at the first crowd, and discovery never came back (in 30 s). It goes by the lesser now and says so, and does not start below 128.

TestCrowdWhileDiscoveryIsDown and TestCrowdBesideManyWatches run the program under a real limit of the system, with a crowd three times as large as it.

--- /dev/null
+++ b/cmd/jasperpin/crowd_test.go
@@ -0,0 +1,326 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"jasperpin/internal/door"
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+	"jasperpin/internal/standin/stand"
+)
+
+// crowded is a process that the system lets have so many descriptors, and a crowd of clients that
+// fill its every place.
+type crowded struct {
+	t           *testing.T
+	p           *stand.Process
+	descriptors int
+	listen, at  string // where clients and operators call
+	most        atomic.Int64
+	ids         atomic.Int64
+	turned      atomic.Int64 // of the crowd, that the process has closed
+}
+
+// crowd starts the program by what write gives, which has its addresses for clients and operators.
+// Rewrite writes it anew.
+func crowd(t *testing.T, descriptors int, platform bool, write func(listen, door string) []byte) (c *crowded, rewrite func()) {
+	t.Helper()
+	c = &crowded{t: t, descriptors: descriptors, listen: check.Unused(t), at: check.Unused(t)}
+	dir := t.TempDir()
+	file := filepath.Join(dir, "file")
+	rewrite = func() {
+		if err := os.WriteFile(file, write(c.listen, c.at), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rewrite()
+	program := stand.Program{Path: "/bin/sh", Env: []string{"JASPERPIN_TEST_MAIN=1", "TMPDIR=" + dir}}
+	args := []string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors), os.Args[0], "serve"}
+	if platform {
+		program.Env = append(program.Env, "GW_CONFIG="+file)
+	} else {
+		args = append(args, "-c", file)
+	}
+	c.p = check.Must[*stand.Process](t)(program.Start(dir, "crowded", args...))
+	t.Cleanup(c.p.Kill)
+	check.Eventually(t, "the program is up", func() bool {
+		resp, err := http.Get("http://" + c.listen + "/up")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return c, rewrite
+}
+
+// open is how many descriptors the process has open.
+func (c *crowded) open() int {
+	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.p.Pid()))
+	if err != nil {
+		return 0 // it ends
+	}
+	n := int64(len(fds))
+	for was := c.most.Load(); n > was && !c.most.CompareAndSwap(was, n); was = c.most.Load() {
+	}
+	return len(fds)
+}
+
+// fill has clients connect until the test ends, three times as many as the process has
+// descriptors: they say nothing, stop within a head, or rest after an answer, and come again
+// when they are closed.
+func (c *crowded) fill(host string) {
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	c.t.Cleanup(func() { close(stop); all.Wait() })
+	for i := range 3 * c.descriptors {
+		all.Go(func() {
+			for {
+				c.idle(i, host, stop)
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Second / 2):
+				}
+			}
+		})
+	}
+	all.Go(func() {
+		for tick := time.NewTicker(5 * time.Millisecond); ; {
+			select {
+			case <-stop:
+				tick.Stop()
+				return
+			case <-tick.C:
+				c.open()
+			}
+		}
+	})
+}
+
+// full waits until the crowd has every place: some of it make room for others.
+func (c *crowded) full() {
+	c.t.Helper()
+	check.Eventually(c.t, "every place for clients is taken", func() bool { return c.turned.Load() > int64(c.descriptors) })
+}
+
+// idle is one of the crowd, until its connection is closed.
+func (c *crowded) idle(i int, host string, stop <-chan struct{}) {
+	nc, err := net.DialTimeout("tcp", c.listen, time.Second)
+	if err != nil {
+		return
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		text := c.look(host, "")
+		switch i % 3 {
+		case 1:
+			text = text[:20]
+		case 2:
+			text = ""
+		}
+		_, _ = io.WriteString(nc, text)
+		_, _ = io.Copy(io.Discard, nc)
+	}()
+	select {
+	case <-closed:
+		c.turned.Add(1)
+	case <-stop:
+	}
+	nc.Close()
+	<-closed
+}
+
+func (c *crowded) look(host, owner string) string {
+	return fmt.Sprintf("GET /look/k HTTP/1.1\r\nHost: %s\r\nReq-Id: r%d\r\nReq-Owner: %s\r\nReq-Deadline-Ms: 20000\r\n\r\n", host, c.ids.Add(1), owner)
+}
+
+// ask asks once on a new connection. One that is shut with no byte of an answer may have been
+// shut unread, as a crowd allows: it says "".
+func (c *crowded) ask(text string) string {
+	nc, err := net.DialTimeout("tcp", c.listen, check.Soon)
+	if err != nil {
+		return ""
+	}
+	defer nc.Close()
+	_ = nc.SetDeadline(time.Now().Add(check.Soon))
+	_, _ = io.WriteString(nc, text)
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return fmt.Sprint(resp.StatusCode, " ", string(body))
+}
+
+// served waits until a server that no list had before answers, and has an operator call meanwhile.
+func (c *crowded) served(what, host string, by *standin.Raw) {
+	c.t.Helper()
+	began := time.Now()
+	check.Eventually(c.t, what, func() bool {
+		c.ask(c.look(host, ""))
+		return by.Got.Load() > 0
+	})
+	if _, err := door.Call(c.t.Context(), c.at, "readyz"); err != nil {
+		c.t.Errorf("%s: an operator's call: %v", what, err)
+	}
+	c.t.Logf("%s: after %v", what, time.Since(began).Round(time.Millisecond))
+}
+
+// within sees that the process held to its descriptors.
+func (c *crowded) within() {
+	c.t.Helper()
+	c.t.Logf("at the most %d of %d descriptors", c.most.Load(), c.descriptors)
+	if most := int(c.most.Load()); most > c.descriptors {
+		c.t.Errorf("%d descriptors, %d are allowed", most, c.descriptors)
+	}
+	if log := c.p.Logged(); strings.Contains(log, syscall.EMFILE.Error()) {
+		c.t.Errorf("it ran out of descriptors:\n%.2000s", log)
+	}
+}
+
+// distant is a discovery behind a network that can be cut.
+type distant struct {
+	*standin.Discovery
+	*standin.Proxy
+}
+
+func discovery(t *testing.T, servers ...string) distant {
+	t.Helper()
+	d := check.Owned(t, func() (*standin.Discovery, error) { return standin.NewDiscovery(standin.Hosts(servers...)...) })
+	return distant{d, check.Owned(t, func() (*standin.Proxy, error) { return standin.NewProxy(d.Addr) })}
+}
+
+// down has it answer nobody: what was open ends, and new calls fail.
+func (d distant) down() {
+	d.Proxy.Set(standin.Fault{BlackHole: true})
+	d.Proxy.Cut()
+}
+
+func (d distant) back() {
+	d.Proxy.Set(standin.Fault{})
+	d.Proxy.Cut() // bytes are missing on what opened meanwhile
+}
+
+// TestCrowdWhileDiscoveryIsDown has idle clients fill every place while discovery is down. It
+// comes back with a list of a new server alone, and moves with SIGHUP to a list of another: the
+// watch comes up each time, and a connection to a server that had none. Requests that were out
+// all the while are answered, and operators are.
+func TestCrowdWhileDiscoveryIsDown(t *testing.T) {
+	const descriptors = 128
+	for name, x := range map[string]struct {
+		mode  string
+		limit int
+	}{
+		"ask":  {"ask", descriptors},
+		"push": {"push", descriptors},
+		"the system allows fewer than the limits say": {"push", 4 * descriptors},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			a := check.Raw(t, func(c net.Conn, r *http.Request, body []byte) bool {
+				if r.Header.Get("Req-Owner") == "held" {
+					<-release
+				}
+				return standin.Echo(c, r, body)
+			})
+			b, moved := check.Raw(t, standin.Echo), check.Raw(t, standin.Echo)
+			d, next := discovery(t, a.Addr), discovery(t, moved.Addr)
+			addr := d.Proxy.Addr
+			c, rewrite := crowd(t, descriptors, true, func(listen, door string) []byte {
+				text, err := json.Marshal(map[string]any{
+					"name": "n0", "listen": listen, "control": door, "discovery": addr, "seed": "1",
+					"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": x.limit},
+					"settings": map[string]any{
+						"discovery": x.mode, "ceilings": map[string]any{"maxAttempts": 2, "keepaliveMs": 250}, "rules": map[string]any{"askWithinMs": 1000},
+						"classes": []any{map[string]any{"name": "look", "effect": "free", "objectiveMs": 19000, "deadlineMs": 20000}},
+					},
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				return text
+			})
+			c.served("the first list", "h", a)
+			const held = 20
+			answers := make(chan string, held)
+			was := a.Got.Load()
+			for range held {
+				go func() { answers <- c.ask(c.look("h", "held")) }()
+			}
+			check.Eventually(t, "they are out", func() bool { return a.Got.Load() == was+held })
+			d.down()
+			c.fill("h")
+			c.full()
+			d.Discovery.Set(standin.Hosts(b.Addr)...)
+			d.back()
+			c.served("discovery is back", "h", b)
+			addr = next.Proxy.Addr
+			rewrite()
+			if err := c.p.Reload(); err != nil {
+				t.Fatal(err)
+			}
+			c.served("discovery has moved", "h", moved)
+			close(release)
+			for range held {
+				if got := <-answers; !strings.HasPrefix(got, "200 ") {
+					t.Errorf("one that was out got %q", got)
+				}
+			}
+			c.within()
+		})
+	}
+}
+
+// TestCrowdBesideManyWatches is the same for a file of more pools with a watch each than stay free
+// of descriptors for other things.
+func TestCrowdBesideManyWatches(t *testing.T) {
+	t.Parallel()
+	const descriptors, pools = 192, 60
+	servers := make([]*standin.Raw, 2*pools)
+	for i := range servers {
+		servers[i] = check.Raw(t, standin.Echo)
+	}
+	var found []distant
+	for i := range pools {
+		found = append(found, discovery(t, servers[i].Addr))
+	}
+	c, _ := crowd(t, descriptors, false, func(listen, door string) []byte {
+		text := fmt.Sprintf("[node]\nlisten = [%q]\ncontrol = %q\n[limits]\nmemory = \"64MB\"\ndescriptors = %d\n", listen, door, descriptors)
+		for i, d := range found {
+			text += fmt.Sprintf("[[service]]\nname = \"s%d\"\n[[service.route]]\nhosts = [\"h%d\"]\npool = \"s%d\"\n", i, i, i)
+			text += fmt.Sprintf("[[pool]]\nname = \"s%d\"\nprotocol = \"platform\"\ndiscovery = %q\n[[pool.class]]\nname = \"look\"\nrepeat = \"safe\"\naim = \"19s\"\ndeadline = \"20s\"\n", i, d.Proxy.Addr)
+		}
+		return []byte(text)
+	})
+	c.served("the first list of one", "h0", servers[0])
+	for _, d := range found {
+		d.down()
+	}
+	c.fill("h0")
+	c.full()
+	for i, d := range found {
+		d.Discovery.Set(standin.Hosts(servers[pools+i].Addr)...)
+		d.back()
+	}
+	for i := range found {
+		c.served(fmt.Sprint("discovery ", i, " is back"), fmt.Sprint("h", i), servers[pools+i])
+	}
+	c.within()
+}
--- a/internal/limit/machine.go
+++ b/internal/limit/machine.go
@@ -1,10 +1,13 @@
 package limit
 
+import "fmt"
+
 // Machine is what the node may use of its machine.
 type Machine struct {
 	Cores       float64
 	Memory      int64 // bytes
 	Descriptors int
+	Fixed       int  // connections beside clients' and servers' that are always there: see Links
 	Others      Held // what a process that this one takes over from still has
 }
 
@@ -13,7 +16,7 @@
 
 const (
 	// spare descriptors stay free of clients and servers: streams, poller, listeners,
-	// the door's 16, discovery, another process, and connections that are being closed.
+	// the door's 16, a discovery, another process, and connections that are being closed.
 	spare = 40
 	// kinSpare more stay free for each other process of the node: its door and poller.
 	kinSpare = 16
@@ -35,11 +38,23 @@
 	LeastDescriptors = 128
 )
 
+// Links has so many connections be there at all times: each watch of a discovery, and each
+// that a pool has to a planner. One is among the spare descriptors. Its error says how many
+// descriptors they want.
+func (m *Machine) Links(n int) error {
+	m.Fixed = max(0, n-1)
+	if least := m.Fixed + LeastDescriptors/2; m.Descriptors < least {
+		return fmt.Errorf("%d descriptors are too few for %d watches and connections to planners: want %d at the least", m.Descriptors, n, least)
+	}
+	return nil
+}
+
 // Part is the machine of one of several processes that have it together, as while a new
-// version takes over. The spare descriptors are shared too: each needs few of them.
+// version takes over. The spare descriptors are shared too: each needs few of them. Links it
+// has of its own, and where they leave nothing it has two places all the same.
 func (m Machine) Part(of int) Machine {
 	m.Memory /= int64(of)
-	m.Descriptors = spare + max(2, (m.Descriptors-spare-(of-1)*kinSpare)/of)
+	m.Descriptors = spare + m.Fixed + max(2, (m.Descriptors-spare-(of-1)*kinSpare)/of-m.Fixed)
 	return m
 }
 
@@ -47,7 +62,7 @@
 // not hold any more. Both halve the memory, as what drains may hold all of its bodies.
 func (m Machine) Beside(held Held) Machine {
 	m.Memory /= 2
-	m.Descriptors -= kinSpare
+	m.Descriptors -= kinSpare + m.Fixed
 	m.Others = held
 	return m
 }
@@ -56,16 +71,17 @@
 func (m Machine) Conns() int { return max(0, m.servers()-m.Others.Servers) }
 
 func (m Machine) servers() int {
-	return min(m.Descriptors/serverShare, (m.Descriptors-spare)/2, m.Descriptors-spare-m.Others.Clients)
+	own := m.Descriptors - m.Fixed
+	return min(own/serverShare, (own-spare)/2, own-spare-m.Others.Clients)
 }
 
 // Clients is how many connections clients may hold.
 func (m Machine) Clients() int {
-	return max(0, m.Descriptors-spare-max(m.servers(), m.Others.Servers)-m.Others.Clients)
+	return max(0, m.Descriptors-m.Fixed-spare-max(m.servers(), m.Others.Servers)-m.Others.Clients)
 }
 
 // Peers is how many connections a process that serves no clients may hold.
-func (m Machine) Peers() int { return m.Descriptors - spare }
+func (m Machine) Peers() int { return m.Descriptors - m.Fixed - spare }
 
 // Heap is the soft memory limit of the Go runtime, in bytes.
 func (m Machine) Heap() int64 { return int64(heapShare * float64(m.Memory)) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"jasperpin/internal/cluster"
@@ -90,6 +91,9 @@
 // Start listens and serves until Run ends it.
 func Start(source Source, log *slog.Logger) (*Node, error) {
 	cfg, err := source.Load()
+	if err == nil {
+		err = fit(cfg, log)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -105,6 +109,32 @@
 	return n, nil
 }
 
+// fit fits a configuration's limits to what the system lets the process open, and to the
+// connections that are there whatever clients do: a crowd of them must leave room for these.
+func fit(cfg *config.Config, log *slog.Logger) error {
+	var may syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &may); err != nil {
+		return fmt.Errorf("asking how many descriptors there may be: %w", err)
+	}
+	if most := int(min(may.Cur, math.MaxInt32)); most < cfg.Limits.Descriptors {
+		if most < limit.LeastDescriptors {
+			return fmt.Errorf("the system lets this process open %d descriptors: want %d at the least (ulimit -n)", most, limit.LeastDescriptors)
+		}
+		log.Warn("the system lets this process open fewer descriptors than its limits say", "limits", cfg.Limits.Descriptors, "system", most)
+		cfg.Limits.Descriptors = most
+	}
+	links := len(cfg.Pools) * len(cfg.Planning.Planners)
+	for i := range cfg.Pools {
+		if cfg.Pools[i].Discovery != "" {
+			links++
+		}
+	}
+	if err := cfg.Limits.Links(links); err != nil {
+		return fmt.Errorf("limits: %w", err)
+	}
+	return nil
+}
+
 func (n *Node) start() (err error) {
 	cfg, log := n.cfg, n.log
 	if c := cfg.Cluster; c.On() {
@@ -286,6 +316,9 @@
 
 func (n *Node) reload() {
 	next, restart, err := n.source.Reload(n.cfg)
+	if err == nil {
+		err = fit(next, n.log)
+	}
 	if err == nil {
 		err = n.apply(next)
 	}
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -7,6 +7,7 @@
 	"jasperpin/internal/platform"
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
@@ -246,3 +247,21 @@
 		}
 	}
 }
+
+// TestWatchesWantDescriptors names more pools with a watch each than there are descriptors for: the
+// node does not start by such a file, and a reload leaves the old one in force.
+func TestWatchesWantDescriptors(t *testing.T) {
+	n := startServicesWithin(t, 128, svc("orders", "")+pool("orders", "discovery = \"127.0.0.1:1\""))
+	many := strings.Replace(nodeText, "512", "128", 1) + svc("orders", "")
+	for i := range 66 {
+		many += pool(fmt.Sprint("p", i), "discovery = \"127.0.0.1:1\"")
+	}
+	many = strings.Replace(many, "\"p0\"", "\"orders\"", 1)
+	n.writeText(many)
+	n.reload()
+	const want = "128 descriptors are too few for 66 watches and connections to planners: want 129"
+	check.Eventually(t, "the reload fails", func() bool { return strings.Contains(n.logged.String(), want) })
+	if _, err := Start(File{Path: n.file}, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), want) {
+		t.Errorf("started with %v", err)
+	}
+}
--- a/internal/standin/stand/process.go
+++ b/internal/standin/stand/process.go
@@ -95,6 +95,9 @@
 	return nil
 }
 
+// Pid is the process's number.
+func (s *Process) Pid() int { return s.cmd.Process.Pid }
+
 // Reload has a node read its file anew and waits until the log tells of it.
 func (s *Process) Reload() error {
 	was := strings.Count(s.Logged(), "reload")
