Measure how costs grow with the size: slopes, fits and verdicts, and the pure modules' figures

Nothing said what the program comes to at the operators' size in two years. internal/scale has slopes of four sizes or more with a fit (gonum) and its error, what it comes to at the stated size, whether that was reached or is extrapolated, and the verdict beside the allowance; cmd/proof scale prints a table for each role.

--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -32,6 +32,7 @@
 	"cluster":      {"a group of three voters: memory, compare-and-sets, and leaders killed and stopped", clusterRun},
 	"members":      {"fleets of 5, 12 and 30 processes through joins, leaves, kills, splits, loss and pauses", membersRun},
 	"keys":         {"a node's idempotency keys in memory, on the disk, and through kills", keysRun},
+	"scale":        {"how costs grow with the size of a deployment, beside what is allowed there", func(ctx context.Context, out io.Writer) (figures, error) { return scaleRun(ctx, out, os.Args[2:]) }},
 	"overhead":     {"processor time and p99 beside httputil.ReverseProxy", overhead},
 }
 
@@ -53,8 +54,8 @@
 		}
 		return
 	}
-	if len(os.Args) != 2 || scenarios[os.Args[1]].run == nil {
-		fmt.Fprintln(os.Stderr, "usage: proof SCENARIO")
+	if len(os.Args) < 2 || scenarios[os.Args[1]].run == nil || len(os.Args) > 2 && os.Args[1] != "scale" {
+		fmt.Fprintln(os.Stderr, "usage: proof SCENARIO, or proof scale [-only TRIAL] [-small] [sizes: see -h]")
 		for _, name := range slices.Sorted(maps.Keys(scenarios)) {
 			fmt.Fprintf(os.Stderr, "  %-12s %s\n", name, scenarios[name].about)
 		}
--- /dev/null
+++ b/cmd/proof/scale.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"jasperpin/internal/scale"
+	"jasperpin/internal/standin/stand"
+)
+
+// scaleRun measures how the program's costs grow, and holds them to what is allowed at a stated size.
+func scaleRun(ctx context.Context, out io.Writer, args []string) (figures, error) {
+	o := scale.Options{Deployment: scale.Stated, Log: os.Stderr}
+	flags := flag.NewFlagSet("scale", flag.ContinueOnError)
+	var names []string
+	for _, t := range scale.Trials {
+		names = append(names, t.Name)
+	}
+	only := flags.String("only", "", "one trial: "+strings.Join(names, ", "))
+	flags.BoolVar(&o.Small, "small", false, "small sizes, some seconds: shows that the trials work")
+	flags.IntVar(&o.Nodes, "nodes", o.Nodes, "nodes of the stated size")
+	flags.IntVar(&o.Servers, "servers", o.Servers, "servers of the stated size")
+	flags.IntVar(&o.Services, "services", o.Services, "services of the stated size, of a pool each")
+	flags.IntVar(&o.Routes, "routes", o.Routes, "routes of the stated size")
+	flags.IntVar(&o.Tenants, "tenants", o.Tenants, "tenants of the stated size")
+	flags.Float64Var(&o.Requests, "requests", o.Requests, "requests a second of the stated size")
+	if err := flags.Parse(args); err != nil {
+		return nil, err
+	}
+	var err error
+	if o.Dir, err = os.MkdirTemp("", "scale"); err != nil {
+		return nil, fmt.Errorf("a folder for the trials: %w", err)
+	}
+	defer os.RemoveAll(o.Dir)
+	o.Node = func(dir, name, file string) (*stand.Process, error) { return start(dir, "node", file) }
+	var f figures
+	played := false
+	for _, t := range scale.Trials {
+		if *only != "" && *only != t.Name {
+			continue
+		}
+		played = true
+		found, err := t.Run(ctx, o, out)
+		if err != nil {
+			return f, err
+		}
+		for _, s := range found.Slopes {
+			v, err := s.Judge()
+			if err != nil {
+				return f, err
+			}
+			f.add(t.Name+"."+strings.NewReplacer(" ", "_", ",", "").Replace(s.Name), "%.4g", v.Value)
+		}
+	}
+	if !played {
+		return f, fmt.Errorf("no trial %q: want one of %s", *only, strings.Join(names, ", "))
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/scale/decide.go
@@ -0,0 +1,172 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"jasperpin/decide"
+	"jasperpin/internal/core"
+)
+
+// The module's timers: it ticks and sweeps by tokens that it hands out itself.
+const (
+	tickToken  = 0
+	sweepToken = 1
+	ticks      = 10.0 // a second, of each pool
+)
+
+// nothing is the effects of a module whose decisions nobody carries out.
+type nothing struct{ sent []decide.RequestID }
+
+func (n *nothing) Send(id decide.RequestID, _ decide.ServerID, _ time.Duration) {
+	n.sent = append(n.sent, id)
+}
+func (*nothing) Cancel(decide.RequestID, int)           {}
+func (*nothing) Refuse(decide.RequestID, time.Duration) {}
+func (*nothing) Fail(decide.RequestID)                  {}
+func (*nothing) Wake(uint64, time.Duration)             {}
+func (*nothing) Watch(bool)                             {}
+func (*nothing) Log(string)                             {}
+
+// lookClass is a class of short requests that may be repeated.
+var lookClass = decide.Class{Effect: decide.Free, Aim: time.Second, Deadline: 5 * time.Second, Worth: 1}
+
+func moduleSettings(nodes int) decide.Settings {
+	return decide.Settings{
+		Nodes: nodes, Zones: 1, Classes: []decide.Class{lookClass}, MaxAttempts: 3, SecondCopies: true, Cancel: true,
+		FallMultiple: 1, StartShare: 1, KeepAlive: 15 * time.Second, RetryAfterMost: 2 * time.Second,
+	}
+}
+
+func moduleList(servers int) []decide.Server {
+	list := make([]decide.Server, servers)
+	for i := range list {
+		list[i] = decide.Server{ID: decide.ServerID(i + 1), Condition: decide.Ready, Scale: 1}
+	}
+	return list
+}
+
+// decisions measures the decision module: what a pool's timers and requests cost by its servers, and
+// what many pools cost that rest.
+func decisions(ctx context.Context, o Options) (found Found, err error) {
+	sizes := o.sizes([]int{4, 8, 16, 32}, 5, 21, 80, 320, 1300)
+	of := per(o.Servers, o.Services)
+	add := func(s Slope, sizes []int, measure func(int) (float64, error)) {
+		if err == nil {
+			s, err = s.over(ctx, sizes, measure)
+			found.Slopes = append(found.Slopes, s)
+		}
+	}
+	module := func(n int) (*decide.Balancer, *nothing) {
+		out := &nothing{}
+		b := decide.New(moduleSettings(o.Nodes), 1, time.Hour, out)
+		b.Listed(time.Hour, decide.ListCached, moduleList(n))
+		return b, out
+	}
+	timer := func(token uint64) func(int) (float64, error) {
+		return func(n int) (float64, error) {
+			b, _ := module(n)
+			now := time.Hour
+			return micros1(cost(func() {
+				now += time.Millisecond
+				for range 100 {
+					b.Timer(now, token)
+				}
+			})) / 100, nil
+		}
+	}
+	s := Slope{Role: "node: decisions", By: "servers of the pool", Stated: of, Runs: tries}
+	named := func(name, unit string) Slope { s.Name, s.Unit = name, unit; return s }
+	add(named("a tick", "us"), sizes, timer(tickToken))
+	add(named("a sweep", "us"), sizes, timer(sweepToken))
+	add(named("a request", "us"), sizes, func(n int) (float64, error) {
+		b, out := module(n)
+		now, id := time.Hour, decide.RequestID(0)
+		return micros1(cost(func() {
+			for range 100 {
+				id++
+				now += time.Millisecond
+				out.sent = out.sent[:0]
+				b.Arrive(now, decide.Request{ID: id, Due: now + 5*time.Second})
+				now += time.Millisecond
+				b.Finished(now, decide.Outcome{ID: id, Result: decide.OK, Settled: true})
+			}
+		})) / 100, nil
+	})
+	add(named("a whole list", "us"), sizes, func(n int) (float64, error) {
+		b, _ := module(n)
+		list, now := moduleList(n), time.Hour
+		return micros1(cost(func() {
+			now += time.Millisecond
+			b.Listed(now, decide.ListFull, list)
+		})), nil
+	})
+
+	pools := o.sizes([]int{4, 8, 16, 32}, 160, 325, 650, 1300)
+	rest := Slope{Role: "node: pools at rest", By: fmt.Sprintf("pools, of %.0f servers each", of), Stated: float64(o.Services), Runs: tries}
+	var cpu, memory Slope
+	cpu, memory = rest, rest
+	cpu.Name, cpu.Unit, cpu.Allowed = "processor time at rest", "% of a core", 100*o.Core
+	memory.Name, memory.Unit, memory.Allowed = "memory", "MB", o.Memory
+	lasts := 3 * time.Second
+	if o.Small {
+		lasts = 300 * time.Millisecond
+	}
+	for _, n := range pools {
+		if err == nil {
+			err = ctx.Err()
+		}
+		if err != nil {
+			return found, err
+		}
+		var all []*core.Pool
+		bytes := heap(func() any {
+			for i := range n {
+				p := core.NewPool(core.Settings{Decide: moduleSettings(o.Nodes), Seed: uint64(i), Upstream: unreachable{}, Classes: []string{"look"}, Log: slog.New(slog.DiscardHandler)})
+				p.Listed(decide.ListCached, hosts(int(of)))
+				all = append(all, p)
+			}
+			return all
+		})
+		var shares []float64
+		for range tries {
+			began, used := time.Now(), processorTime()
+			select {
+			case <-time.After(lasts):
+			case <-ctx.Done():
+			}
+			used = processorTime() - used
+			shares = append(shares, 100*used.Seconds()/time.Since(began).Seconds())
+		}
+		cpu.Samples = append(cpu.Samples, Sample{float64(n), max(1e-6, median(shares))})
+		memory.Samples = append(memory.Samples, Sample{float64(n), max(1e-6, bytes/1e6)})
+		for _, p := range all {
+			p.Close()
+		}
+	}
+	found.Slopes = append(found.Slopes, cpu, memory)
+	return found, nil
+}
+
+// micros1 is a time in us that is no nothing, which logarithms do not take.
+func micros1(d time.Duration) float64 { return max(1e-3, micros(d)) }
+
+// unreachable is the upstream of pools that send nothing.
+type unreachable struct{}
+
+func (unreachable) Server() core.Server { return unreachable{} }
+func (unreachable) Close()              {}
+func (unreachable) Leave()              {}
+func (unreachable) Send(context.Context, string, *core.Message, time.Duration, core.Sending) (decide.Result, *core.Answer) {
+	return decide.NoConnection, nil
+}
+
+func hosts(n int) []core.Host {
+	all := make([]core.Host, n)
+	for i := range all {
+		all[i] = core.Host{Name: fmt.Sprintf("server-%d", i), Addr: fmt.Sprintf("127.0.%d.%d:9000", i>>8, i&255), Condition: decide.Ready, Share: 1}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/scale/route.go
@@ -0,0 +1,98 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"jasperpin/internal/limit"
+	"jasperpin/internal/route"
+)
+
+// lookups measures the route table by its routes, and a service's limits by its tenants.
+func lookups(ctx context.Context, o Options) (found Found, err error) {
+	add := func(s Slope, sizes []int, measure func(int) (float64, error)) {
+		if err == nil {
+			s.Runs = tries
+			s, err = s.over(ctx, sizes, measure)
+			found.Slopes = append(found.Slopes, s)
+		}
+	}
+	each := int(per(o.Routes, o.Services))
+	rules := func(n int) []route.Rule {
+		all := make([]route.Rule, n)
+		for i := range all {
+			service := fmt.Sprint("service-", i/each)
+			all[i] = route.Rule{Service: service, Host: service + ".example.org", Path: fmt.Sprint("/part-", i), As: "look", Targets: []route.Target{{Pool: service, Weight: 1}}}
+		}
+		return all
+	}
+	sizes := o.sizes([]int{100, 200, 400, 800}, 500, 2_000, 9_000, o.Routes)
+	s := Slope{Role: "node: routes", By: fmt.Sprintf("routes, %d a host", each), Stated: float64(o.Routes)}
+	s.Name, s.Unit = "a look-up", "us"
+	add(s, sizes, func(n int) (float64, error) {
+		all := rules(n)
+		t, err := route.New(all)
+		if err != nil {
+			return 0, err
+		}
+		i := 0
+		took := cost(func() {
+			for range 100 {
+				i = (i + 7919) % n
+				if _, ok, err := t.Find(all[i].Host, route.Query{Path: all[i].Path + "/17", Method: "GET", Pick: 1}); !ok || err != nil {
+					panic(fmt.Sprintf("route %d is not found: %v", i, err))
+				}
+			}
+		})
+		return micros1(took) / 100, nil
+	})
+	s.Name, s.Unit = "building the table", "ms"
+	add(s, sizes, func(n int) (float64, error) {
+		all := rules(n)
+		return max(1e-3, micros(cost(func() { _, _ = route.New(all) }))/1e3), nil
+	})
+	s.Name, s.Unit, s.Allowed = "the table's memory", "MB", o.Memory
+	add(s, sizes, func(n int) (float64, error) {
+		return max(1e-6, heap(func() any {
+			all := rules(n)
+			t, _ := route.New(all)
+			return t
+		})/1e6), nil
+	})
+
+	gate := func(n, places int) *limit.Gate {
+		set := limit.GateSettings{Concurrent: places, Queue: 1000, QueueWait: time.Second, Tenants: make(map[string]limit.TenantSettings, n)}
+		for i := range n {
+			set.Tenants[fmt.Sprint("tenant-", i)] = limit.TenantSettings{Rate: 1e9, Burst: 1e9}
+		}
+		return limit.NewGate(set)
+	}
+	most := int(per(o.Tenants, o.Services))
+	tenants := o.sizes([]int{10, 20, 40, 80}, 27, 108, 1_000, 10_000)
+	s = Slope{Role: "node: limits", By: "tenants of the service", Stated: float64(most), Name: "in and out with places free", Unit: "us"}
+	add(s, tenants, func(n int) (float64, error) {
+		g, i, now := gate(n, 100), 0, time.Duration(0)
+		return micros1(cost(func() {
+			for range 20 {
+				i, now = (i+7)%n, now+time.Millisecond
+				name := g.Tenant(fmt.Sprint("tenant-", i))
+				if v, _, _ := g.Arrive(now, name); v != limit.Admitted {
+					panic("no place where places are free")
+				}
+				g.Done(name)
+			}
+		})) / 20, nil
+	})
+	s.Name, s.Unit, s.By, s.Stated, s.Allowed = "limits' memory", "MB", fmt.Sprintf("tenants in all, %d a service", most), float64(o.Tenants), o.Memory
+	add(s, o.sizes([]int{1_000, 2_000, 4_000, 8_000}, 2_000, 10_000, 40_000, o.Tenants), func(n int) (float64, error) {
+		return heap(func() any {
+			var all []*limit.Gate
+			for left := n; left > 0; left -= most {
+				all = append(all, gate(min(left, most), 100))
+			}
+			return all
+		}) / 1e6, nil
+	})
+	return found, err
+}
--- /dev/null
+++ b/internal/scale/slope_test.go
@@ -0,0 +1,67 @@
+package scale
+
+import (
+	"errors"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "jasperpin/internal/seeded"
+)
+
+// TestFits has curves of each kind found again, also with some noise, and no other curve taken.
+func TestFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := rapid.Float64Range(1, 100).Draw(t, "a"), rapid.Float64Range(0.5, 10).Draw(t, "b")
+		noise := rapid.SliceOfN(rapid.Float64Range(-0.02, 0.02), 5, 5).Draw(t, "noise")
+		shape := rapid.SampledFrom([]Form{Line, Square}).Draw(t, "form")
+		s := Slope{Name: "x", Stated: 10_000}
+		truth := Fit{Form: shape, A: a, B: b}
+		for i, size := range []float64{10, 30, 100, 300, 1000} {
+			s.Samples = append(s.Samples, Sample{size, truth.At(size) * (1 + noise[i])})
+		}
+		v, err := s.Judge()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if off := math.Abs(v.Value/truth.At(s.Stated) - 1); off > 0.1 {
+			t.Fatalf("%v is fitted by %v: %.0f%% off at the stated size", truth, v.Fit, 100*off)
+		}
+		if !v.Extrapolated || v.Reached != 1000 || v.Foretold > 0.15 {
+			t.Fatalf("%+v", v)
+		}
+		if worse := v.Growth() == "worse than linear"; worse != (shape == Square) {
+			t.Fatalf("%v is said to grow %s, exponent %.2f", truth, v.Growth(), v.Exponent)
+		}
+	})
+}
+
+// TestJudge has what was measured count before a curve, and the allowance be held to.
+func TestJudge(t *testing.T) {
+	s := Slope{Name: "x", Stated: 40, Allowed: 39, Samples: []Sample{{10, 10}, {20, 20}, {30, 30}, {40, 39.5}}}
+	v, err := s.Judge()
+	if err != nil || v.Value != 39.5 || v.Extrapolated || !v.Over || v.Growth() != "linear" {
+		t.Errorf("%+v, %v", v, err)
+	}
+	s.Allowed = 39.5
+	if v, err = s.Judge(); err != nil || v.Over || v.Factor != 1 {
+		t.Errorf("%+v, %v", v, err)
+	}
+	s.Stated, s.Allowed = 400, 0
+	if v, err = s.Judge(); err != nil || v.Over || !v.Extrapolated || math.Abs(v.Value-400) > 10 {
+		t.Errorf("%+v, %v", v, err)
+	}
+	for _, bad := range [][]Sample{
+		s.Samples[:3],
+		{{10, 1}, {10, 2}, {30, 3}, {40, 4}},
+		{{0, 1}, {10, 2}, {30, 3}, {40, 4}},
+		{{5, 0}, {10, 2}, {30, 3}, {40, 4}},
+		{{5, math.NaN()}, {10, 2}, {30, 3}, {40, 4}},
+		{{5, math.Inf(1)}, {10, 2}, {30, 3}, {40, 4}},
+	} {
+		if _, err := (Slope{Samples: bad}).Judge(); !errors.Is(err, ErrSamples) {
+			t.Errorf("%v was fitted: %v", bad, err)
+		}
+	}
+}
