Measure a fleet of hollow and real members, a watch for each pool, and requests through a real node

Three trials more of cmd/proof scale. members: 12 processes of the program beside hollow members that speak gossip's words by its own code on real sockets, through the stand's relay, at rest, through a kill, a next life, a pause, a one-way cut and a region away; and the play in virtual time. discovery: one process with a watch for each of its pools: calls, bytes, processor time, memory, descriptors, and the goroutines of hollow watches. requests: one process at the rate of one node before 20 servers, and its figures at the door.

--- a/internal/scale/decide.go
+++ b/internal/scale/decide.go
@@ -69,7 +69,7 @@
 		return func(n int) (float64, error) {
 			b, _ := module(n)
 			now := time.Hour
-			return micros1(cost(func() {
+			return micros(cost(func() {
 				now += time.Millisecond
 				for range 100 {
 					b.Timer(now, token)
@@ -84,7 +84,7 @@
 	add(named("a request", "us"), sizes, func(n int) (float64, error) {
 		b, out := module(n)
 		now, id := time.Hour, decide.RequestID(0)
-		return micros1(cost(func() {
+		return micros(cost(func() {
 			for range 100 {
 				id++
 				now += time.Millisecond
@@ -98,7 +98,7 @@
 	add(named("a whole list", "us"), sizes, func(n int) (float64, error) {
 		b, _ := module(n)
 		list, now := moduleList(n), time.Hour
-		return micros1(cost(func() {
+		return micros(cost(func() {
 			now += time.Millisecond
 			b.Listed(now, decide.ListFull, list)
 		})), nil
@@ -112,7 +112,7 @@
 	memory.Name, memory.Unit, memory.Allowed = "memory", "MB", o.Memory
 	lasts := 3 * time.Second
 	if o.Small {
-		lasts = 300 * time.Millisecond
+		lasts = 100 * time.Millisecond
 	}
 	for _, n := range pools {
 		if err == nil {
@@ -140,8 +140,8 @@
 			used = processorTime() - used
 			shares = append(shares, 100*used.Seconds()/time.Since(began).Seconds())
 		}
-		cpu.Samples = append(cpu.Samples, Sample{float64(n), max(1e-6, median(shares))})
-		memory.Samples = append(memory.Samples, Sample{float64(n), max(1e-6, bytes/1e6)})
+		cpu.Samples = append(cpu.Samples, Sample{float64(n), median(shares)})
+		memory.Samples = append(memory.Samples, Sample{float64(n), bytes / 1e6})
 		for _, p := range all {
 			p.Close()
 		}
@@ -150,9 +150,6 @@
 	return found, nil
 }
 
-// micros1 is a time in us that is no nothing, which logarithms do not take.
-func micros1(d time.Duration) float64 { return max(1e-3, micros(d)) }
-
 // unreachable is the upstream of pools that send nothing.
 type unreachable struct{}
 
--- a/internal/scale/route.go
+++ b/internal/scale/route.go
@@ -45,20 +45,20 @@
 				}
 			}
 		})
-		return micros1(took) / 100, nil
+		return micros(took) / 100, nil
 	})
 	s.Name, s.Unit = "building the table", "ms"
 	add(s, sizes, func(n int) (float64, error) {
 		all := rules(n)
-		return max(1e-3, micros(cost(func() { _, _ = route.New(all) }))/1e3), nil
+		return micros(cost(func() { _, _ = route.New(all) })) / 1e3, nil
 	})
 	s.Name, s.Unit, s.Allowed = "the table's memory", "MB", o.Memory
 	add(s, sizes, func(n int) (float64, error) {
-		return max(1e-6, heap(func() any {
+		return heap(func() any {
 			all := rules(n)
 			t, _ := route.New(all)
 			return t
-		})/1e6), nil
+		}) / 1e6, nil
 	})
 
 	gate := func(n, places int) *limit.Gate {
@@ -73,7 +73,7 @@
 	s = Slope{Role: "node: limits", By: "tenants of the service", Stated: float64(most), Name: "in and out with places free", Unit: "us"}
 	add(s, tenants, func(n int) (float64, error) {
 		g, i, now := gate(n, 100), 0, time.Duration(0)
-		return micros1(cost(func() {
+		return micros(cost(func() {
 			for range 20 {
 				i, now = (i+7)%n, now+time.Millisecond
 				name := g.Tenant(fmt.Sprint("tenant-", i))
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -78,8 +78,11 @@
 
 // Trials are all there are, the most telling first.
 var Trials = []Trial{
+	{"members", "members of a fleet that know of each other, by their number", membersOf},
+	{"discovery", "what a node with many pools asks of discovery", asked},
 	{"decide", "a pool's tick, sweep and requests by its servers; pools at rest", decisions},
 	{"route", "look-up by routes, limits by tenants", lookups},
+	{"requests", "what a node adds to requests, and its figures at the door, by its services", added},
 	{"counts", "a server's failures told by the calls that one node sends it", counts},
 }
 
