--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"jasperpin/decide"
+	"jasperpin/internal/slowstart"
 )
 
 // Settings are one run.
@@ -91,6 +92,7 @@
 	keySaves     = 0.45
 	coldFrom     = 0.13
 	fallMultiple = 2.5
+	fallWithin   = time.Second
 	coldFor      = 23 * time.Second
 	listLate     = time.Second // how late the list tells of a restart
 	keepAlive    = 15 * time.Second
@@ -133,6 +135,7 @@
 	ColdMost                       float64         // the most sent to a cold server in a second, in what it could do then
 	BackMost                       float64         // likewise to one of a lost site from its first moment on
 	Fell                           int             // of these, how many were sent more than fallMultiple
+	ColdCalls, ColdWork            slowstart.Sum   // the starts of servers held to their budgets, by calls and by their work
 	Unmet                          int             // of those missed, how many found no node of their site up
 	AfterGrace                     int             // sends to servers that drain, when the node had been told for drainGrace
 	Calls, CallsFailed, Lines      int             // of discovery: first calls of watches, those that it failed, lines in its answers
@@ -223,7 +226,9 @@
 	running   []*job
 	waiting   []*job
 	keys      map[uint64]time.Duration
-	sent      []time.Duration // when work came while it was cold, over the last second
+	calls     slowstart.Watch // of what came while it was cold, by calls
+	works     slowstart.Watch // likewise by their work
+	known     slowstart.Watch // by calls, once all may know of it, or from the first moment for one that was away
 	away      bool            // it says nothing
 	back      bool            // it was away
 	fell      bool            // it was sent too much since
@@ -242,26 +247,41 @@
 	return v.speed * (coldFrom + (1-coldFrom)*float64(v.sim.now-v.born)/float64(coldFor))
 }
 
-// watch notes how many requests of the mean work came to a cold server within a second,
-// against what it can do.
-func (v *server) watch() {
-	if !v.cold() || !v.back && v.sim.now-v.born < listLate+time.Second {
+// coldRule is what pushes a cold server over.
+var coldRule = slowstart.Rule{Multiple: fallMultiple, Window: fallWithin}
+
+// watch notes what came to a cold server within a second, against what it can do, and whether
+// the node that sent it was told of the start.
+func (v *server) watch(work time.Duration, told bool) {
+	if !v.cold() {
+		return
+	}
+	s, rate := v.sim, v.pace()*float64(v.cores)/meanWork()
+	v.calls.Rule, v.works.Rule, v.known.Rule = coldRule, coldRule, coldRule
+	v.calls.Arrive(s.now, rate, 1, told)
+	v.works.Arrive(s.now, rate, work.Seconds()/meanWork(), told)
+	if !v.back && s.now-v.born < listLate+fallWithin {
 		return // nobody knew of it all that second
 	}
-	v.sent = append(v.sent, v.sim.now)
-	v.sent = slices.DeleteFunc(v.sent, func(at time.Duration) bool { return v.sim.now-at > time.Second })
-	most := float64(len(v.sent)) * meanWork() / (v.pace() * float64(v.cores))
+	most := v.known.Arrive(s.now, rate, 1, told).Ratio() * fallMultiple
 	if !v.back {
-		v.sim.res.ColdMost = max(v.sim.res.ColdMost, most)
+		s.res.ColdMost = max(s.res.ColdMost, most)
 		return
 	}
-	v.sim.res.BackMost = max(v.sim.res.BackMost, most)
-	if most > fallMultiple && !v.fell && v.sim.now-v.born <= listLate+time.Second {
+	s.res.BackMost = max(s.res.BackMost, most)
+	if most > fallMultiple && !v.fell && s.now-v.born <= listLate+fallWithin {
 		v.fell = true
-		v.sim.res.Fell++
+		s.res.Fell++
 	}
 }
 
+// watched ends the watch on a server's start.
+func (v *server) watched() {
+	v.sim.res.ColdCalls.Add(&v.calls)
+	v.sim.res.ColdWork.Add(&v.works)
+	v.calls, v.works, v.known = slowstart.Watch{}, slowstart.Watch{}, slowstart.Watch{}
+}
+
 // lose has the first site go, and come back.
 func (s *sim) lose() {
 	for _, v := range s.servers {
@@ -281,6 +301,7 @@
 			if v.away {
 				// One after the other, within a second.
 				s.after(time.Duration(s.rng.Float64()*float64(time.Second)), func() {
+					v.watched()
 					v.away, v.back, v.born, v.keys = false, true, s.now, make(map[uint64]time.Duration)
 					v.chill()
 					s.after(listLate, s.list)
@@ -307,13 +328,14 @@
 type job struct {
 	req     *request
 	work    time.Duration
+	told    bool // its node had been told of the server's start
 	started bool
 	dead    bool // called off before it began, or its server restarted
 	done    func(decide.Result)
 }
 
 func (v *server) arrive(j *job) {
-	v.watch()
+	v.watch(j.work, j.told)
 	switch {
 	case j.dead, v.away:
 	case v.busy < v.cores:
@@ -373,7 +395,8 @@
 		v.sim.coldTime -= float64(v.cores) * min(v.born+coldFor-v.sim.now, v.sim.left()).Seconds()
 	}
 	v.chill()
-	v.born, v.busy, v.sent = v.sim.now, 0, nil
+	v.watched()
+	v.born, v.busy = v.sim.now, 0
 	for _, j := range append(v.running, v.waiting...) {
 		j.done(decide.Reset)
 	}
@@ -513,7 +536,7 @@
 		s.after(min(dialWait, timeout), func() { b.end(x, a, decide.NoConnection) })
 		return
 	}
-	a.job = &job{req: x.request, work: x.work, done: func(r decide.Result) {
+	a.job = &job{req: x.request, work: x.work, told: b.told(a.srv), done: func(r decide.Result) {
 		if lost, reset := s.spoilt(); lost || s.cut(x.site, a.srv.site) {
 			return
 		} else if reset {
@@ -685,6 +708,7 @@
 	s.planned()
 	whole := 0.0
 	for _, v := range s.servers {
+		v.watched()
 		whole += float64(v.cores) * set.For.Seconds()
 	}
 	s.res.ColdUse /= max(s.coldTime, 1)
@@ -836,7 +860,11 @@
 		s.res.Asked++
 		s.open++
 		s.ask(r)
-		s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), next)
+		times := 1.0
+		if u := &s.set.Burst; s.now >= u.At && s.now < u.At+u.For {
+			times = u.Times
+		}
+		s.after(time.Duration(s.rng.ExpFloat64()/(rate*times)*float64(time.Second)), next)
 	}
 	s.after(0, next)
 }
--- a/internal/fleet/mass.go
+++ b/internal/fleet/mass.go
@@ -44,6 +44,11 @@
 		From, To float64
 		Known    time.Duration
 	}
+	// Burst is so many times the load.
+	Burst struct {
+		At, For time.Duration
+		Times   float64
+	}
 	// Bad is how many servers fail half of what they get.
 	Bad float64
 	// Late is by how much more the list is late.
@@ -104,7 +109,8 @@
 const (
 	drainFor   = 3 * time.Second // from the list's word until the server has gone
 	drainGrace = 2 * time.Second // nothing new goes there once a node has been told for so long
-	linesASec  = 200             // of discovery, for all callers
+	linesASec  = 200             // of discovery, for all callers, where there are up to
+	linesFor   = 300             // nodes, and as many more as these are
 	callWait   = 2 * time.Second // after which a call to it fails
 	downFor    = 3 * time.Second // how long a killed node is away
 )
@@ -278,7 +284,8 @@
 	late := start-s.now > callWait
 	wait := callWait
 	if !late {
-		s.discovery = start + time.Duration(lines)*time.Second/linesASec
+		per := linesASec * max(1, float64(s.set.Nodes)/linesFor)
+		s.discovery = start + time.Duration(float64(lines)/per*float64(time.Second))
 		wait = s.discovery - s.now + watchTakes
 	}
 	s.after(wait, func() {
@@ -305,6 +312,11 @@
 	b.b.Listed(b.sim.now, kind, list)
 }
 
+// told says whether a node has been told that a server started when it did.
+func (b *brain) told(v *server) bool {
+	return v.cold() && slices.ContainsFunc(b.had, func(e decide.Server) bool { return e.ID == v.id && e.Since == v.born })
+}
+
 // watch keeps the fleet's books on an attempt at the moment that it is sent.
 func (b *brain) watch(v *server) {
 	s := b.sim
@@ -348,6 +360,7 @@
 	no(r.Open, "requests or attempts never ended")
 	no(r.Asked-len(r.Latencies)-r.Refused-r.Failed, "requests without their one final answer")
 	no(r.Twice, "unsafe requests ran twice")
+	no(r.ColdCalls.Broke, "cold servers were sent more than their budget and chance by nodes that were told")
 	no(r.AfterGrace, "sends to a draining server after the grace")
 	if kind == "roll" || kind == "join" { // where many are new
 		if got := r.ColdShare(); got < coldLeast {
--- /dev/null
+++ b/internal/slowstart/slowstart_test.go
@@ -0,0 +1,85 @@
+package slowstart
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	_ "jasperpin/internal/seeded"
+
+	"pgregory.net/rapid"
+)
+
+var rule = Rule{Multiple: 2.5, Window: time.Second}
+
+// TestBound has N + 2 x root of N + 2 pass and the next request push the server over, within the
+// window and no longer.
+func TestBound(t *testing.T) {
+	const rate = 1.6 // N is 4, the bound 10
+	w := Watch{Rule: rule}
+	for i := range 10 {
+		w.Arrive(time.Duration(i)*90*time.Millisecond, rate, 1, true)
+	}
+	if w.Fall != nil || w.Worst.Excess() != 1 || w.Worst.Ratio() != 2.5 {
+		t.Errorf("ten requests where ten are allowed: %+v", w.Worst)
+	}
+	if w.Arrive(time.Second, rate, 1, true); w.Fall != nil {
+		t.Errorf("the first had left the window: %+v", w.Fall)
+	}
+	if w.Arrive(1089*time.Millisecond, rate, 1, true); w.Fall == nil || !w.Fall.Broke() {
+		t.Errorf("eleven within a second: %+v", w.Worst)
+	}
+}
+
+// TestWhoPushed holds a fall against the nodes where over two thirds came from such as had been told,
+// and only the first fall.
+func TestWhoPushed(t *testing.T) {
+	for told, broke := range map[int]bool{0: false, 7: false, 8: true, 11: true} {
+		w := Watch{Rule: rule}
+		for i := range 11 {
+			w.Arrive(0, 1.6, 1, i < told)
+		}
+		if w.Fall == nil || w.Fall.Broke() != broke {
+			t.Errorf("%d of 11 told: %+v", told, w.Fall)
+		}
+		for range 30 {
+			w.Arrive(time.Millisecond, 1.6, 1, true)
+		}
+		sum := Sum{}
+		sum.Add(&w)
+		if sum.Starts != 1 || sum.Fell != 1 || (sum.Broke == 1) != broke {
+			t.Errorf("%d of 11 told: %+v", told, sum)
+		}
+	}
+}
+
+// TestWatch has the watch agree with a count of each window anew.
+func TestWatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, at := Watch{Rule: rule}, time.Duration(0)
+		var all []arrival
+		worst := math.Inf(-1)
+		for range rapid.IntRange(1, 60).Draw(t, "requests") {
+			at += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond
+			a := arrival{at, float64(rapid.IntRange(0, 12).Draw(t, "quarters")) / 4, rapid.Bool().Draw(t, "told")}
+			all = append(all, a)
+			rate := float64(rapid.IntRange(1, 40).Draw(t, "rate")) / 8
+			p := w.Arrive(at, rate, a.work, a.told)
+			sent, told := 0.0, 0.0
+			for _, o := range all {
+				if at-o.at < rule.Window {
+					if sent += o.work; o.told {
+						told += o.work
+					}
+				}
+			}
+			if p.Sent != sent || p.Told != told || p.Budget != 2.5*rate {
+				t.Fatalf("at %v %+v, counted anew %v, of them told %v", at, p, sent, told)
+			}
+			worst = max(worst, p.Excess())
+		}
+		if w.Worst.Excess() != worst || (w.Fall != nil) != (worst > 1) {
+			t.Fatalf("worst %v, %+v", worst, w)
+		}
+	})
+}
