Hold cold servers to their budgets under twenty and thirty real processes

Stand-in servers start cold, restart at their address and count what comes, with its times, against N and what is chance beyond it; stand.Cold plays newcomers under a burst, uneven traffic, a zone that returns cold (its connections refused, or silent) and nodes that all begin anew at once.

--- /dev/null
+++ b/cmd/jasperpin/cold_test.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"jasperpin/internal/standin/check"
+	"jasperpin/internal/standin/stand"
+)
+
+// TestColdServersUnderManyProcesses has servers join twenty processes under a burst and uneven traffic:
+// none gets more within a second, from all of them, than the settings allow it, and chance.
+func TestColdServersUnderManyProcesses(t *testing.T) {
+	t.Parallel()
+	r := check.Must[*stand.ColdResult](t)(stand.Cold(t.Context(), stand.ColdOptions{
+		Nodes: 20, Servers: 9, Kind: "uneven", Dir: t.TempDir(), Seed: 3, Node: serving, Before: 2 * time.Second, For: 4 * time.Second,
+	}))
+	t.Logf("%d starts, the least budget %.1f: at most %.2f budgets, %+.2f of what is chance beyond them; clients missed %.1f%%",
+		r.Starts, r.Least, r.Ratio, r.Excess, 100*r.Clients.Missed())
+	if r.Starts != 3 || r.Fell > 0 {
+		t.Errorf("%d of %d cold servers were pushed over, %d by nodes that had been told", r.Fell, r.Starts, r.Broke)
+	}
+}
--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -26,6 +26,7 @@
 var scenarios = map[string]scenario{
 	"services":     {"a calm service beside an overloaded and a silent one, and reloads under load", services},
 	"planners":     {"forwarders with planners beside one level, calm, in a burst and failing", planners},
+	"cold":         {"cold servers under the sum of 20 and 30 processes, and of 300 and 2,600 nodes in virtual time", coldRun},
 	"planners-sim": {"one level beside shared views of a tier, in virtual time", plannersSim},
 	"mass":         {"six days of 300 nodes and 200 servers, in virtual time, on six seeds each", massRun},
 	"operation":    {"the operators' door, long bodies beside httputil.ReverseProxy, and their memory", operation},
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -89,21 +89,30 @@
 	Least               float64 // the least budget of a window
 }
 
+// Merge takes what came of others.
+func (s *Sum) Merge(o Sum) {
+	if o.Starts == 0 {
+		return
+	}
+	if s.Starts == 0 {
+		*s = o
+		return
+	}
+	s.Starts, s.Fell, s.Broke = s.Starts+o.Starts, s.Fell+o.Fell, s.Broke+o.Broke
+	s.Excess, s.Ratio, s.Least = max(s.Excess, o.Excess), max(s.Ratio, o.Ratio), min(s.Least, o.Least)
+}
+
 // Add takes a start that is over.
 func (s *Sum) Add(w *Watch) {
 	if w.Worst.Budget == 0 {
 		return // nothing was sent there
 	}
-	if s.Starts == 0 {
-		s.Excess, s.Least = math.Inf(-1), math.Inf(1)
-	}
-	s.Starts++
-	s.Excess, s.Ratio = max(s.Excess, w.Worst.Excess()), max(s.Ratio, w.Ratios.Ratio())
-	s.Least = min(s.Least, w.Worst.Budget)
+	o := Sum{Starts: 1, Excess: w.Worst.Excess(), Ratio: w.Ratios.Ratio(), Least: w.Worst.Budget}
 	if w.Fall != nil {
-		s.Fell++
+		o.Fell = 1
 		if w.Fall.Broke() {
-			s.Broke++
+			o.Broke = 1
 		}
 	}
+	s.Merge(o)
 }
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -10,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"jasperpin/internal/slowstart"
 )
 
 // Mode is how a box behaves.
@@ -29,11 +32,15 @@
 // BoxSettings say what a box can do.
 type BoxSettings struct {
 	Name     string
+	At       string  // where it listens; "" for any port
 	Speed    float64 // of a core, against the yardstick's; 0 stands for 1
 	Cores    int     // 0 stands for 1
 	Queue    int     // requests that may wait for a core; beyond them work is declined
 	ColdFrom float64 // part of its speed that it starts with; 0 for all
 	Warm     time.Duration
+	Up       time.Duration // for how long it has been up, as it tells
+	// Rule is what it bears while it is cold: what comes is counted against it.
+	Rule slowstart.Rule
 	// Stops says that work under way ends when its attempt is called off.
 	Stops bool
 	// Work is what a request without Req-Cost takes on the yardstick.
@@ -71,13 +78,16 @@
 	BoxSettings
 	Addr string
 
-	srv   *http.Server
-	ln    net.Listener
 	cores chan struct{}
-	born  time.Time
 
 	mu      sync.Mutex
+	srv     *http.Server
+	closed  bool
 	mode    Mode
+	born    time.Time
+	told    bool // discovery has told of its start
+	start   slowstart.Watch
+	starts  slowstart.Sum // those before
 	waiting int
 	turned  chan struct{}  // closed at the next change of mode
 	effects map[string]int // by key, where there is one, or else by id
@@ -96,7 +106,7 @@
 
 // NewBox starts a box.
 func NewBox(set BoxSettings) (*Box, error) {
-	ln, err := listen()
+	ln, err := listen(set.At)
 	if err != nil {
 		return nil, err
 	}
@@ -108,17 +118,22 @@
 		set.Memory = NewMemory()
 	}
 	b := &Box{
-		BoxSettings: set, Addr: ln.Addr().String(), ln: ln, cores: make(chan struct{}, set.Cores), born: time.Now(),
+		BoxSettings: set, Addr: ln.Addr().String(), cores: make(chan struct{}, set.Cores), born: time.Now().Add(-set.Up),
 		turned: make(chan struct{}), effects: make(map[string]int),
-		counts: Counts{Class: make(map[string]int)},
+		counts: Counts{Class: make(map[string]int)}, start: slowstart.Watch{Rule: set.Rule},
 	}
-	b.srv = &http.Server{Handler: b}
-	go func() { _ = b.srv.Serve(ln) }()
+	b.serve(ln)
 	return b, nil
 }
 
 // Close kills the box: its connections break and new ones are refused.
-func (b *Box) Close() error { return b.srv.Close() }
+func (b *Box) Close() error {
+	b.mu.Lock()
+	srv := b.srv
+	b.closed = true
+	b.mu.Unlock()
+	return srv.Close()
+}
 
 // Turn changes how the box behaves. What waits in silence goes on.
 func (b *Box) Turn(m Mode) {
@@ -129,6 +144,59 @@
 	b.turned = make(chan struct{})
 }
 
+// Restart has it begin anew, cold, and serve. Where it was closed it listens at its address again.
+// What it held runs on: it is called off by whoever waits for it.
+func (b *Box) Restart() error {
+	b.mu.Lock()
+	b.starts.Add(&b.start)
+	b.born, b.told, b.start = time.Now(), false, slowstart.Watch{Rule: b.Rule}
+	closed := b.closed
+	b.mu.Unlock()
+	b.Turn(Serving)
+	if !closed {
+		return nil
+	}
+	ln, err := net.Listen("tcp", b.Addr)
+	if err != nil {
+		return fmt.Errorf("a stand-in's port, again: %w", err)
+	}
+	b.serve(ln)
+	return nil
+}
+
+// serve serves at a listener from now on.
+func (b *Box) serve(ln net.Listener) {
+	srv := &http.Server{Handler: b}
+	b.mu.Lock()
+	b.srv, b.closed = srv, false
+	b.mu.Unlock()
+	go func() { _ = srv.Serve(ln) }()
+}
+
+// Told says that discovery has told all nodes of its start.
+func (b *Box) Told() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.told = true
+}
+
+// Starts tells how its starts were held to their budgets.
+func (b *Box) Starts() slowstart.Sum {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := b.starts
+	all.Add(&b.start)
+	return all
+}
+
+// arrived counts a request while the box is cold, against what it can do. The caller has its lock.
+func (b *Box) arrived(now time.Time) {
+	if warmth := b.warmth(now); b.Rule.Window > 0 && warmth < 1 && b.mode != Silent {
+		rate := b.Speed * warmth * float64(b.Cores) / b.Work.Seconds()
+		b.start.Arrive(now.Sub(b.born), rate, 1, b.told)
+	}
+}
+
 // Counts tells what the box has seen so far.
 func (b *Box) Counts() Counts {
 	b.mu.Lock()
@@ -151,6 +219,8 @@
 
 // Entry is the box as discovery lists it.
 func (b *Box) Entry() Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	e := Hosts(b.Addr)[0]
 	if b.Name != "" {
 		e.Host = b.Name
@@ -168,6 +238,7 @@
 	}
 	b.mu.Lock()
 	b.counts.Asked++
+	b.arrived(time.Now())
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if len(b.counts.Class) < 100 || b.counts.Class[class] > 0 {
 		b.counts.Class[class]++
@@ -255,6 +326,7 @@
 			b.effects[key]++
 		}
 	}
+	speed := b.Speed * b.warmth(now)
 	b.mu.Unlock()
 	work := b.Work
 	if us, err := strconv.ParseFloat(r.Header.Get("Req-Cost"), 64); err == nil && us > 0 {
@@ -264,7 +336,7 @@
 	if b.Stops {
 		ctx = r.Context()
 	}
-	t := time.NewTimer(time.Duration(float64(work) / (b.Speed * b.warmth(now))))
+	t := time.NewTimer(time.Duration(float64(work) / speed))
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -273,7 +345,7 @@
 	return true
 }
 
-// warmth is the part of its speed that the box has by now.
+// warmth is the part of its speed that the box has by now. The caller has its lock.
 func (b *Box) warmth(now time.Time) float64 {
 	if b.ColdFrom <= 0 || b.Warm <= 0 {
 		return 1
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -46,7 +46,7 @@
 
 // NewDiscovery starts a discovery whose first version is 5.
 func NewDiscovery(list ...Entry) (*Discovery, error) {
-	ln, err := listen()
+	ln, err := listen("")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -29,7 +29,7 @@
 
 // NewProxy starts a proxy to an address.
 func NewProxy(to string) (*Proxy, error) {
-	ln, err := listen()
+	ln, err := listen("")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -42,7 +42,7 @@
 
 // NewRaw starts a scripted server.
 func NewRaw(answer Reply) (*Raw, error) {
-	ln, err := listen()
+	ln, err := listen("")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -4,15 +4,16 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"os"
 	"sync/atomic"
 )
 
-// listen opens a free port on loopback.
-func listen() (net.Listener, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// listen opens a port on loopback: a free one where no address is given.
+func listen(at string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", cmp.Or(at, "127.0.0.1:0"))
 	if err != nil {
 		return nil, fmt.Errorf("a stand-in needs a port: %w", err)
 	}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"jasperpin/internal/slowstart"
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
 )
@@ -292,3 +293,38 @@
 		}
 	}
 }
+
+// TestBoxStarts has a box that is cold count what comes against its budget, anew with each start, also
+// where it was closed.
+func TestBoxStarts(t *testing.T) {
+	at := check.Unused(t)
+	b := box(t, standin.BoxSettings{
+		At: at, Work: time.Second, ColdFrom: 0.5, Warm: 1e6 * time.Hour,
+		Rule: slowstart.Rule{Multiple: 8.0 / 3600, Window: time.Hour}, // 4 as it starts: 10 pass
+	})
+	ask := func(n int) {
+		t.Helper()
+		for range n {
+			if status, _, err := send(at, "GET", "a", "", time.Microsecond); status != 200 {
+				t.Fatalf("%d, %v", status, err)
+			}
+		}
+	}
+	ask(10)
+	if got := b.Starts(); got.Starts != 1 || got.Fell != 0 || got.Ratio < 2.49 || got.Ratio > 2.51 {
+		t.Errorf("ten where ten may come: %+v", got)
+	}
+	ask(1)
+	if err := errors.Join(b.Close(), b.Restart()); err != nil {
+		t.Fatal(err)
+	}
+	b.Told()
+	ask(11)
+	if err := b.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	ask(10)
+	if got := b.Starts(); got.Starts != 3 || got.Fell != 2 || got.Broke != 1 {
+		t.Errorf("two of three pushed over, one after it was told of: %+v", got)
+	}
+}
--- a/internal/standin/unready.go
+++ b/internal/standin/unready.go
@@ -18,7 +18,7 @@
 
 // NewUnready starts a server to which no connection comes up until Open.
 func NewUnready(answer Reply) (*Unready, error) {
-	ln, err := listen()
+	ln, err := listen("")
 	if err != nil {
 		return nil, err
 	}
