Let nodes of one fleet draw apart where their files state no seed

What keeps nodes told at once from sending at once (decide, chill: a random first share of a cold server's budget) did nothing when all began together. Nodes by the platform get a seed each, and were not touched. Mend: the seed goes with the node's name and number, which set the nodes of a fleet apart; a file draws the same each time. TestNodesDrawApart fails without it (2 seeds of 6 nodes).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"log/slog"
 	"maps"
 	"math"
@@ -50,6 +51,14 @@
 	Members  Members
 }
 
+// seat keeps the nodes of a fleet from drawing the same numbers, by what sets them apart: all would
+// have their turn at a cold server at once.
+func seat(name string, number int) uint64 {
+	h := fnv.New64a()
+	fmt.Fprint(h, name, " ", number)
+	return h.Sum64()
+}
+
 // Role is a node's part in its tier.
 type Role string
 
@@ -218,7 +227,7 @@
 	if number >= nodes {
 		node.fail("number", "is %d of %d nodes: want 0 to %d", number, nodes, nodes-1)
 	}
-	c.Seed = uint64(node.count("seed", 0, 0, math.MaxInt32))
+	c.Seed = uint64(node.count("seed", 0, 0, math.MaxInt32)) ^ seat(c.Name, number)
 	if root.m["node"] == nil {
 		root.fail("node", "is missing: want a table [node] with name and listen")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -262,3 +262,24 @@
 		}
 	})
 }
+
+// TestNodesDrawApart has nodes that differ in their name or number alone draw other numbers, and a file
+// the same ones each time.
+func TestNodesDrawApart(t *testing.T) {
+	seeds := make(map[uint64]bool)
+	files := []string{"", "number = 1", "number = 2", "name = \"b\"", "name = \"b\"\nnumber = 1", "seed = 1"}
+	for range 2 {
+		for _, f := range files {
+			text := "[node]\nlisten = [\"127.0.0.1:0\"]\nnodes = 3\n" + f + "\n[[service]]\nname = \"s\"\n[[service.route]]\npool = \"p\"\n" +
+				"[[pool]]\nname = \"p\"\nservers = [\"127.0.0.1:1\"]\n[[pool.class]]\nname = \"look\"\nrepeat = \"safe\"\naim = \"1s\"\ndeadline = \"2s\"\n"
+			c, err := Parse("f", []byte(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			seeds[c.Seed] = true
+		}
+	}
+	if len(seeds) != len(files) {
+		t.Errorf("%d seeds of %d nodes", len(seeds), len(files))
+	}
+}
