Keep of a gate's tenants only those that have come, and forget the others' limits

A gate made a record of some 190 bytes for each tenant that the file names, of which most may never come: 27 MB of 79 that a node of 140,000 tenants kept after reading its file. A record is now made when its tenant first comes; the weights that share out the places are summed up when limits change, no longer for each request.

A file that no longer has a tenant "*" left the limits that all others had in force. They go with their table now; TestGateForgetsOthers fails on the code before, as TestGateKeepsWhoComes does.

--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -45,7 +45,8 @@
 type Gate struct {
 	set     GateSettings
 	bucket  Bucket
-	tenants map[string]*tenant
+	tenants map[string]*tenant // those that have come: most that are named may never
+	weights float64            // of all that are named, and of those no longer named that have not left
 	held    int
 	ticket  uint64             // the last one
 	waiting map[uint64]*waiter // by ticket
@@ -81,20 +82,24 @@
 func (g *Gate) Configure(set GateSettings) []uint64 {
 	g.set = set
 	g.bucket.Rate, g.bucket.Burst = set.Rate, set.Burst
+	g.weights = 0
+	for _, ts := range set.Tenants {
+		g.weights += ts.weight()
+	}
+	if _, named := set.Tenants[Others]; !named {
+		g.weights += TenantSettings{}.weight()
+	}
 	for name, t := range g.tenants {
-		if _, named := set.Tenants[name]; named || name == Others {
-			continue
-		}
-		t.TenantSettings, t.bucket = TenantSettings{}, Bucket{}
-		if t.held == 0 && t.waiters.Len() == 0 {
-			delete(g.tenants, name)
+		ts, named := set.Tenants[name]
+		if !named && name != Others {
+			if t.held == 0 && t.waiters.Len() == 0 {
+				delete(g.tenants, name)
+				continue
+			}
+			g.weights += ts.weight()
+			t.bucket = Bucket{}
 		}
-	}
-	g.tenant(Others)
-	for name, ts := range set.Tenants {
-		t := g.tenant(name)
-		t.TenantSettings = ts
-		t.bucket.Rate, t.bucket.Burst = ts.Rate, ts.Burst
+		t.configure(ts)
 	}
 	return g.admit()
 }
@@ -106,6 +111,7 @@
 	t := g.tenants[name]
 	if t == nil {
 		t = &tenant{name: name}
+		t.configure(g.set.Tenants[name])
 		g.tenants[name] = t
 	}
 	return t
@@ -168,18 +174,19 @@
 	if len(g.set.Tenants) == 0 || float64(places-used) > reserve*float64(places) {
 		return true
 	}
-	sum := 0.0
-	for _, o := range g.tenants {
-		sum += o.weight()
-	}
-	return float64(own) < float64(places)*t.weight()/sum
+	return float64(own) < float64(places)*t.weight()/g.weights
+}
+
+func (t *tenant) configure(set TenantSettings) {
+	t.TenantSettings = set
+	t.bucket.Rate, t.bucket.Burst = set.Rate, set.Burst
 }
 
-func (t *tenant) weight() float64 {
-	if t.Weight <= 0 {
+func (s TenantSettings) weight() float64 {
+	if s.Weight <= 0 {
 		return 1
 	}
-	return t.Weight
+	return s.Weight
 }
 
 func (g *Gate) let(t *tenant) {
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -328,3 +328,44 @@
 		}
 	}
 }
+
+// TestGateKeepsWhoComes keeps nothing of a tenant that has not come, but its weight.
+func TestGateKeepsWhoComes(t *testing.T) {
+	set := GateSettings{Concurrent: 10, Tenants: make(map[string]TenantSettings)}
+	for i := range 9 {
+		set.Tenants[fmt.Sprint("tenant-", i)] = TenantSettings{}
+	}
+	g := NewGate(set)
+	if len(g.tenants) > 0 {
+		t.Errorf("%d tenants are kept before one came", len(g.tenants))
+	}
+	in := 0
+	for range 10 {
+		if v, _, _ := g.Arrive(0, "tenant-0"); v == Admitted {
+			in++
+		}
+	}
+	// A fifth of the places is in reserve for the other eight and for those not named.
+	if in != 8 || len(g.tenants) != 1 {
+		t.Errorf("%d are in and %d tenants kept: want 8 of one", in, len(g.tenants))
+	}
+	// Its eight places stay its own when it is no longer named, and it counts until it leaves.
+	g.Configure(GateSettings{Concurrent: 10, Tenants: map[string]TenantSettings{"other": {Weight: 8}}})
+	if g.Held() != 8 || g.weights != 10 {
+		t.Errorf("%d held and a weight of %g: want 8 and 10", g.Held(), g.weights)
+	}
+}
+
+// TestGateForgetsOthers takes the limits of all others away with their table.
+func TestGateForgetsOthers(t *testing.T) {
+	g := NewGate(GateSettings{Tenants: map[string]TenantSettings{Others: {Concurrent: 1}}})
+	for i, want := range []Verdict{Admitted, TooMany} {
+		if got, _, _ := g.Arrive(0, Others); got != want {
+			t.Errorf("request %d: %v, want %v", i, got, want)
+		}
+	}
+	g.Configure(GateSettings{})
+	if got, _, _ := g.Arrive(0, Others); got != Admitted {
+		t.Errorf("without their limits: %v", got)
+	}
+}
