Have the route table refer to the configuration's rules instead of copying them

Each table copied every rule: 5 MB at 37,000 routes, twice while a file is put in force. New takes the services' lists as they are.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -135,15 +135,11 @@
 
 // Table builds the route table.
 func (c *Config) Table() (*route.Table, error) {
-	n := 0
+	rules := make([][]route.Rule, len(c.Services))
 	for i := range c.Services {
-		n += len(c.Services[i].Routes)
+		rules[i] = c.Services[i].Routes
 	}
-	rules := make([]route.Rule, 0, n)
-	for i := range c.Services {
-		rules = append(rules, c.Services[i].Routes...)
-	}
-	return route.New(rules)
+	return route.New(rules...)
 }
 
 // Load reads a file. Its error is Mistakes where the text is at fault.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"iter"
 	"slices"
 	"strings"
 )
@@ -68,14 +69,14 @@
 	lengths []int              // of prefixes, longest first
 }
 
-// New builds a table. Its error joins a RuleError for every rule that cannot be used.
-func New(rules []Rule) (*Table, error) {
+// New builds a table of rules in their order, which it keeps. Its error joins a RuleError for
+// every rule that cannot be used.
+func New(lists ...[]Rule) (*Table, error) {
 	t := &Table{exact: make(map[string]*paths), wild: make(map[string]*paths)}
 	var errs []error
 	type key struct{ host, path, method, class string }
-	first := make(map[key]*Rule, len(rules))
-	for i := range rules {
-		r := &rules[i]
+	first := make(map[key]*Rule)
+	for r := range all(lists) {
 		if err := r.check(); err != nil {
 			errs = append(errs, &RuleError{r.Origin, err})
 			continue
@@ -107,6 +108,19 @@
 	return t, errors.Join(errs...)
 }
 
+// all goes through the rules of some lists.
+func all(lists [][]Rule) iter.Seq[*Rule] {
+	return func(yield func(*Rule) bool) {
+		for _, rules := range lists {
+			for i := range rules {
+				if !yield(&rules[i]) {
+					return
+				}
+			}
+		}
+	}
+}
+
 func (r *Rule) check() error {
 	host := strings.TrimPrefix(r.Host, "*.")
 	switch h, err := Host(host); {
