Take a file of 32 MB: the stated size with every key said is 24 MB

A file of the stated size is 13.4 MB with the least that each table needs, and 23.5 MB where tenants, routes and servers say all their keys; 16 MB did not take it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -165,8 +165,8 @@
 
 // Bounds of what a file may ask for.
 const (
-	maxFile    = 16 << 20
-	maxNames   = 10_000 // services, pools, routes, servers, classes, tenants each
+	maxFile    = 32 << 20 // the stated size takes 24 MB with every key said
+	maxNames   = 10_000   // services, pools, routes, servers, classes, tenants each
 	maxTime    = time.Hour
 	maxRate    = 1e9
 	maxHeld    = 1 << 24
