--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -144,15 +144,11 @@
 
 // Table builds the route table.
 func (c *Config) Table() (*route.Table, error) {
-	n := 0
+	rules := make([][]route.Rule, len(c.Services))
 	for i := range c.Services {
-		n += len(c.Services[i].Routes)
+		rules[i] = c.Services[i].Routes
 	}
-	rules := make([]route.Rule, 0, n)
-	for i := range c.Services {
-		rules = append(rules, c.Services[i].Routes...)
-	}
-	return route.New(rules)
+	return route.New(rules...)
 }
 
 // Load reads a file. Its error is Mistakes where the text is at fault.
@@ -178,8 +174,8 @@
 
 // Bounds of what a file may ask for.
 const (
-	maxFile    = 16 << 20
-	maxNames   = 10_000 // services, pools, routes, servers, classes, tenants each
+	maxFile    = 32 << 20 // the stated size takes 24 MB with every key said
+	maxNames   = 10_000   // services, pools, routes, servers, classes, tenants each
 	maxTime    = time.Hour
 	maxRate    = 1e9
 	maxHeld    = 1 << 24
