--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -150,3 +150,29 @@
 		}
 	}
 }
+
+// TestFailedCallIsMadeAgainWithoutOrder has the module, which is told of a failure, order nothing for long:
+// the next call is made all the same, in time for the protocol's 6 s.
+func TestFailedCallIsMadeAgainWithoutOrder(t *testing.T) {
+	t.Parallel()
+	refused := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	reset := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for name, failing := range map[string][]http.HandlerFunc{
+		"refused": {refused}, "reset": {reset}, "silent": {silent, silent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := begin(t, append(failing, list(42, true, "a"), silent)...)
+			s.until(t, "the call after the failure, and what it told", func() bool { return s.heard["a"] })
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			n := len(failing)
+			if s.tells[0] != decide.ListFailed || s.tells[1] != decide.ListFull {
+				t.Errorf("told %v", s.tells)
+			}
+			if took := s.at[n].Sub(s.at[n-1]); took > toldBy {
+				t.Errorf("the next call began %v after the failed one", took)
+			}
+		})
+	}
+}
