Send nothing further of a run under a key whose client has gone unless a repeat waits

A client that has gone is owed no attempt, first or further. A request under a key of the node's that had begun went on in every way, for a repeat that might come: its retry after a reset or a refusal began, and its second copy, whether anybody waited or not. At fault: core.Pool.gone, which said 'goes on' of any request that Lasts and has begun, also when Begin asked on behalf of a further attempt.

The request now carries Awaited, which asks the key's store whether repeats wait. What is out goes on as before. What has not begun does only for those that wait; with none, it is called off, and the request ends once nothing of it is out: as one that never ran, so that a later repeat runs itself, or, after a reset, as one that may have run. That last repeat got the retry's answer before and gets 502 now.

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -113,8 +113,10 @@
 	// Here says whether the client still waits, as its connection tells. It is asked before
 	// each attempt is written, and must not block. Nil stands for yes.
 	Here func() bool
-	// Lasts says that what has begun goes on without its client: others may wait for its end.
-	Lasts bool
+	// Awaited says whether others than the client wait for its end now, and must not block.
+	// What has begun goes on without the client then, for those that may still come; what has
+	// not begins for those that wait alone. Nil where its end is the client's alone.
+	Awaited func() bool
 }
 
 // Upstream carries attempts to servers by one protocol.
@@ -219,6 +221,8 @@
 	srv    *server
 	born   float64 // the server's BornMS when it was chosen
 	begun  bool    // its first byte may be written from now on
+	idle   bool    // nobody waits for what it would bring: it is not to begin
+	mayRun bool    // it has ended, and may have run
 	wait   time.Duration
 	ctx    context.Context
 	giveUp context.CancelCauseFunc
@@ -364,8 +368,8 @@
 // Final brings the request's one answer.
 func (r *Exchange) Final() <-chan Final { return r.final }
 
-// Gone ends a request whose client waits for it no more. It says false of one that Lasts
-// and goes on: some of it has begun.
+// Gone ends a request whose client waits for it no more. It says false of one that others may
+// wait for, and that goes on.
 func (p *Pool) Gone(r *Exchange) (ended bool) {
 	p.do(func(now time.Duration) { ended = p.gone(now, r) })
 	return ended
@@ -377,22 +381,49 @@
 	if r.left {
 		return true
 	}
-	if r.Lasts && (r.settled || slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.begun })) {
+	if r.goesOn() {
 		return false
 	}
 	r.settled, r.left = true, true
+	fin := Final{Status: Left}
+	if slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayRun }) {
+		fin.Status = Failed // whoever asks for its end is to know
+	}
 	select {
 	case fin := <-r.final:
 		p.later(fin.Answer.drop)
 	default:
 	}
-	r.final <- Final{Status: Left}
+	r.final <- fin
 	p.b.ClientGone(now, r.id)
 	p.withdraw(r)
 	p.release(r)
 	return true
 }
 
+// goesOn says whether a request goes on whose client has gone. What is out does, where others may
+// ask for its end; what has not begun only for others that wait.
+func (r *Exchange) goesOn() bool {
+	if r.Awaited == nil || !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.begun }) {
+		return false
+	}
+	if r.settled || r.Awaited() {
+		return true
+	}
+	out := false
+	for _, a := range r.attempts {
+		switch {
+		case a.ended:
+		case a.begun:
+			out = true
+		default:
+			a.idle = true
+			a.giveUp(ErrCancelled)
+		}
+	}
+	return out
+}
+
 // withdraw gives up the attempts of a settled request that have not begun.
 func (p *Pool) withdraw(r *Exchange) {
 	for _, a := range r.attempts {
@@ -437,9 +468,10 @@
 		}
 		a.ended = true
 		r.out--
-		if r.left && !a.begun {
+		if (r.left || a.idle) && !a.begun {
 			result = decide.Moot // its client's going says nothing of the server
 		}
+		a.mayRun = result != decide.Full && result != decide.NoConnection && result != decide.Moot
 		if result == decide.OK && !r.settled {
 			r.settled = true
 			r.final <- Final{Status: Served, Answer: ans}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -244,7 +244,7 @@
 		}
 		if first != nil {
 			defer first.end()
-			q.Lasts = true // its repeat may wait for it
+			q.Awaited = first.Awaited
 		}
 	}
 	pass, err := f.set.Enter(hr.Context(), target, service.Ask{Tenant: tenant(hr, target), Bytes: len(body), Due: q.At.Add(q.Wait)})
@@ -293,7 +293,7 @@
 	}
 	if fin.Status == core.Left {
 		if first != nil {
-			first.arrived = false // nothing of it has been sent
+			first.arrived = false // nothing of it has run
 		}
 		panic(http.ErrAbortHandler)
 	}
@@ -342,7 +342,7 @@
 	if fault != nil {
 		return nil, fault
 	}
-	q.Message, q.At, q.Here, q.Lasts = was.Message, was.At, was.Here, was.Lasts
+	q.Message, q.At, q.Here, q.Awaited = was.Message, was.At, was.Here, was.Awaited
 	return q, nil
 }
 
--- a/internal/idem/idem.go
+++ b/internal/idem/idem.go
@@ -325,6 +325,12 @@
 	return waiters
 }
 
+// Awaited says whether repeats wait for the end of a run.
+func (s *Store) Awaited(t Ticket) bool {
+	a := s.tickets[t]
+	return a != nil && a.place == nil && a.of.waiting.Len() > 0
+}
+
 // Overdue is the runs that have taken longer than one may: whoever ran them is gone, and
 // they are to be settled as such that may have run. It looks at every key.
 func (s *Store) Overdue(now time.Duration) (runs []Ticket) {
--- a/internal/keys/holder.go
+++ b/internal/keys/holder.go
@@ -306,6 +306,13 @@
 	c.h.wake(c.h.store.Digested(c.ticket, d), woken{verdict: idem.Mismatch})
 }
 
+// Awaited says whether repeats wait for the end of a run.
+func (c *Claim) Awaited() bool {
+	c.h.mu.Lock()
+	defer c.h.mu.Unlock()
+	return c.h.store.Awaited(c.ticket)
+}
+
 // Settle tells how a run ended. Calls after the first change nothing. Where there is a file
 // the end is on the disk before anybody is told of it; one that the disk does not take is
 // known to this process alone.
--- /dev/null
+++ b/internal/node/gone_test.go
@@ -0,0 +1,236 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+// lateBegin is how long after its client's close an attempt may still begin.
+const lateBegin = 100 * time.Millisecond
+
+// waiting is a request that waits for something.
+type waiting struct {
+	n       *testNode
+	client  net.Conn
+	comes   func() // what it waits for
+	servers []*standin.Raw
+}
+
+// begun counts the requests that have begun at the servers.
+func (w *waiting) begun() (sum int64) {
+	for _, s := range w.servers {
+		sum += s.Begun.Load()
+	}
+	return sum
+}
+
+// declines turns away, once release is closed, requests whose names begin so.
+func declines(release <-chan struct{}, prefix string) standin.Reply {
+	return func(c net.Conn, r *http.Request, body []byte) bool {
+		if !strings.HasPrefix(r.Header.Get("Req-Id"), prefix) {
+			return standin.Echo(c, r, body)
+		}
+		<-release
+		return standin.Respond("HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")(c, r, body)
+	}
+}
+
+// out is a request that has begun at one of two servers, and waits for how it ends there.
+func out(t *testing.T, text string, reply func(release <-chan struct{}, prefix string) standin.Reply, start func(servers ...string) *testNode) waiting {
+	release := make(chan struct{})
+	x, y := check.Raw(t, reply(release, "gone")), check.Raw(t, reply(release, "gone"))
+	n := start(x.Addr, y.Addr)
+	c := n.dial()
+	add(t, c, text)
+	check.Eventually(t, "the request is out", func() bool { return x.Got.Load()+y.Got.Load() == 1 })
+	return waiting{n, c, func() { close(release) }, []*standin.Raw{x, y}}
+}
+
+// inLine waits behind another request for a place.
+func inLine(t *testing.T, service, inPool string) waiting {
+	release := make(chan struct{})
+	s := check.Raw(t, held(release, ""))
+	n := startServices(t, svc("orders", service)+pool("orders", inPool, s.Addr))
+	first := n.asked(at("orders", look("first")))
+	check.Eventually(t, "the first is out", func() bool { return s.Got.Load() == 1 })
+	c := n.dial()
+	add(t, c, at("orders", look("gone")))
+	n.holds(2)
+	return waiting{n, c, func() {
+		close(release)
+		if got := <-first; got != "200 first " {
+			t.Errorf("the first got %q", got)
+		}
+	}, []*standin.Raw{s}}
+}
+
+// connecting waits for a connection that comes up late.
+func connecting(t *testing.T, text string) waiting {
+	s := unready(t)
+	n := startNode(t, both(patient, uncalled), s.Addr)
+	c := n.dial()
+	add(t, c, text)
+	n.holds(1)
+	return waiting{n, c, func() {
+		if err := s.Open(); err != nil {
+			t.Error(err)
+		}
+	}, []*standin.Raw{s.Raw}}
+}
+
+// keyedFile is a file of a pool whose class must never run twice and has keys of the node's.
+func keyedFile(servers ...string) string {
+	return withKeys(svc("orders", "tenant_header = \"Req-Owner\"")+pool("orders", "", servers...), "")
+}
+
+// repeatedFile is the same with keys for the class that is sent again.
+func repeatedFile(servers ...string) string {
+	return strings.Replace(svc("orders", "tenant_header = \"Req-Owner\"")+pool("orders", "", servers...), "[[pool.class]]\nname = \"credit\"", "[pool.class.keys]\n[[pool.class]]\nname = \"credit\"", 1)
+}
+
+const lines = "concurrent = 1\nqueue = 10\nqueue_wait = \"20s\""
+
+// TestNothingBeginsOnceItsClientHasGone has a client close whose request waits, and what it waits
+// for come no sooner than an attempt might still begin, noticed or not: none does. Clients that
+// leave in other ways, and those that wait for a connection's room or in the accept queue, are
+// leave_test's.
+func TestNothingBeginsOnceItsClientHasGone(t *testing.T) {
+	plain := func(t *testing.T) func(...string) *testNode {
+		return func(s ...string) *testNode { return startNode(t, uncalled, s...) }
+	}
+	byFile := func(t *testing.T, file func(...string) string) func(...string) *testNode {
+		return func(s ...string) *testNode { return startServices(t, file(s...)) }
+	}
+	order := strings.Replace(keyed("gone", "k", "x"), "/credit/", "/order/", 1)
+	for what, begin := range map[string]func(t *testing.T) waiting{
+		"a late connection":                 func(t *testing.T) waiting { return connecting(t, look("gone")) },
+		"a late connection, its body begun": func(t *testing.T) waiting { return connecting(t, post("credit", "gone", "", long(3<<20))[:40<<10]) },
+		"its service's line":                func(t *testing.T) waiting { return inLine(t, lines, "") },
+		"its pool's line":                   func(t *testing.T) waiting { return inLine(t, "", lines) },
+		"an attempt that is reset":          func(t *testing.T) waiting { return out(t, look("gone"), resets, plain(t)) },
+		"one that is turned away":           func(t *testing.T) waiting { return out(t, look("gone"), declines, plain(t)) },
+		"one under a key, turned away": func(t *testing.T) waiting {
+			return out(t, at("orders", keyed("gone", "k", "x")), declines, byFile(t, keyedFile))
+		},
+		"one under a key, reset": func(t *testing.T) waiting { return out(t, at("orders", order), resets, byFile(t, repeatedFile)) },
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			w := begin(t)
+			was := w.begun()
+			w.client.Close()
+			<-time.After(lateBegin)
+			w.comes()
+			w.n.holds(0)
+			check.Eventually(t, "nothing is out", func() bool { return w.n.node.Room().All() <= len(w.servers) })
+			if got := w.begun(); got != was {
+				t.Errorf("%d attempts began after the client had gone", got-was)
+			}
+		})
+	}
+}
+
+// TestRepeatHasItsRunSentOn has the client of a run leave, and then its attempt fail, that may be
+// made again. Where a repeat waits it is, and where one comes later it runs itself, or is told what
+// may have run.
+func TestRepeatHasItsRunSentOn(t *testing.T) {
+	order := func(id string) string { return strings.Replace(keyed(id, "k", "x"), "/credit/", "/order/", 1) }
+	credit := func(id string) string { return keyed(id, "k", "x") }
+	for name, x := range map[string]struct {
+		file  func(...string) string
+		ask   func(id string) string
+		fails func(<-chan struct{}, string) standin.Reply
+		early bool // the repeat waits
+		want  string
+		begun int64
+	}{
+		"it waits, turned away":    {keyedFile, credit, declines, true, "200 gone x", 2},
+		"it waits, reset":          {repeatedFile, order, resets, true, "200 gone x", 2},
+		"it comes later, declined": {keyedFile, credit, declines, false, "200 repeat x", 2},
+		"it comes later, reset":    {repeatedFile, order, resets, false, "502 ", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			once := func(release <-chan struct{}, prefix string) standin.Reply {
+				fails := x.fails(release, prefix)
+				return func(c net.Conn, r *http.Request, body []byte) bool {
+					select {
+					case <-release: // the first attempt alone fails
+						return standin.Echo(c, r, body)
+					default:
+						return fails(c, r, body)
+					}
+				}
+			}
+			w := out(t, at("orders", x.ask("gone")), once, func(s ...string) *testNode { return startServices(t, x.file(s...)) })
+			var repeat <-chan string
+			if x.early {
+				repeat = w.n.asked(at("orders", x.ask("repeat")))
+				w.n.holds(2)
+			}
+			w.client.Close()
+			<-time.After(lateBegin)
+			w.comes()
+			if !x.early {
+				w.n.holds(0)
+				repeat = w.n.asked(at("orders", x.ask("repeat")))
+			}
+			if got := <-repeat; got != x.want {
+				t.Errorf("the repeat got %q, want %q", got, x.want)
+			}
+			if got := w.begun(); got != x.begun {
+				t.Errorf("%d attempts, want %d", got, x.begun)
+			}
+		})
+	}
+}
+
+// TestLeavesBeforeASecondCopyUnderAKey has a client leave whose answer is lost, under a key: what
+// is out goes on, and no second copy follows it, while that of one who stays does.
+func TestLeavesBeforeASecondCopyUnderAKey(t *testing.T) {
+	var mu sync.Mutex
+	seen := make(map[string]int)
+	lost := func(c net.Conn, r *http.Request, body []byte) bool {
+		id := r.Header.Get("Req-Id")
+		mu.Lock()
+		seen[id]++
+		first := seen[id] == 1 && !strings.HasPrefix(id, "quick")
+		mu.Unlock()
+		return first || standin.Echo(c, r, body)
+	}
+	count := func(id string) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return seen[id]
+	}
+	a, b := check.Raw(t, lost), check.Raw(t, lost)
+	file := svc("orders", "tenant_header = \"Req-Owner\"") + pool("orders", "", a.Addr, b.Addr)
+	n := startServices(t, strings.Replace(file, "remember = \"60s\"\naim = \"10s\"\ndeadline = \"20s\"\n", "remember = \"60s\"\naim = \"2s\"\ndeadline = \"4s\"\n[pool.class.keys]\n", 1))
+	under := func(id string) string {
+		return at("orders", strings.Replace(keyed(id, id, "x"), "/credit/", "/order/", 1))
+	}
+	for i := range 40 { // so that it knows how quick answers are
+		if status, _, _ := n.once(under(fmt.Sprint("quick", i))); status != http.StatusOK {
+			t.Fatalf("answered %d", status)
+		}
+	}
+	c := n.dial()
+	add(t, c, under("gone"))
+	check.Eventually(t, "it is out", func() bool { return count("gone") == 1 })
+	c.Close()
+	if status, _, _ := n.once(under("stays")); status != http.StatusOK || count("stays") != 2 {
+		t.Errorf("who stayed was answered %d, with %d attempts", status, count("stays"))
+	}
+	n.holds(0) // its attempt's time is over
+	if got := count("gone"); got != 1 {
+		t.Errorf("%d attempts for who had left", got)
+	}
+}
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -14,6 +14,7 @@
 type Raw struct {
 	Addr  string
 	Conns atomic.Int64       // accepted
+	Begun atomic.Int64       // requests of which a byte has come
 	Got   atomic.Int64       // requests read whole
 	Heads chan *http.Request // their heads; what nobody takes is dropped from the 1,000th on
 
@@ -89,6 +90,10 @@
 	}()
 	br := bufio.NewReader(c)
 	for {
+		if _, err := br.Peek(1); err != nil {
+			return
+		}
+		s.Begun.Add(1)
 		r, err := http.ReadRequest(br)
 		if err != nil {
 			return
