Test that nothing is sent on for a thousand clients that leave a busy node at once

Their requests are out at servers that reset them 0.1 s after the close; one core, kept busy by others.

--- a/cmd/jasperpin/crowd_test.go
+++ b/cmd/jasperpin/crowd_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -324,3 +325,78 @@
 	}
 	c.within()
 }
+
+// TestCrowdLeavesABusyNode has a thousand clients leave at once a node that has one core, which
+// others keep busy. Their requests are out and fail 0.1 s later: none is sent again.
+func TestCrowdLeavesABusyNode(t *testing.T) {
+	t.Parallel()
+	const clients = 1000
+	release := make(chan struct{})
+	resets := func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Header.Get("Req-Owner") != "leaves" {
+			return standin.Echo(c, r, body)
+		}
+		<-release
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	x, y := check.Raw(t, resets), check.Raw(t, resets)
+	begun := func() int64 { return x.Begun.Load() + y.Begun.Load() }
+	d := discovery(t, x.Addr, y.Addr)
+	c, _ := crowd(t, 8*clients, true, func(listen, door string) []byte {
+		text, err := json.Marshal(map[string]any{
+			"name": "n0", "listen": listen, "control": door, "discovery": d.Proxy.Addr, "seed": "1",
+			"limits": map[string]any{"cores": 1, "memory_mb": 512, "sockets": 8 * clients},
+			"settings": map[string]any{
+				"discovery": "push", "ceilings": map[string]any{"maxAttempts": 3, "cancel": false, "dialTimeoutMs": 5000},
+				"classes": []any{map[string]any{"name": "look", "effect": "free", "objectiveMs": 19000, "deadlineMs": 20000}},
+			},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	})
+	check.Eventually(t, "the list has come", func() bool { return strings.HasPrefix(c.ask(c.look("h", "")), "200 ") })
+	was := begun()
+	var all []net.Conn
+	for range clients {
+		nc := check.Must[net.Conn](t)(net.Dial("tcp", c.listen))
+		defer nc.Close()
+		if _, err := io.WriteString(nc, c.look("h", "leaves")); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, nc)
+	}
+	check.Eventually(t, "all are out", func() bool { return x.Got.Load()+y.Got.Load() == was+clients })
+	var busy sync.WaitGroup
+	stop := make(chan struct{})
+	for range 4 {
+		busy.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					if resp, err := http.Get("http://" + c.listen + "/up"); err == nil {
+						resp.Body.Close()
+					}
+				}
+			}
+		})
+	}
+	for _, nc := range all {
+		nc.Close()
+	}
+	<-time.After(100 * time.Millisecond) // which is how late an attempt may still begin
+	close(release)
+	check.Eventually(t, "all have ended", func() bool {
+		lines, err := door.Call(t.Context(), c.at, "telemetry")
+		return err == nil && slices.Contains(lines, "svc.open_requests=0")
+	})
+	close(stop)
+	busy.Wait()
+	if got := begun() - was - clients; got != 0 {
+		t.Errorf("%d attempts began after their clients had gone", got)
+	}
+}
