--- a/cmd/jasperpin/crowd_test.go
+++ b/cmd/jasperpin/crowd_test.go
@@ -169,13 +169,14 @@
 	return fmt.Sprint(resp.StatusCode, " ", string(body))
 }
 
-// served waits until a server that no list had before answers, and has an operator call meanwhile.
+// served waits until a host's requests go to a server that no list had for it before, and has an
+// operator call meanwhile.
 func (c *crowded) served(what, host string, by *standin.Raw) {
 	c.t.Helper()
-	began := time.Now()
+	began, was := time.Now(), by.Got.Load()
 	check.Eventually(c.t, what, func() bool {
 		c.ask(c.look(host, ""))
-		return by.Got.Load() > 0
+		return by.Got.Load() > was
 	})
 	if _, err := door.Call(c.t.Context(), c.at, "readyz"); err != nil {
 		c.t.Errorf("%s: an operator's call: %v", what, err)
@@ -290,7 +291,7 @@
 }
 
 // TestCrowdBesideManyWatches is the same for a file of more pools with a watch each than stay free
-// of descriptors for other things.
+// of descriptors for other things. All are down, come back, and move at once.
 func TestCrowdBesideManyWatches(t *testing.T) {
 	t.Parallel()
 	const descriptors, pools = 192, 60
@@ -302,9 +303,11 @@
 	for i := range pools {
 		found = append(found, discovery(t, servers[i].Addr))
 	}
-	c, _ := crowd(t, descriptors, false, func(listen, door string) []byte {
+	moved := 0 // by how many places each pool's discovery is another's
+	c, rewrite := crowd(t, descriptors, false, func(listen, door string) []byte {
 		text := fmt.Sprintf("[node]\nlisten = [%q]\ncontrol = %q\n[limits]\nmemory = \"64MB\"\ndescriptors = %d\n", listen, door, descriptors)
-		for i, d := range found {
+		for i := range found {
+			d := found[(i+moved)%pools]
 			text += fmt.Sprintf("[[service]]\nname = \"s%d\"\n[[service.route]]\nhosts = [\"h%d\"]\npool = \"s%d\"\n", i, i, i)
 			text += fmt.Sprintf("[[pool]]\nname = \"s%d\"\nprotocol = \"platform\"\ndiscovery = %q\n[[pool.class]]\nname = \"look\"\nrepeat = \"safe\"\naim = \"19s\"\ndeadline = \"20s\"\n", i, d.Proxy.Addr)
 		}
@@ -323,6 +326,14 @@
 	for i := range found {
 		c.served(fmt.Sprint("discovery ", i, " is back"), fmt.Sprint("h", i), servers[pools+i])
 	}
+	moved = 1
+	rewrite()
+	if err := c.p.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	for i := range found {
+		c.served(fmt.Sprint("discovery ", i, " has moved"), fmt.Sprint("h", i), servers[pools+(i+1)%pools])
+	}
 	c.within()
 }
 
