--- a/cmd/jasperpin/crowd_test.go
+++ b/cmd/jasperpin/crowd_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -168,13 +169,14 @@
 	return fmt.Sprint(resp.StatusCode, " ", string(body))
 }
 
-// served waits until a server that no list had before answers, and has an operator call meanwhile.
+// served waits until a host's requests go to a server that no list had for it before, and has an
+// operator call meanwhile.
 func (c *crowded) served(what, host string, by *standin.Raw) {
 	c.t.Helper()
-	began := time.Now()
+	began, was := time.Now(), by.Got.Load()
 	check.Eventually(c.t, what, func() bool {
 		c.ask(c.look(host, ""))
-		return by.Got.Load() > 0
+		return by.Got.Load() > was
 	})
 	if _, err := door.Call(c.t.Context(), c.at, "readyz"); err != nil {
 		c.t.Errorf("%s: an operator's call: %v", what, err)
@@ -289,7 +291,7 @@
 }
 
 // TestCrowdBesideManyWatches is the same for a file of more pools with a watch each than stay free
-// of descriptors for other things.
+// of descriptors for other things. All are down, come back, and move at once.
 func TestCrowdBesideManyWatches(t *testing.T) {
 	t.Parallel()
 	const descriptors, pools = 192, 60
@@ -301,9 +303,11 @@
 	for i := range pools {
 		found = append(found, discovery(t, servers[i].Addr))
 	}
-	c, _ := crowd(t, descriptors, false, func(listen, door string) []byte {
+	moved := 0 // by how many places each pool's discovery is another's
+	c, rewrite := crowd(t, descriptors, false, func(listen, door string) []byte {
 		text := fmt.Sprintf("[node]\nlisten = [%q]\ncontrol = %q\n[limits]\nmemory = \"64MB\"\ndescriptors = %d\n", listen, door, descriptors)
-		for i, d := range found {
+		for i := range found {
+			d := found[(i+moved)%pools]
 			text += fmt.Sprintf("[[service]]\nname = \"s%d\"\n[[service.route]]\nhosts = [\"h%d\"]\npool = \"s%d\"\n", i, i, i)
 			text += fmt.Sprintf("[[pool]]\nname = \"s%d\"\nprotocol = \"platform\"\ndiscovery = %q\n[[pool.class]]\nname = \"look\"\nrepeat = \"safe\"\naim = \"19s\"\ndeadline = \"20s\"\n", i, d.Proxy.Addr)
 		}
@@ -322,5 +326,88 @@
 	for i := range found {
 		c.served(fmt.Sprint("discovery ", i, " is back"), fmt.Sprint("h", i), servers[pools+i])
 	}
+	moved = 1
+	rewrite()
+	if err := c.p.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	for i := range found {
+		c.served(fmt.Sprint("discovery ", i, " has moved"), fmt.Sprint("h", i), servers[pools+(i+1)%pools])
+	}
 	c.within()
 }
+
+// TestCrowdLeavesABusyNode has a thousand clients leave at once a node that has one core, which
+// others keep busy. Their requests are out and fail 0.1 s later: none is sent again.
+func TestCrowdLeavesABusyNode(t *testing.T) {
+	t.Parallel()
+	const clients = 1000
+	release := make(chan struct{})
+	resets := func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Header.Get("Req-Owner") != "leaves" {
+			return standin.Echo(c, r, body)
+		}
+		<-release
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	x, y := check.Raw(t, resets), check.Raw(t, resets)
+	begun := func() int64 { return x.Begun.Load() + y.Begun.Load() }
+	d := discovery(t, x.Addr, y.Addr)
+	c, _ := crowd(t, 8*clients, true, func(listen, door string) []byte {
+		text, err := json.Marshal(map[string]any{
+			"name": "n0", "listen": listen, "control": door, "discovery": d.Proxy.Addr, "seed": "1",
+			"limits": map[string]any{"cores": 1, "memory_mb": 512, "sockets": 8 * clients},
+			"settings": map[string]any{
+				"discovery": "push", "ceilings": map[string]any{"maxAttempts": 3, "cancel": false, "dialTimeoutMs": 5000},
+				"classes": []any{map[string]any{"name": "look", "effect": "free", "objectiveMs": 19000, "deadlineMs": 20000}},
+			},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	})
+	check.Eventually(t, "the list has come", func() bool { return strings.HasPrefix(c.ask(c.look("h", "")), "200 ") })
+	was := begun()
+	var all []net.Conn
+	for range clients {
+		nc := check.Must[net.Conn](t)(net.Dial("tcp", c.listen))
+		defer nc.Close()
+		if _, err := io.WriteString(nc, c.look("h", "leaves")); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, nc)
+	}
+	check.Eventually(t, "all are out", func() bool { return x.Got.Load()+y.Got.Load() == was+clients })
+	var busy sync.WaitGroup
+	stop := make(chan struct{})
+	for range 4 {
+		busy.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					if resp, err := http.Get("http://" + c.listen + "/up"); err == nil {
+						resp.Body.Close()
+					}
+				}
+			}
+		})
+	}
+	for _, nc := range all {
+		nc.Close()
+	}
+	<-time.After(100 * time.Millisecond) // which is how late an attempt may still begin
+	close(release)
+	check.Eventually(t, "all have ended", func() bool {
+		lines, err := door.Call(t.Context(), c.at, "telemetry")
+		return err == nil && slices.Contains(lines, "svc.open_requests=0")
+	})
+	close(stop)
+	busy.Wait()
+	if got := begun() - was - clients; got != 0 {
+		t.Errorf("%d attempts began after their clients had gone", got)
+	}
+}
