--- /dev/null
+++ b/internal/scale/central.go
@@ -0,0 +1,133 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"jasperpin/decide"
+	"jasperpin/internal/group"
+	"jasperpin/internal/plan"
+)
+
+// silentPlanner is a planner's effects that nobody hears, with the last time that it asked for.
+type silentPlanner struct {
+	bytes, told int
+	wanted      plan.Timer
+}
+
+func (s *silentPlanner) Tell(_ plan.Source, m plan.Message) {
+	s.bytes += len(m.Append(nil))
+	s.told++
+}
+func (s *silentPlanner) Wake(t plan.Timer, _ time.Duration) { s.wanted = t }
+func (*silentPlanner) Watch(bool)                           {}
+func (*silentPlanner) Reset()                               {}
+func (*silentPlanner) Log(string)                           {}
+
+// central measures what is central: a planner's belief by its forwarders, and the group's state and
+// words by its instances.
+func central(ctx context.Context, o Options) (found Found, err error) {
+	add := func(s Slope, sizes []int, measure func(int) (float64, error)) {
+		if err == nil {
+			s.Runs = tries
+			s, err = s.over(ctx, sizes, measure)
+			found.Slopes = append(found.Slopes, s)
+		}
+	}
+	many := o.sizes([]int{10, 20, 40, 80}, 100, 300, 1_000, o.Nodes)
+	servers := int(per(o.Servers, o.Services))
+	planner := func(forwarders int) (*plan.Planner, *silentPlanner, []plan.Source, time.Duration) {
+		out := &silentPlanner{}
+		now := time.Hour
+		p := plan.NewPlanner(moduleSettings(1), false, 1, now, out)
+		p.Listed(now, decide.ListCached, moduleList(servers))
+		var from []plan.Source
+		for i := range forwarders {
+			from = append(from, p.Join(now, fmt.Sprint("forwarder-", i)))
+			p.Take(now, from[i], plan.Message{Kind: plan.Synced})
+		}
+		for range 20 { // its settling time
+			now += 100 * time.Millisecond
+			p.Timer(now, out.wanted)
+		}
+		return p, out, from, now
+	}
+	s := Slope{Role: "planner", By: fmt.Sprintf("forwarders of a pool of %d servers", servers), Stated: float64(o.Nodes), Name: "a request placed and ended", Unit: "us"}
+	words := 0.0
+	add(s, many, func(n int) (float64, error) {
+		p, out, from, now := planner(n)
+		id, asked, sent := decide.RequestID(0), 0, 0
+		took := cost(func() {
+			p.Timer(now, out.wanted) // time passes for it too: else it takes itself for paused
+			for range 100 {
+				id++
+				now += time.Millisecond
+				at := from[int(id)%n]
+				ask := plan.Message{Kind: plan.Ask, ID: id, Question: plan.Question{Left: 5 * time.Second}}
+				ended := plan.Message{Kind: plan.Ended, ID: id, Result: decide.OK}
+				p.Take(now, at, ask)
+				p.Take(now, at, ended)
+				asked++
+				sent += len(ask.Append(nil)) + len(ended.Append(nil))
+			}
+		})
+		if out.told < asked {
+			return 0, fmt.Errorf("of %d requests %d were answered", asked, out.told)
+		}
+		words = float64(sent+out.bytes) / float64(asked)
+		return micros(took) / 100, nil
+	})
+	s.Name, s.Unit = "memory of a pool's forwarders", "MB"
+	add(s, many, func(n int) (float64, error) {
+		return heap(func() any {
+			p, _, from, _ := planner(n)
+			return []any{p, from}
+		}) / 1e6, nil
+	})
+	if err != nil {
+		return found, err
+	}
+	found.note("a request is %.0f bytes of words between the two, without frames and TLS; at %s a second that is %s%% of a core of decisions in all", words, digits(o.Requests), digits(100*o.Requests*found.Slopes[0].Samples[len(many)-1].Value/1e6))
+	found.note("each forwarder's pool has a connection to each planner: %s pools of %s nodes make %s connections to one planner of all", digits(float64(o.Services)), digits(float64(o.Nodes)), digits(float64(o.Services*o.Nodes)))
+
+	agreed := func(n int) *group.State {
+		st := group.New()
+		for i := range n {
+			st.Apply(group.Command{Elapsed: time.Millisecond, Op: group.Acquire, Name: fmt.Sprint("instances/node-", i), Holder: fmt.Sprintf("node-%d/%016x", i, i), TTL: time.Hour})
+		}
+		return st
+	}
+	s = Slope{Role: "group voter", By: "instances", Stated: float64(o.Nodes), Name: "a renewal put into the state", Unit: "us"}
+	add(s, many, func(n int) (float64, error) {
+		st := agreed(n)
+		leases := st.Leases("")
+		i := 0
+		return micros(cost(func() {
+			for range 100 {
+				i = (i + 1) % n
+				l := leases[i]
+				if r := st.Apply(group.Command{Op: group.Renew, Name: l.Name, Holder: l.Holder, Fence: l.Fence, TTL: time.Hour}); r.Err() != nil {
+					panic(r.Err())
+				}
+			}
+		})) / 100, nil
+	})
+	s.Name, s.Unit, s.Allowed = "the list of instances, which each node with group = true reads each second", "bytes/s", o.Bytes
+	add(s, many, func(n int) (float64, error) {
+		b, err := json.Marshal(agreed(n).Leases(""))
+		return float64(len(b)), err
+	})
+	s.Name, s.Unit, s.Allowed = "a snapshot", "bytes", 0
+	add(s, many, func(n int) (float64, error) {
+		b, err := agreed(n).Snapshot()
+		return float64(len(b)), err
+	})
+	s.Name, s.Unit = "memory", "MB"
+	add(s, many, func(n int) (float64, error) {
+		return heap(func() any { return agreed(n) }) / 1e6, nil
+	})
+	found.note("a lease of 3 s is renewed each second: %s renewals a second through the log were all nodes instances", digits(float64(o.Nodes)))
+	return found, err
+}
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -84,6 +84,7 @@
 	{"decide", "a pool's tick, sweep and requests by its servers; pools at rest", decisions},
 	{"route", "look-up by routes, limits by tenants", lookups},
 	{"requests", "what a node adds to requests, and its figures at the door, by its services", added},
+	{"central", "a planner by its forwarders, the group by its instances", central},
 	{"counts", "a server's failures told by the calls that one node sends it", counts},
 }
 
