--- a/cmd/proof/scale.go
+++ b/cmd/proof/scale.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -50,6 +51,9 @@
 		}
 		for _, s := range found.Slopes {
 			v, err := s.Judge()
+			if errors.Is(err, scale.ErrSamples) {
+				continue // its table says so
+			}
 			if err != nil {
 				return f, err
 			}
--- a/internal/scale/central.go
+++ b/internal/scale/central.go
@@ -59,7 +59,7 @@
 	add(s, many, func(n int) (float64, error) {
 		p, out, from, now := planner(n)
 		id, asked, sent := decide.RequestID(0), 0, 0
-		took := cost(func() {
+		took := o.cost(func() {
 			p.Timer(now, out.wanted) // time passes for it too: else it takes itself for paused
 			for range 100 {
 				id++
@@ -104,7 +104,7 @@
 		st := agreed(n)
 		leases := st.Leases("")
 		i := 0
-		return micros(cost(func() {
+		return micros(o.cost(func() {
 			for range 100 {
 				i = (i + 1) % n
 				l := leases[i]
--- a/internal/scale/decide.go
+++ b/internal/scale/decide.go
@@ -69,7 +69,7 @@
 		return func(n int) (float64, error) {
 			b, _ := module(n)
 			now := time.Hour
-			return micros(cost(func() {
+			return micros(o.cost(func() {
 				now += time.Millisecond
 				for range 100 {
 					b.Timer(now, token)
@@ -84,7 +84,7 @@
 	add(named("a request", "us"), sizes, func(n int) (float64, error) {
 		b, out := module(n)
 		now, id := time.Hour, decide.RequestID(0)
-		return micros(cost(func() {
+		return micros(o.cost(func() {
 			for range 100 {
 				id++
 				now += time.Millisecond
@@ -98,7 +98,7 @@
 	add(named("a whole list", "us"), sizes, func(n int) (float64, error) {
 		b, _ := module(n)
 		list, now := moduleList(n), time.Hour
-		return micros(cost(func() {
+		return micros(o.cost(func() {
 			now += time.Millisecond
 			b.Listed(now, decide.ListFull, list)
 		})), nil
--- a/internal/scale/route.go
+++ b/internal/scale/route.go
@@ -37,7 +37,7 @@
 			return 0, err
 		}
 		i := 0
-		took := cost(func() {
+		took := o.cost(func() {
 			for range 100 {
 				i = (i + 7919) % n
 				if _, ok, err := t.Find(all[i].Host, route.Query{Path: all[i].Path + "/17", Method: "GET", Pick: 1}); !ok || err != nil {
@@ -50,7 +50,7 @@
 	s.Name, s.Unit = "building the table", "ms"
 	add(s, sizes, func(n int) (float64, error) {
 		all := rules(n)
-		return micros(cost(func() { _, _ = route.New(all) })) / 1e3, nil
+		return micros(o.cost(func() { _, _ = route.New(all) })) / 1e3, nil
 	})
 	s.Name, s.Unit, s.Allowed = "the table's memory", "MB", o.Memory
 	add(s, sizes, func(n int) (float64, error) {
@@ -73,7 +73,7 @@
 	s = Slope{Role: "node: limits", By: "tenants of the service", Stated: float64(most), Name: "in and out with places free", Unit: "us"}
 	add(s, tenants, func(n int) (float64, error) {
 		g, i, now := gate(n, 100), 0, time.Duration(0)
-		return micros(cost(func() {
+		return micros(o.cost(func() {
 			for range 20 {
 				i, now = (i+7)%n, now+time.Millisecond
 				name := g.Tenant(fmt.Sprint("tenant-", i))
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -126,14 +127,18 @@
 			if s.Role != role {
 				continue
 			}
-			v, err := s.Judge()
-			if err != nil {
-				return err
-			}
 			var at []string
 			for _, p := range s.Samples {
 				at = append(at, digits(p.Size)+": "+digits(p.Value))
 			}
+			v, err := s.Judge()
+			if errors.Is(err, ErrSamples) { // less than what can be measured, as a rule
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\tnone: %v\t\t\t\t\t\t\t\n", s.Name, s.Unit, s.By, strings.Join(at, ", "), ErrSamples)
+				continue
+			}
+			if err != nil {
+				return err
+			}
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%.0f%%, last foretold to %.0f%%\t%.2f ± %.2f\t%s\t%s\t%s\t%s\t\n",
 				s.Name, s.Unit, s.By, strings.Join(at, ", "), v.Fit, 100*v.Error, 100*v.Foretold, v.Exponent, v.ExponentError, v.Growth(), s.where(v), digits(v.Value), s.word(v))
 		}
@@ -185,16 +190,20 @@
 
 // cost is the processor time of one call of do, over so many as take some milliseconds: the median
 // of some tries.
-func cost(do func()) time.Duration {
+func (o Options) cost(do func()) time.Duration {
 	do() // what is made once is made
+	least, times := 20*time.Millisecond, tries
+	if o.Small {
+		least, times = time.Millisecond, 1
+	}
 	var all []time.Duration
-	for range tries {
+	for range times {
 		for n := 1; ; n *= 4 {
 			began := processorTime()
 			for range n {
 				do()
 			}
-			if took := processorTime() - began; took >= 20*time.Millisecond || n >= 1<<22 {
+			if took := processorTime() - began; took >= least {
 				all = append(all, took/time.Duration(n))
 				break
 			}
