--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -78,11 +79,13 @@
 
 // Trials are all there are, the most telling first.
 var Trials = []Trial{
+	{"file", "what a node's file costs: read, checked, in force, at rest", files},
 	{"members", "members of a fleet that know of each other, by their number", membersOf},
 	{"discovery", "what a node with many pools asks of discovery", asked},
 	{"decide", "a pool's tick, sweep and requests by its servers; pools at rest", decisions},
 	{"route", "look-up by routes, limits by tenants", lookups},
 	{"requests", "what a node adds to requests, and its figures at the door, by its services", added},
+	{"central", "a planner by its forwarders, the group by its instances", central},
 	{"counts", "a server's failures told by the calls that one node sends it", counts},
 }
 
@@ -94,6 +97,11 @@
 		return found, fmt.Errorf("%s: %w", t.Name, err)
 	}
 	fmt.Fprintf(out, "\n%s: %s\n", t.Name, t.About)
+	if o.Small { // what so little is fitted to is no verdict on the stated size
+		for i := range found.Slopes {
+			found.Slopes[i].Allowed = 0
+		}
+	}
 	if err := Print(out, found.Slopes); err != nil {
 		return found, fmt.Errorf("%s: %w", t.Name, err)
 	}
@@ -119,14 +127,18 @@
 			if s.Role != role {
 				continue
 			}
-			v, err := s.Judge()
-			if err != nil {
-				return err
-			}
 			var at []string
 			for _, p := range s.Samples {
 				at = append(at, digits(p.Size)+": "+digits(p.Value))
 			}
+			v, err := s.Judge()
+			if errors.Is(err, ErrSamples) { // less than what can be measured, as a rule
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\tnone: %v\t\t\t\t\t\t\t\n", s.Name, s.Unit, s.By, strings.Join(at, ", "), ErrSamples)
+				continue
+			}
+			if err != nil {
+				return err
+			}
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%.0f%%, last foretold to %.0f%%\t%.2f ± %.2f\t%s\t%s\t%s\t%s\t\n",
 				s.Name, s.Unit, s.By, strings.Join(at, ", "), v.Fit, 100*v.Error, 100*v.Foretold, v.Exponent, v.ExponentError, v.Growth(), s.where(v), digits(v.Value), s.word(v))
 		}
@@ -178,16 +190,20 @@
 
 // cost is the processor time of one call of do, over so many as take some milliseconds: the median
 // of some tries.
-func cost(do func()) time.Duration {
+func (o Options) cost(do func()) time.Duration {
 	do() // what is made once is made
+	least, times := 20*time.Millisecond, tries
+	if o.Small {
+		least, times = time.Millisecond, 1
+	}
 	var all []time.Duration
-	for range tries {
+	for range times {
 		for n := 1; ; n *= 4 {
 			began := processorTime()
 			for range n {
 				do()
 			}
-			if took := processorTime() - began; took >= 20*time.Millisecond || n >= 1<<22 {
+			if took := processorTime() - began; took >= least {
 				all = append(all, took/time.Duration(n))
 				break
 			}
