--- /dev/null
+++ b/internal/peers/conf/state_test.go
@@ -0,0 +1,221 @@
+package conf
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	_ "jasperpin/internal/seeded"
+
+	"pgregory.net/rapid"
+)
+
+func put(k Key, value string) Record { return Record{k, []byte(value)} }
+func gone(k Key) Record              { return Record{Key: k} }
+
+// propose puts records on top of a state.
+func propose(t testing.TB, s *State, base uint64, records ...Record) Change {
+	t.Helper()
+	c, err := s.Propose(Change{Base: base, Records: records, Author: "anna"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestKeys(t *testing.T) {
+	for k, want := range map[Key]string{
+		PoolKey("a/b"):        "1  a/b",
+		ServiceKey("*"):       "2  *",
+		RouteKey("s", "x y"):  "3 s x y",
+		TenantKey("s/t", "%"): "4 s/t %",
+		"":                    "", "pool": "", "pool/": "", "pool/a/b": "", "pool/%2f": "", "pool/%61": "", "pool/%": "",
+		"service/a/route": "", "service//route/a": "", "service/a/route/": "", "service/a/route/b/c": "", "server/a": "", "service/a/pool/b": "",
+	} {
+		kind, service, name, err := k.Split()
+		if got := fmt.Sprint(kind, " ", service, " ", name); err == nil && got != want || (err != nil) != (want == "") {
+			t.Errorf("%q is %q, %v; want %q", k, got, err, want)
+		}
+	}
+}
+
+// TestConflicts has two that rest on the same version.
+func TestConflicts(t *testing.T) {
+	orders, route, tenant := ServiceKey("orders"), RouteKey("orders", "all"), TenantKey("orders", "derwent")
+	for name, c := range map[string]struct {
+		first, second []Record
+		want          error
+	}{
+		"others":                       {[]Record{put(route, `{"a":1}`)}, []Record{put(tenant, `{"a":1}`)}, nil},
+		"the same":                     {[]Record{put(route, `{"a":1}`)}, []Record{put(route, `{"a":2}`)}, ErrConflict},
+		"both delete it":               {[]Record{gone(tenant)}, []Record{gone(tenant)}, ErrConflict},
+		"one deleted it":               {[]Record{gone(tenant)}, []Record{put(tenant, `{"a":2}`)}, ErrConflict},
+		"the parent was changed":       {[]Record{put(orders, `{"a":2}`)}, []Record{put(route, `{"a":2}`)}, ErrConflict},
+		"the parent was deleted":       {[]Record{gone(orders), gone(tenant)}, []Record{put(tenant, `{"a":2}`)}, ErrConflict},
+		"a child was added":            {[]Record{put(route, `{"a":1}`)}, []Record{gone(tenant), gone(orders)}, ErrConflict},
+		"a child was changed":          {[]Record{put(tenant, `{"a":1}`)}, []Record{gone(tenant), gone(orders)}, ErrConflict},
+		"a child was deleted":          {[]Record{gone(tenant)}, []Record{gone(tenant), gone(orders)}, ErrConflict},
+		"the parent after a child":     {[]Record{put(tenant, `{"a":1}`)}, []Record{put(orders, `{"a":2}`)}, nil},
+		"a service with its route":     {[]Record{put(PoolKey("p"), `{}`)}, []Record{put(RouteKey("new", "r"), `{}`), put(ServiceKey("new"), `{}`)}, nil},
+		"a route without its service":  {[]Record{put(PoolKey("p"), `{}`)}, []Record{put(RouteKey("new", "r"), `{}`)}, ErrMalformed},
+		"a service but not its tenant": {[]Record{put(PoolKey("p"), `{}`)}, []Record{gone(orders)}, ErrMalformed},
+		"what is not there":            {[]Record{put(PoolKey("p"), `{}`)}, []Record{gone(route)}, ErrMalformed},
+		"twice":                        {[]Record{put(PoolKey("p"), `{}`)}, []Record{put(route, `{}`), gone(route)}, ErrMalformed},
+		"nothing":                      {[]Record{put(PoolKey("p"), `{}`)}, nil, ErrMalformed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, reversed := range []bool{false, true} { // the order of records says nothing
+				s := New()
+				base := propose(t, s, 0, put(tenant, `{}`), put(orders, `{}`)).Version
+				propose(t, s, base, c.first...)
+				if reversed {
+					slices.Reverse(c.second)
+				}
+				was, digest := s.Version(), s.Digest()
+				if _, err := s.Propose(Change{Base: base, Records: c.second}); !errors.Is(err, c.want) {
+					t.Fatalf("%v, want %v", err, c.want)
+				} else if err != nil && (s.Version() != was || s.Digest() != digest) {
+					t.Fatal("it was turned down and changed something")
+				}
+			}
+		})
+	}
+}
+
+// TestOldBasesAreTurnedDown: a proposal that rests on what is not remembered is turned down.
+func TestOldBasesAreTurnedDown(t *testing.T) {
+	s := New()
+	first := propose(t, s, 0, put(PoolKey("a"), `{}`))
+	propose(t, s, first.Version, gone(PoolKey("a")))
+	for range MaxLog {
+		propose(t, s, s.Version(), put(PoolKey("b"), `{}`))
+	}
+	if _, err := s.Propose(Change{Base: first.Version, Records: []Record{put(PoolKey("a"), `{}`)}}); !errors.Is(err, ErrConflict) {
+		t.Fatal(err)
+	}
+	if len(s.deleted) != 0 || s.Floor() != 2 {
+		t.Fatalf("%d deletions remembered, from %d on", len(s.deleted), s.Floor())
+	}
+	if _, ok := s.Since(1); ok {
+		t.Fatal("what is forgotten was given")
+	}
+}
+
+// TestStatesAgree plays proposals of several who see old versions, against a plain table: voters, one
+// that applies, one that was restored on the way and one that was made anew of the records agree at
+// every step, and a rollback has the records of its version.
+func TestStatesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		voter, other, follower := New(), New(), New()
+		past := []map[Key]string{{}}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			c := Change{Base: voter.Version() - min(voter.Version(), rapid.Uint64Range(0, 3).Draw(t, "behind")), Note: rapid.StringN(0, 5, 9).Draw(t, "note")}
+			if voter.Version() > 0 && rapid.IntRange(0, 6).Draw(t, "revert") == 0 {
+				to := rapid.Uint64Range(0, voter.Version()-1).Draw(t, "to")
+				r, err := voter.Revert(to)
+				if err != nil {
+					if !maps.Equal(past[to], past[len(past)-1]) {
+						t.Fatal(err)
+					}
+					continue
+				}
+				c = r
+			} else {
+				c.Records = rapid.SliceOfN(rapid.Custom(drawRecord), 1, 5).Draw(t, "records")
+			}
+			made, err := voter.Propose(c)
+			slices.Reverse(c.Records)
+			again, errAgain := other.Propose(c)
+			if (err == nil) != (errAgain == nil) || made.Digest != again.Digest || voter.Digest() != other.Digest() {
+				t.Fatalf("voters disagree: %v and %v", err, errAgain)
+			}
+			if err != nil {
+				continue
+			}
+			is := maps.Clone(past[len(past)-1])
+			for _, r := range made.Records {
+				if delete(is, r.Key); r.Value != nil {
+					is[r.Key] = string(r.Value)
+				}
+			}
+			if past = append(past, is); c.Reverts > 0 && !maps.Equal(is, past[c.Reverts]) {
+				t.Fatalf("version %d is %v, rolled back to %v", made.Version, is, past[c.Reverts])
+			}
+			bad := made
+			bad.Records = slices.Clone(made.Records)
+			bad.Records[0].Value = []byte(`{"bad":1}`)
+			if err := follower.Apply(bad); err == nil || follower.Version() != made.Version-1 {
+				t.Fatal("a change with another record was applied")
+			}
+			if err := follower.Apply(made); err != nil {
+				t.Fatal(err)
+			}
+			if follower.Digest() != voter.Digest() {
+				t.Fatal("the follower has another digest")
+			}
+			if got := table(follower); !maps.Equal(got, is) {
+				t.Fatalf("the follower has %v, want %v", got, is)
+			}
+			if rapid.IntRange(0, 4).Draw(t, "restored") == 0 {
+				b := other.Snapshot().Encode()
+				back, err := Restore(b)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !bytes.Equal(back.Snapshot().Encode(), b) {
+					t.Fatal("a restored state has another snapshot")
+				}
+				other = back
+				if follower, err = bare(follower.Snapshot()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if sum := sum(voter); voter.Bytes() != sum {
+				t.Fatalf("%d bytes are counted of %d", voter.Bytes(), sum)
+			}
+		}
+	})
+}
+
+func drawRecord(t *rapid.T) Record {
+	service := rapid.SampledFrom([]string{"a", "a-b", "b"}).Draw(t, "service")
+	name := rapid.SampledFrom([]string{"x", "y/z"}).Draw(t, "name")
+	k := rapid.SampledFrom([]Key{PoolKey(name), ServiceKey(service), RouteKey(service, name), TenantKey(service, name)}).Draw(t, "key")
+	if rapid.IntRange(0, 3).Draw(t, "gone") == 0 {
+		return gone(k)
+	}
+	return put(k, fmt.Sprintf(`{"n":%d}`, rapid.IntRange(0, 3).Draw(t, "value")))
+}
+
+func table(s *State) map[Key]string {
+	all := make(map[Key]string)
+	for r := range s.Under("") {
+		all[r.Key] = string(r.Value)
+	}
+	return all
+}
+
+func sum(s *State) (n int) {
+	for k, v := range table(s) {
+		n += len(k) + len(v)
+	}
+	return n
+}
+
+// bare sends a snapshot without its log, piece by piece.
+func bare(s Snapshot) (*State, error) {
+	build := NewBuilder()
+	for p := (Piece{}); ; {
+		p = s.Bare().Piece(p)
+		sent, err := DecodePiece(AppendPiece(nil, p))
+		if err != nil {
+			return nil, err
+		}
+		if back, err := build.Add(sent); back != nil || err != nil {
+			return back, err
+		}
+	}
+}
