--- a/internal/cluster/backup.go
+++ b/internal/cluster/backup.go
@@ -59,7 +59,9 @@
 	if v.raft.State() != raft.Leader {
 		return ErrNotLeader
 	}
-	s, err := group.Revive(b.State)
+	v.machine.mu.Lock()
+	s, err := group.Revive(b.State, v.machine.state.Conf())
+	v.machine.mu.Unlock()
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrBackup, err)
 	}
--- a/internal/cluster/call.go
+++ b/internal/cluster/call.go
@@ -16,12 +16,15 @@
 
 	"jasperpin/internal/group"
 	"jasperpin/internal/mtls"
+	"jasperpin/internal/peers/conf"
 )
 
 const (
-	// maxCall and maxReply bound what either end reads, in bytes.
-	maxCall  = 64 << 10
-	maxReply = 64 << 20
+	// maxCall and maxReply bound what either end reads, in bytes. A proposal may be larger than other
+	// calls, and a back-up holds a snapshot, in base64 once more.
+	maxCall    = 64 << 10
+	maxPropose = 2*conf.MaxChangeBytes + maxCall
+	maxReply   = 256 << 20
 	// maxWait bounds how long a reader may wait for a change.
 	maxWait = 30 * time.Second
 	// askWithin is how long one voter may take, beside what a reader waits: one that is
@@ -48,6 +51,9 @@
 func (v *Voter) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/do", answer(v, maxCall, func(_ context.Context, c group.Command) (group.Result, error) { return v.Do(c) }))
+	mux.HandleFunc("POST /v1/propose", answer(v, maxPropose, func(_ context.Context, p proposal) (group.Result, error) { return v.Do(p.command()) }))
+	mux.HandleFunc("POST /v1/config", answer(v, maxCall, v.config))
+	mux.HandleFunc("POST /v1/config/snapshot", v.sendSnapshot)
 	mux.HandleFunc("POST /v1/read", answer(v, maxCall, v.Read))
 	mux.HandleFunc("POST /v1/status", answer(v, maxCall, func(context.Context, struct{}) (Status, error) { return v.Status() }))
 	mux.HandleFunc("POST /v1/voters", answer(v, maxCall, func(_ context.Context, c Change) (struct{}, error) { return struct{}{}, v.Change(c) }))
@@ -127,17 +133,23 @@
 // Do has a command carried out, once however often it had to be sent. The error is
 // ErrUnknown where ctx ended before an answer came.
 func (c *Client) Do(ctx context.Context, cmd group.Command) (group.Result, error) {
+	return c.once(ctx, "/v1/do", askWithin, func(session string, number uint64) any {
+		cmd.Session, cmd.Number = session, number
+		return cmd
+	})
+}
+
+// once sends what is made under the number of a session until an answer comes.
+func (c *Client) once(ctx context.Context, path string, within time.Duration, make func(session string, number uint64) any) (r group.Result, err error) {
 	var s *session
 	select {
 	case s = <-c.free:
 	case <-ctx.Done():
-		return group.Result{}, fmt.Errorf("not sent: %w", ctx.Err())
+		return r, fmt.Errorf("not sent: %w", ctx.Err())
 	}
 	defer func() { c.free <- s }()
 	s.last++
-	cmd.Session, cmd.Number = s.name, s.last
-	var r group.Result
-	if err := c.ask(ctx, "/v1/do", cmd, &r, askWithin); err != nil {
+	if err := c.ask(ctx, path, make(s.name, s.last), &r, within); err != nil {
 		return group.Result{}, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
 	return r, r.Err()
--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -11,7 +11,8 @@
 	"jasperpin/internal/group"
 )
 
-// maxSnapshot bounds what a snapshot is read into, in bytes.
+// maxSnapshot bounds what a snapshot is read into, in bytes: a full table and a full configuration,
+// in base64, are some 160 MiB.
 const maxSnapshot = 256 << 20
 
 // entry is a command as it stands in the log.
@@ -40,9 +41,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	was := m.state.Rev()
+	was, version := m.state.Rev(), m.state.Conf().Version()
 	r := m.state.Apply(e.Command)
-	if m.state.Rev() != was {
+	if m.state.Rev() != was || m.state.Conf().Version() != version {
 		m.tell()
 	}
 	return r
--- a/internal/cluster/voter.go
+++ b/internal/cluster/voter.go
@@ -78,6 +78,8 @@
 	done    chan struct{}
 	ended   sync.WaitGroup
 
+	snapshots chan struct{} // of the configuration that are on their way
+
 	mu      sync.Mutex
 	term    uint64 // in which stamped was
 	stamped time.Time
@@ -97,7 +99,7 @@
 	if opt.dial == nil {
 		opt.dial = dial
 	}
-	v = &Voter{id: who.ID, log: opt.Log.With("voter", who.ID), machine: newMachine(), done: make(chan struct{})}
+	v = &Voter{id: who.ID, log: opt.Log.With("voter", who.ID), machine: newMachine(), done: make(chan struct{}), snapshots: make(chan struct{}, snapshotsAtOnce)}
 	defer func() {
 		if err != nil {
 			v.Close()
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -5,13 +5,19 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"jasperpin/internal/peers/conf"
 )
 
 // ErrSnapshot says that a snapshot is not one of this program's, or not whole.
 var ErrSnapshot = errors.New("the snapshot cannot be used")
 
-// format is that of snapshots; one of another is refused.
-const format = 1
+// Formats of snapshots; one of another is refused. Those with a configuration have one of their own,
+// so that no older program reads them and leaves it out.
+const (
+	plain      = 1
+	configured = 2
+)
 
 // snapshot is a state as it is kept and sent.
 type snapshot struct {
@@ -23,11 +29,16 @@
 	Entries  []Entry
 	Sessions map[string]session
 	Events   []Event
+	Conf     []byte `json:",omitempty"` // the configuration, as conf.Snapshot encodes it
 }
 
 // Snapshot gives the state as bytes, the same of the same state.
 func (s *State) Snapshot() ([]byte, error) {
-	b, err := json.Marshal(snapshot{format, s.now, s.rev, s.forgot, s.Leases(""), s.Entries(""), s.sessions, s.events})
+	snap := snapshot{plain, s.now, s.rev, s.forgot, s.Leases(""), s.Entries(""), s.sessions, s.events, nil}
+	if s.conf.Version() > 0 {
+		snap.Format, snap.Conf = configured, s.conf.Snapshot().Encode()
+	}
+	b, err := json.Marshal(snap)
 	if err != nil {
 		return nil, fmt.Errorf("making a snapshot: %w", err)
 	}
@@ -40,10 +51,17 @@
 	if err := json.Unmarshal(b, &snap); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
 	}
-	if snap.Format != format {
-		return nil, fmt.Errorf("%w: its format is %d, want %d", ErrSnapshot, snap.Format, format)
+	if snap.Format != plain && snap.Format != configured || (snap.Format == configured) != (len(snap.Conf) > 0) {
+		return nil, fmt.Errorf("%w: its format is %d, want %d, or %d with a configuration", ErrSnapshot, snap.Format, plain, configured)
 	}
 	s := New()
+	if snap.Format == configured {
+		c, err := conf.Restore(snap.Conf)
+		if err != nil {
+			return nil, fmt.Errorf("%w: its configuration: %w", ErrSnapshot, err)
+		}
+		s.conf = c
+	}
 	s.now, s.rev, s.forgot, s.events = snap.Now, snap.Rev, snap.Forgot, snap.Events
 	if s.now < 0 || len(snap.Leases) > MaxLeases || len(snap.Entries) > MaxKeys || len(snap.Sessions) > MaxSessions || len(s.events) > maxEvents {
 		return nil, fmt.Errorf("%w: it is beyond the bounds", ErrSnapshot)
@@ -80,8 +98,10 @@
 
 // Revive makes the state of a back-up go on, in a group that may have come further since.
 // Entries and sessions are as they were then. Leases are not: whoever held one then may not
-// have it now, and takes it anew under a greater number. Who watches is to read all anew.
-func Revive(b []byte) (*State, error) {
+// have it now, and takes it anew under a greater number. Who watches is to read all anew. The
+// configuration is as it was then, at a version beyond any that a node may have; a back-up from before
+// there was one leaves the group's own, which is now at hand, and the state takes that over.
+func Revive(b []byte, now *conf.State) (*State, error) {
 	s, err := Restore(b)
 	if err != nil {
 		return nil, err
@@ -92,5 +112,15 @@
 	s.rev += revived
 	s.forgot, s.events = s.rev, nil
 	clear(s.leases)
+	if s.conf.Version() == 0 {
+		if s.conf, err = conf.Restore(now.Snapshot().Encode()); err != nil {
+			return nil, err
+		}
+	}
+	if s.conf.Version() > 0 {
+		if err := s.conf.Revive(); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
+		}
+	}
 	return s, nil
 }
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -1,6 +1,7 @@
 // Package group is what the instances of an installation agree on: leases with fencing
-// numbers, a small table with compare-and-set, and what has changed in both. It is pure: a
-// State is fed one command after another, the same on all voters, and says what follows.
+// numbers, a small table with compare-and-set, what has changed in both, and the configuration
+// that all nodes follow. It is pure: a State is fed one command after another, the same on all
+// voters, and says what follows.
 package group
 
 import (
@@ -11,6 +12,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"jasperpin/internal/peers/conf"
 )
 
 // Bounds of a state. Beyond them commands are turned down with ErrFull or ErrMalformed.
@@ -29,6 +32,8 @@
 	maxElapsed = time.Minute
 	// sessionLife is how long, by the group's clock, a session that says nothing is known.
 	sessionLife = 10 * time.Minute
+	// maxWhy bounds what a result says in words, in bytes: sessions keep it.
+	maxWhy = 512
 )
 
 // Why a command changed nothing.
@@ -44,6 +49,7 @@
 // codes are how errors go from member to member, and are kept.
 var codes = map[string]error{
 	"malformed": ErrMalformed, "held": ErrHeld, "lost": ErrLost, "changed": ErrChanged, "full": ErrFull, "stale": ErrStale,
+	"conflict": conf.ErrConflict,
 }
 
 // Op is what a command does.
@@ -51,8 +57,8 @@
 
 // Acquire takes a lease, or renews it for who holds it. Renew keeps one that is the
 // holder's under its fencing number, and Release gives it back. Put writes an entry that is
-// at revision If, 0 for one that is not there, and Delete removes it. Tick does nothing but
-// let time pass.
+// at revision If, 0 for one that is not there, and Delete removes it. Config proposes a change
+// of the configuration. Tick does nothing but let time pass.
 const (
 	Tick    Op = "tick"
 	Acquire Op = "acquire"
@@ -60,6 +66,7 @@
 	Release Op = "release"
 	Put     Op = "put"
 	Delete  Op = "delete"
+	Config  Op = "config"
 )
 
 // Command is one entry of the log. Session and Number are for those that ask again after an
@@ -78,15 +85,20 @@
 	TTL     time.Duration `json:",omitempty"`
 	Value   []byte        `json:",omitempty"`
 	If      uint64        `json:",omitempty"`
+	Change  []byte        `json:",omitempty"` // a proposal, as conf.AppendChange writes it
 }
 
 // Result is what became of a command. Rev is the revision after it; with a lease, Fence and
-// Holder are those in force.
+// Holder are those in force. Version is that of a change of the configuration, and Why says in
+// words what a proposal that was turned down ran into: the record, and the version that changed it.
 type Result struct {
 	Rev    uint64
 	Fence  uint64 `json:",omitempty"`
 	Holder string `json:",omitempty"`
 	Code   string `json:",omitempty"`
+
+	Version uint64 `json:",omitempty"`
+	Why     string `json:",omitempty"`
 }
 
 // Err is why the command changed nothing, or nil.
@@ -94,7 +106,9 @@
 	if r.Code == "" {
 		return nil
 	}
-	if err := codes[r.Code]; err != nil {
+	if err := codes[r.Code]; err != nil && r.Why != "" {
+		return fmt.Errorf("%w: %s", err, r.Why)
+	} else if err != nil {
 		return err
 	}
 	return fmt.Errorf("the group says %q", r.Code)
@@ -141,11 +155,12 @@
 	due      time.Duration // nothing ends before; what was renewed may end later
 	events   []Event       // the newest, in the order of their revisions
 	forgot   uint64        // the revision of the last one that is not there any more
+	conf     *conf.State   // its versions are its own: a change of it is no event
 }
 
 // New is a state in which nothing was agreed.
 func New() *State {
-	return &State{leases: make(map[string]Lease), entries: make(map[string]Entry), sessions: make(map[string]session)}
+	return &State{leases: make(map[string]Lease), entries: make(map[string]Entry), sessions: make(map[string]session), conf: conf.New()}
 }
 
 // Apply carries out one command. It does the same on every voter: it asks no clock, and
@@ -177,7 +192,7 @@
 }
 
 func (s *State) do(c Command) Result {
-	if c.Op != Tick && (c.Name == "" || len(c.Name) > MaxName) {
+	if c.Op != Tick && c.Op != Config && (c.Name == "" || len(c.Name) > MaxName) {
 		return Result{Code: "malformed"}
 	}
 	switch c.Op {
@@ -187,10 +202,31 @@
 		return s.lease(c)
 	case Put, Delete:
 		return s.table(c)
+	case Config:
+		return s.propose(c)
 	}
 	return Result{Code: "malformed"}
 }
 
+func (s *State) propose(c Command) Result {
+	change, err := conf.DecodeChange(c.Change)
+	if err == nil {
+		change, err = s.conf.Propose(change)
+	}
+	if err == nil {
+		return Result{Version: change.Version}
+	}
+	code := "malformed"
+	switch {
+	case errors.Is(err, conf.ErrConflict):
+		code = "conflict"
+	case errors.Is(err, conf.ErrFull):
+		code = "full"
+	}
+	why := strings.TrimPrefix(err.Error(), conf.ErrConflict.Error()+": ")
+	return Result{Code: code, Why: strings.ToValidUTF8(why[:min(len(why), maxWhy)], "")}
+}
+
 func (s *State) lease(c Command) Result {
 	if c.Holder == "" || len(c.Holder) > MaxName || c.Op != Release && (c.TTL <= 0 || c.TTL > MaxTTL) {
 		return Result{Code: "malformed"}
@@ -316,6 +352,9 @@
 	return max(0, first-s.now), any
 }
 
+// Conf is the configuration. Whoever has it must not change it.
+func (s *State) Conf() *conf.State { return s.conf }
+
 // Lease is a lease by its name.
 func (s *State) Lease(name string) (Lease, bool) {
 	l, ok := s.leases[name]
--- a/internal/group/state_test.go
+++ b/internal/group/state_test.go
@@ -4,25 +4,35 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"jasperpin/internal/peers/conf"
 	_ "jasperpin/internal/seeded"
 )
 
+// proposed is a proposal of one pool, encoded.
+func proposed(base uint64, pool, value string) []byte {
+	return conf.AppendChange(nil, conf.Change{Base: base, Records: []conf.Record{{Key: conf.PoolKey(pool), Value: []byte(value)}}})
+}
+
 // drawn is a command out of few names, so that they meet.
 func drawn(r *rapid.T, fences []uint64) Command {
 	c := Command{
 		Elapsed: time.Duration(rapid.IntRange(0, 3).Draw(r, "elapsed")) * time.Second,
-		Op:      rapid.SampledFrom([]Op{Tick, Acquire, Acquire, Renew, Release, Put, Put, Delete, "other"}).Draw(r, "op"),
+		Op:      rapid.SampledFrom([]Op{Tick, Acquire, Acquire, Renew, Release, Put, Put, Delete, Config, "other"}).Draw(r, "op"),
 		Name:    rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "name"),
 		Holder:  rapid.SampledFrom([]string{"x", "y", "z"}).Draw(r, "holder"),
 		TTL:     time.Duration(rapid.IntRange(1, 5).Draw(r, "ttl")) * time.Second,
 		If:      uint64(rapid.IntRange(0, 12).Draw(r, "if")),
 		Value:   []byte{byte(rapid.IntRange(0, 255).Draw(r, "value"))},
 	}
+	if c.Op == Config {
+		c.Change = proposed(uint64(rapid.IntRange(0, 6).Draw(r, "base")), c.Name, fmt.Sprintf("{\"v\":%d}", c.Value[0]))
+	}
 	if len(fences) > 0 {
 		c.Fence = rapid.SampledFrom(fences).Draw(r, "fence")
 	}
@@ -40,7 +50,7 @@
 			until  time.Duration
 		}
 		granted := make(map[string]grant)
-		revs := make(map[string]uint64)
+		revs, pools := make(map[string]uint64), make(map[string]uint64)
 		var fences []uint64
 		var last uint64
 		for n := range rapid.IntRange(1, 60).Draw(r, "commands") {
@@ -87,6 +97,17 @@
 					r.Fatalf("%s holds %v after %v", c.Name, e, c.Value)
 				}
 				revs[c.Name] = e.Rev
+			case c.Op == Config:
+				p, err := conf.DecodeChange(c.Change)
+				if err != nil {
+					r.Fatal(err)
+				}
+				if pools[c.Name] > p.Base {
+					r.Fatalf("%s changed on %d, and was at %d", c.Name, p.Base, pools[c.Name])
+				}
+				if pools[c.Name] = got.Version; got.Version != s.Conf().Version() {
+					r.Fatalf("version %d, and the configuration is at %d", got.Version, s.Conf().Version())
+				}
 			case c.Op == Delete:
 				if revs[c.Name] != c.If || c.If == 0 {
 					r.Fatalf("%s, at %d, was deleted at %d", c.Name, revs[c.Name], c.If)
@@ -184,11 +205,78 @@
 	}
 }
 
+// TestConfiguration has two propose on one version: the second is told what it ran into, the same when
+// it asks again, and a back-up restores the configuration, beyond every version that a node may have.
+func TestConfiguration(t *testing.T) {
+	s := New()
+	before, err := s.Snapshot() // as programs without a configuration write them
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := s.Apply(Command{Op: Config, Session: "one", Number: 1, Change: proposed(0, "a", "{}")}); r.Err() != nil || r.Version != 1 {
+		t.Fatalf("the first: %+v %v", r, r.Err())
+	}
+	lost := Command{Op: Config, Session: "two", Number: 1, Change: proposed(0, "a", `{"b":1}`)}
+	r := s.Apply(lost)
+	if err := r.Err(); !errors.Is(err, conf.ErrConflict) || !strings.Contains(err.Error(), "pool/a changed at version 1") {
+		t.Errorf("the second: %v", err)
+	}
+	if again := s.Apply(lost); again != r {
+		t.Errorf("the second again: %+v, it was %+v", again, r)
+	}
+	if again := s.Apply(Command{Op: Config, Session: "one", Number: 1, Change: proposed(0, "a", "{}")}); again.Version != 1 || s.Conf().Version() != 1 {
+		t.Errorf("the first again: %+v, and the configuration is at %d", again, s.Conf().Version())
+	}
+	for _, bad := range [][]byte{nil, {1}, proposed(9, "a", "{}")} {
+		if err := s.Apply(Command{Op: Config, Change: bad}).Err(); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+
+	after, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := Restore(after)
+	if err != nil || again.Conf().Digest() != s.Conf().Digest() {
+		t.Fatalf("restored: %v", err)
+	}
+	if news, ok := again.Conf().Since(0); !ok || len(news) != 1 {
+		t.Errorf("restored: %d changes are remembered, %v", len(news), ok)
+	}
+	older := Command{Op: Config, Change: proposed(1, "b", "{}")}
+	if r := s.Apply(older); r.Err() != nil {
+		t.Fatal(r.Err())
+	}
+	for _, c := range []struct {
+		name   string
+		backup []byte
+		pools  int
+		from   uint64
+	}{{"of a configuration", after, 1, 1}, {"from before there was one", before, 2, 2}} {
+		was := s.Conf().Version()
+		back, err := Revive(c.backup, s.Conf())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if v := back.Conf().Version(); back.Conf().Len() != c.pools || v <= was || v != c.from+1<<32 {
+			t.Errorf("a back-up %s: %d pools at version %d, after %d", c.name, back.Conf().Len(), v, was)
+		}
+		if s.Conf().Version() != was {
+			t.Errorf("a back-up %s changed what was agreed", c.name)
+		}
+	}
+	if plain, err := Revive(before, conf.New()); err != nil || plain.Conf().Version() != 0 {
+		t.Errorf("neither has a configuration: version %d, %v", plain.Conf().Version(), err)
+	}
+}
+
 // FuzzRestore reads snapshots: each is refused, or is a state that goes on.
 func FuzzRestore(f *testing.F) {
 	s := New()
 	s.Apply(Command{Op: Acquire, Name: "a", Holder: "x", TTL: time.Second, Session: "s", Number: 1})
 	s.Apply(Command{Op: Put, Name: "k", Value: []byte("v")})
+	s.Apply(Command{Op: Config, Change: proposed(0, "a", "{}")})
 	text, err := s.Snapshot()
 	if err != nil {
 		f.Fatal(err)
@@ -196,6 +284,7 @@
 	f.Add(text)
 	f.Add([]byte(`{"Format":1,"Rev":3,"Events":[{"Rev":2}]}`))
 	f.Add([]byte(`{"Format":2}`))
+	f.Add([]byte(`{"Format":2,"Conf":"AAAA"}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		s, err := Restore(text)
 		if err != nil {
