--- a/internal/peers/conf/state.go
+++ b/internal/peers/conf/state.go
@@ -39,8 +39,9 @@
 // New is a configuration without records, at version 0.
 func New() *State {
 	s := &State{records: btree.NewG(32, less), deleted: make(map[Key]uint64), tree: tree{stale: make(map[int]bool)}}
-	for i := range s.tree.buckets {
-		s.tree.stale[i] = true
+	empty := over(s.tree.leaves[:fanout])
+	for i := range s.tree.branches {
+		s.tree.branches[i] = empty
 	}
 	s.digest = digest(0, s.tree.root(), s.chain)
 	s.floor = s.mark()
