--- a/internal/peers/conf/code.go
+++ b/internal/peers/conf/code.go
@@ -1,9 +1,11 @@
 package conf
 
 import (
+	"crypto/sha256"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"time"
 )
 
 // ErrEncoding says that bytes are not what this program writes.
@@ -39,6 +41,9 @@
 	return c, d.end()
 }
 
+// minChange is what an encoded change takes at least.
+const minChange = 7 + sha256.Size + 1
+
 // decoder reads an encoding from its front. After a mistake it gives zeros. What it gives never takes
 // more room than a few times the bytes that are there.
 type decoder struct {
@@ -121,3 +126,114 @@
 	}
 	return c
 }
+
+// AppendEntry encodes a change as the next entry of a journal, which goes on from a copy on disk.
+func AppendEntry(b []byte, c Change) []byte { return appendText(b, AppendChange(nil, c)) }
+
+// Replay applies a journal's changes that the state has not yet, as far as they come out, and says how many of its
+// bytes do. What is behind these was cut, as by a crash, or damaged.
+func Replay(s *State, journal []byte) (good int, err error) {
+	d := decoder{b: journal}
+	for len(d.b) > 0 {
+		text := d.text(MaxEncoded)
+		if d.err != nil {
+			return good, d.err
+		}
+		c, err := DecodeChange(text)
+		if err != nil {
+			return good, err
+		}
+		if err := s.Apply(c); err != nil && c.Version > s.Version() {
+			return good, err
+		}
+		good = len(journal) - len(d.b)
+	}
+	return good, nil
+}
+
+// The kinds of words, as their first byte.
+const (
+	offerWord = iota + 1
+	changesWord
+	pieceWord
+	resumeWord
+)
+
+// MaxWord is what an encoded word takes at most where snapshots come without the log, and MaxLogWord where they
+// come with it.
+const (
+	MaxWord    = MaxEncoded + MaxBare
+	MaxLogWord = MaxPiece + 64
+)
+
+// AppendWord encodes a relay's word behind b.
+func AppendWord(b []byte, w Word) []byte {
+	switch w := w.(type) {
+	case Offer:
+		b = binary.AppendUvarint(append(b, offerWord), w.Version)
+		b = append(b, w.Digest[:]...)
+		b = binary.AppendUvarint(b, uint64(max(w.Age, 0)))
+		return appendBool(b, w.Busy)
+	case Changes:
+		b = binary.AppendUvarint(append(b, changesWord), uint64(len(w)))
+		for _, c := range w {
+			b = AppendChange(b, c)
+		}
+	case Piece:
+		b = AppendPiece(append(b, pieceWord), w)
+	}
+	return b
+}
+
+// DecodeWord reads what AppendWord made, and nothing else.
+func DecodeWord(b []byte) (Word, error) {
+	if len(b) == 0 {
+		return nil, fmt.Errorf("%w: an empty word", ErrEncoding)
+	}
+	d := decoder{b: b[1:]}
+	switch b[0] {
+	case offerWord:
+		o := Offer{Version: d.number(), Digest: d.digest(), Age: time.Duration(min(d.number(), uint64(Never))), Busy: d.bool()}
+		return o, d.end()
+	case changesWord:
+		all := make(Changes, d.count(MaxLog, minChange))
+		for i := range all {
+			all[i] = d.change()
+		}
+		return all, d.end()
+	case pieceWord:
+		return DecodePiece(b[1:])
+	}
+	return nil, fmt.Errorf("%w: a word of kind %d", ErrEncoding, b[0])
+}
+
+// AppendResume encodes what a follower asks of a stream, behind b.
+func AppendResume(b []byte, r Resume) []byte {
+	b = binary.AppendUvarint(append(b, resumeWord), r.Version)
+	return appendBool(append(b, r.Digest[:]...), r.Log)
+}
+
+// DecodeResume reads what AppendResume made, and nothing else. Its Stream is the reader's to know.
+func DecodeResume(b []byte) (Resume, error) {
+	if len(b) == 0 || b[0] != resumeWord {
+		return Resume{}, fmt.Errorf("%w: a word of no follower", ErrEncoding)
+	}
+	d := decoder{b: b[1:]}
+	r := Resume{Version: d.number(), Digest: d.digest(), Log: d.bool()}
+	return r, d.end()
+}
+
+func appendBool(b []byte, is bool) []byte {
+	if is {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
+func (d *decoder) bool() bool {
+	n := d.number()
+	if n > 1 {
+		d.fail("neither yes nor no")
+	}
+	return n == 1
+}
--- a/internal/peers/conf/conf.go
+++ b/internal/peers/conf/conf.go
@@ -296,8 +296,8 @@
 	return sha256.Sum256(binary.BigEndian.AppendUint64(append(b, chain[:]...), version))
 }
 
-// link goes on with the chain, from what it was and the digest then, by a change.
-func link(chain, before Digest, c Change) Digest {
+// chained goes on with the chain, from what it was and the digest then, by a change.
+func chained(chain, before Digest, c Change) Digest {
 	c.Digest = Digest{}
 	return sha256.Sum256(AppendChange(append(chain[:], before[:]...), c))
 }
--- a/internal/peers/conf/snapshot.go
+++ b/internal/peers/conf/snapshot.go
@@ -18,6 +18,9 @@
 // than one record or change of the log.
 const PieceBytes = 64 << 10
 
+// pieceBytes is smaller in tests.
+var pieceBytes = PieceBytes
+
 // MaxPiece is what an encoded piece takes at most, and MaxBare one of a bare snapshot.
 const (
 	MaxPiece = 2*MaxLogBytes + MaxBare
@@ -95,14 +98,14 @@
 		}
 		p.Records = append(p.Records, Held{e.record(), e.changed})
 		bytes += len(e.text)
-		return bytes < PieceBytes
+		return bytes < pieceBytes
 	})
-	for at := p.Log; bytes < PieceBytes && at < uint64(len(s.log)); at++ {
+	for at := p.Log; bytes < pieceBytes && at < uint64(len(s.log)); at++ {
 		past := s.log[at].past()
 		p.Changes = append(p.Changes, past)
 		bytes += s.log[at].bytes
 	}
-	p.Last = bytes < PieceBytes
+	p.Last = bytes < pieceBytes
 	return p
 }
 
@@ -214,7 +217,7 @@
 		if len(s.log) == 0 {
 			was = s.floor
 		}
-		s.take(c, before, link(was.chain, was.digest, c))
+		s.take(c, before, chained(was.chain, was.digest, c))
 		if uint64(len(s.log)) != p.Log+uint64(i)+1 { // something was forgotten
 			return fmt.Errorf("%w: its log is beyond the bounds", ErrSnapshot)
 		}
@@ -248,11 +251,7 @@
 	}
 	b = appendText(b, p.After)
 	b = binary.AppendUvarint(b, p.Log)
-	last := uint64(0)
-	if p.Last {
-		last = 1
-	}
-	b = binary.AppendUvarint(b, last)
+	b = appendBool(b, p.Last)
 	b = appendHeld(b, p.Records)
 	b = binary.AppendUvarint(b, uint64(len(p.Changes)))
 	for _, c := range p.Changes {
@@ -275,16 +274,9 @@
 // DecodePiece reads what AppendPiece made, and nothing else.
 func DecodePiece(b []byte) (Piece, error) {
 	d := decoder{b: b}
-	p := Piece{Head: Head{d.number(), d.digest(), d.digest(), d.digest(), d.digest()}, After: Key(d.text(MaxKey)), Log: d.number()}
-	switch d.number() {
-	case 0:
-	case 1:
-		p.Last = true
-	default:
-		d.fail("neither the last nor not")
-	}
+	p := Piece{Head: Head{d.number(), d.digest(), d.digest(), d.digest(), d.digest()}, After: Key(d.text(MaxKey)), Log: d.number(), Last: d.bool()}
 	p.Records = d.held(MaxRecords)
-	for range d.count(MaxLog, 40) {
+	for range d.count(MaxLog, minChange) {
 		p.Changes = append(p.Changes, Past{d.change(), d.held(MaxChangeRecords)})
 	}
 	return p, d.end()
--- a/internal/peers/conf/state.go
+++ b/internal/peers/conf/state.go
@@ -15,7 +15,7 @@
 type State struct {
 	version uint64
 	digest  Digest
-	chain   Digest // over all changes: see link
+	chain   Digest // over all changes: see chained
 	records *btree.BTreeG[*entry]
 	bytes   int
 	tree    tree
@@ -25,6 +25,9 @@
 	deleted map[Key]uint64 // when, for what the log's changes deleted
 }
 
+// maxLog is smaller in tests.
+var maxLog = MaxLog
+
 // logged is a change, and what its records were before it.
 type logged struct {
 	Change
@@ -102,7 +105,7 @@
 	}
 	c.Version = s.version + 1
 	before, root := s.swap(c)
-	chain := link(s.chain, s.digest, c)
+	chain := chained(s.chain, s.digest, c)
 	c.Digest = digest(c.Version, root, chain)
 	s.take(c, before, chain)
 	return c, nil
@@ -126,7 +129,7 @@
 		return err
 	}
 	before, root := s.swap(c)
-	chain := link(s.chain, s.digest, c)
+	chain := chained(s.chain, s.digest, c)
 	if digest(c.Version, root, chain) != c.Digest {
 		s.undo(c, before)
 		return fmt.Errorf("%w: after version %d", ErrDigest, c.Version)
@@ -282,7 +285,7 @@
 	}
 	s.log = append(s.log, l)
 	s.logged += l.bytes
-	for len(s.log) > MaxLog || s.logged > MaxLogBytes {
+	for len(s.log) > maxLog || s.logged > MaxLogBytes {
 		old := s.log[0]
 		s.log[0] = nil
 		s.log = s.log[1:]
@@ -360,7 +363,7 @@
 	if s.version >= 1<<63 {
 		return fmt.Errorf("%w: it has been revived too often", ErrMalformed)
 	}
-	s.chain = link(s.chain, s.digest, Change{Version: s.version + revived, Base: s.version})
+	s.chain = chained(s.chain, s.digest, Change{Version: s.version + revived, Base: s.version})
 	s.version += revived
 	s.digest = digest(s.version, s.tree.root(), s.chain)
 	s.log, s.logged, s.floor = nil, 0, s.mark()
