--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -21,8 +21,6 @@
 	// snapshotWithin how long one takes.
 	snapshotsAtOnce = 4
 	snapshotWithin  = 30 * time.Second
-	// maxPiece bounds a piece of one, in bytes: the log's largest change, and what was before it.
-	maxPiece = conf.MaxLogBytes + 2*conf.PieceBytes + conf.MaxChangeRecords*2*conf.MaxKey
 	// maxNews bounds the changes of one answer, in bytes, unless the first alone is larger.
 	maxNews = 4 << 20
 )
@@ -219,8 +217,8 @@
 			return nil, fmt.Errorf("a snapshot of %s: %w", addr, err)
 		}
 		n := binary.BigEndian.Uint32(head[:])
-		if n > maxPiece {
-			return nil, fmt.Errorf("a snapshot of %s: a piece of %d bytes, %d are the most", addr, n, maxPiece)
+		if n > conf.MaxPiece {
+			return nil, fmt.Errorf("a snapshot of %s: a piece of %d bytes, %d are the most", addr, n, conf.MaxPiece)
 		}
 		if cap(buf) < int(n) {
 			buf = make([]byte, n)
