Measure configuration from voters through relays to hollow nodes: proof config

One process of hollow nodes, each with a real stream under TLS; relays and voters are processes of their own. It measures the time from a proposal until a change is in force at each node, calm, with a relay killed, 5% of the nodes restarted and the leader killed; bytes and processor time a node at rest and a change; memory a stream at a relay.

--- a/cmd/proof/child.go
+++ b/cmd/proof/child.go
@@ -42,6 +42,8 @@
 		return n.Run(ctx, reload)
 	case "proxy":
 		return plainProxy(ctx, args)
+	case "voter", "relay":
+		return configChild(ctx, kind, args)
 	}
 	return fmt.Errorf("no child %q", kind)
 }
--- /dev/null
+++ b/cmd/proof/config.go
@@ -0,0 +1,449 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"jasperpin/internal/cluster"
+	"jasperpin/internal/confsync"
+	"jasperpin/internal/mtls"
+	"jasperpin/internal/peers/conf"
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/stand"
+)
+
+const (
+	configZones   = 9 // over 4 regions
+	configRegions = 4
+	configPace    = 200 * time.Millisecond // between two changes
+	configRest    = 10 * time.Second       // for bytes, memory and processor time
+	configWithin  = time.Minute            // for all nodes to be level
+	configBound   = 7 * time.Second        // from a proposal until it is in force at every node
+	configADay    = 2500.0                 // changes
+	configBatch   = 500                    // records of one change, at first
+)
+
+// configChild plays a voter or a relay, whose files and addresses are its arguments.
+func configChild(ctx context.Context, kind string, args []string) error {
+	files := mtls.Files{Certificate: args[0], Key: args[1], Authorities: args[2]}
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if kind == "voter" {
+		v, err := cluster.Start(cluster.Options{Listen: args[3], Dir: args[4], Files: files, Log: log})
+		if err != nil {
+			return err
+		}
+		defer v.Close()
+		fmt.Println(v.Addr())
+		<-ctx.Done()
+		return nil
+	}
+	c, err := cluster.NewClient(strings.Split(args[3], ","), files)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	r, err := confsync.NewRelay(confsync.RelayOptions{Voters: c, Files: files, Streams: 4096, Log: log})
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("a relay's port: %w", err)
+	}
+	defer context.AfterFunc(ctx, r.Close)()
+	fmt.Println(ln.Addr())
+	return r.Serve(ln)
+}
+
+// hollow is a node's side of the configuration, and nothing else of a node.
+type hollow struct {
+	*confsync.Source
+	began   time.Time
+	version atomic.Uint64
+}
+
+// configRig is a group, relays before it, each a process, and hollow nodes in this one.
+type configRig struct {
+	dir    string
+	auth   *standin.Authority
+	files  mtls.Files // of the nodes
+	voters map[string]*stand.Process
+	relays []*stand.Process
+	at     []confsync.RelayAt
+	client *cluster.Client
+	last   uint64 // version
+	nodes  []*hollow
+
+	mu       sync.Mutex
+	proposed map[uint64]time.Time
+	took     *hdrhistogram.Histogram // from the proposal until it is in force, in µs
+}
+
+func (g *configRig) issue(name string) (mtls.Files, error) {
+	cert, key, err := g.auth.Issue(name)
+	return mtls.Files{Certificate: cert, Key: key, Authorities: g.auth.File}, err
+}
+
+func (g *configRig) child(kind, name string, args ...string) (*stand.Process, error) {
+	f, err := g.issue(name)
+	if err != nil {
+		return nil, err
+	}
+	return start(g.dir, kind, append([]string{f.Certificate, f.Key, f.Authorities}, args...)...)
+}
+
+func place(i int) (zone, region string) {
+	z := i % configZones
+	return fmt.Sprint("z", z), fmt.Sprint("r", z%configRegions)
+}
+
+func newConfigRig(ctx context.Context, voters, relays int) (g *configRig, err error) {
+	g = &configRig{voters: make(map[string]*stand.Process), proposed: make(map[uint64]time.Time)}
+	if g.dir, err = os.MkdirTemp("", "jasperpin-proof"); err != nil {
+		return g, fmt.Errorf("a place for files: %w", err)
+	}
+	if g.auth, err = standin.NewAuthority(g.dir); err != nil {
+		return g, err
+	}
+	addrs := make(map[string]string)
+	var all []string
+	for i := range voters {
+		a, err := standin.Unused()
+		if err != nil {
+			return g, err
+		}
+		addrs[fmt.Sprint("v", i)] = a
+		all = append(all, a)
+	}
+	for name, a := range addrs {
+		dir := filepath.Join(g.dir, name)
+		if err := cluster.Begin(dir, name, addrs); err != nil {
+			return g, err
+		}
+		if g.voters[a], err = g.child("voter", cluster.VoterName, a, dir); err != nil {
+			return g, err
+		}
+	}
+	for i := range relays {
+		p, err := g.child("relay", confsync.RelayName, strings.Join(all, ","))
+		if err != nil {
+			return g, err
+		}
+		zone, region := place(i)
+		g.relays = append(g.relays, p)
+		g.at = append(g.at, confsync.RelayAt{Peer: conf.Peer{Name: fmt.Sprint("relay", i), Zone: zone, Region: region}, Addr: p.Line})
+	}
+	if g.files, err = g.issue("node"); err != nil {
+		return g, err
+	}
+	if g.client, err = cluster.NewClient(all, g.files); err != nil {
+		return g, err
+	}
+	starting, cancel := context.WithTimeout(ctx, settleWithin)
+	defer cancel()
+	_, err = g.client.Read(starting, cluster.Ask{})
+	return g, err
+}
+
+func (g *configRig) close() {
+	for _, n := range g.nodes {
+		n.Close()
+	}
+	if g.client != nil {
+		g.client.Close()
+	}
+	for _, p := range g.relays {
+		p.Kill()
+	}
+	for _, p := range g.voters {
+		p.Kill()
+	}
+	_ = os.RemoveAll(g.dir)
+}
+
+// node starts a hollow node, with a copy on the disk where it is to be restarted.
+func (g *configRig) node(i int, copied bool) error {
+	zone, region := place(i)
+	n := &hollow{began: time.Now()}
+	opt := confsync.SourceOptions{
+		Name: fmt.Sprintf("node%04d", i), Zone: zone, Region: region, Relays: g.at, Files: g.files, Seed: uint64(i),
+		Log:     slog.New(slog.DiscardHandler),
+		Install: func(s conf.Snapshot) error { n.version.Store(s.Version()); return nil },
+		Change: func(c conf.Change) error {
+			now := time.Now()
+			n.version.Store(c.Version)
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if t, ok := g.proposed[c.Version]; ok && g.took != nil && n.began.Before(t) {
+				_ = g.took.RecordValue(now.Sub(t).Microseconds()) // no longer than its end
+			}
+			return nil
+		},
+	}
+	if copied {
+		opt.Folder = filepath.Join(g.dir, opt.Name)
+	}
+	var err error
+	if n.Source, err = confsync.NewSource(opt); err != nil {
+		return err
+	}
+	if i < len(g.nodes) {
+		g.nodes[i] = n
+	} else {
+		g.nodes = append(g.nodes, n)
+	}
+	return nil
+}
+
+// propose has a change agreed on, and waits for that alone.
+func (g *configRig) propose(ctx context.Context, records ...conf.Record) error {
+	asking, cancel := context.WithTimeout(ctx, settleWithin)
+	defer cancel()
+	g.mu.Lock()
+	g.proposed[g.last+1] = time.Now()
+	g.mu.Unlock()
+	v, err := g.client.Propose(asking, conf.Change{Base: g.last, Author: "proof", At: time.Now().UnixMilli(), Records: records})
+	if err == nil && v != g.last+1 {
+		err = fmt.Errorf("version %d after %d", v, g.last)
+	}
+	g.last = v
+	return err
+}
+
+// level waits until all nodes have the last version in force, and says how long that took.
+func (g *configRig) level(ctx context.Context) (time.Duration, error) {
+	began := time.Now()
+	for time.Since(began) < configWithin && ctx.Err() == nil {
+		behind := 0
+		for _, n := range g.nodes {
+			if n.version.Load() != g.last {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return time.Since(began), nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	behind, why := 0, ""
+	for _, n := range g.nodes {
+		if n.version.Load() != g.last {
+			behind++
+			why = n.Status().Why
+		}
+	}
+	return 0, fmt.Errorf("%w: %d nodes are behind version %d after %v: %s", errBound, behind, g.last, configWithin, why)
+}
+
+// changes proposes some, one each configPace, does something beside them, and gives the times until each was in
+// force at each node.
+func (g *configRig) changes(ctx context.Context, n int, beside func() error) (*hdrhistogram.Histogram, error) {
+	h := hdrhistogram.New(1, (2 * configWithin).Microseconds(), 3)
+	g.mu.Lock()
+	g.took = h
+	g.mu.Unlock()
+	failed := make(chan error, 1)
+	pace := time.NewTicker(configPace)
+	defer pace.Stop()
+	for i := range n {
+		if i == n/4 {
+			go func() { failed <- beside() }()
+		}
+		if err := g.propose(ctx, conf.Record{Key: conf.PoolKey(fmt.Sprint("pool", i%20)), Value: configValue(i + 1)}); err != nil {
+			return h, err
+		}
+		<-pace.C
+	}
+	if err := <-failed; err != nil {
+		return h, err
+	}
+	_, err := g.level(ctx)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.took = nil
+	return h, err
+}
+
+// configValue is as large as a pool's table in the operator's file may be.
+func configValue(i int) []byte {
+	return fmt.Appendf(nil, `{"classes":["look","find","order"],"discovery":"disco.internal:8500/%d","note":%q}`, i, strings.Repeat("x", 200))
+}
+
+// configCost is what processes have used so far.
+type configCost struct {
+	cpu   time.Duration
+	bytes int64
+}
+
+func (g *configRig) cost() (c configCost) {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u) // it cannot fail
+	c.cpu = time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	for _, n := range g.nodes {
+		s := n.Status()
+		c.bytes += s.Heard + s.Said
+	}
+	return c
+}
+
+func configRun(ctx context.Context, out io.Writer, args []string) (f figures, err error) {
+	set := flag.NewFlagSet("config", flag.ContinueOnError)
+	nodes := set.Int("nodes", 130, "hollow nodes, each with a stream")
+	relays := set.Int("relays", 5, "relays, a process each")
+	voters := set.Int("voters", 3, "voters, a process each: 1, 3 or 5")
+	changes := set.Int("changes", 40, "changes of each trial")
+	records := set.Int("records", 500, "records of the configuration")
+	if err := set.Parse(args); err != nil {
+		return nil, err
+	}
+	g, err := newConfigRig(ctx, *voters, *relays)
+	defer g.close()
+	if err != nil {
+		return nil, err
+	}
+	for at := 0; at < *records; at += configBatch {
+		var batch []conf.Record
+		for i := at; i < min(at+configBatch, *records); i++ {
+			batch = append(batch, conf.Record{Key: conf.PoolKey(fmt.Sprint("pool", i)), Value: configValue(0)})
+		}
+		if err := g.propose(ctx, batch...); err != nil {
+			return nil, err
+		}
+	}
+	empty, err := g.relays[0].Memory()
+	if err != nil {
+		return nil, err
+	}
+	restarted := max(1, *nodes/20)
+	began := time.Now()
+	for i := range *nodes {
+		if err := g.node(i, i < restarted); err != nil {
+			return nil, err
+		}
+	}
+	if _, err := g.level(ctx); err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(out, "%d nodes, %d relays, %d voters, %d records: all level %.2f s after the first began to start\n", *nodes, *relays, *voters, *records, time.Since(began).Seconds())
+	f.add("begun_s", "%.2f", time.Since(began).Seconds())
+
+	time.Sleep(2 * time.Second) // what the start left
+	relayCPU, err := g.relays[0].CPU()
+	if err != nil {
+		return f, err
+	}
+	was := g.cost()
+	time.Sleep(configRest)
+	is := g.cost()
+	now, err := g.relays[0].CPU()
+	if err != nil {
+		return f, err
+	}
+	full, err := g.relays[0].Memory()
+	if err != nil {
+		return f, err
+	}
+	served := 0
+	for _, n := range g.nodes {
+		if n.Status().Relay == "relay0" {
+			served++
+		}
+	}
+	each := float64(*nodes) * configRest.Seconds()
+	restCPU, restBytes := float64((is.cpu-was.cpu).Microseconds())/each, float64(is.bytes-was.bytes)/each
+	fmt.Fprintf(out, "at rest, a node: %.1f bytes/s both ways, %.4f%% of a core; relay 0 serves %d: %.2f%% of a core, %d kB, %.1f kB a stream beyond %d kB\n",
+		restBytes, restCPU/1e4, served, 100*(now-relayCPU).Seconds()/configRest.Seconds(), full>>10, float64(full-empty)/1024/float64(max(served, 1)), empty>>10)
+	f.add("rest_bytes_s", "%.1f", restBytes)
+	f.add("rest_cpu_pct", "%.4f", restCPU/1e4)
+	f.add("relay_streams", "%d", served)
+	f.add("relay_kb_stream", "%.1f", float64(full-empty)/1024/float64(max(served, 1)))
+	f.add("relay_rest_cpu_pct", "%.2f", 100*(now-relayCPU).Seconds()/configRest.Seconds())
+
+	nothing := func() error { return nil }
+	show := func(what string, h *hdrhistogram.Histogram) error {
+		s := func(us int64) float64 { return float64(us) / 1e6 }
+		fmt.Fprintf(out, "%s: %d times in force, p50 %.3f s, p99 %.3f s, at the most %.3f s\n", what, h.TotalCount(), s(h.ValueAtQuantile(50)), s(h.ValueAtQuantile(99)), s(h.Max()))
+		f.add(what+"_p50_s", "%.3f", s(h.ValueAtQuantile(50)))
+		f.add(what+"_p99_s", "%.3f", s(h.ValueAtQuantile(99)))
+		f.add(what+"_max_s", "%.3f", s(h.Max()))
+		if worst := time.Duration(h.Max()) * time.Microsecond; worst > configBound {
+			return fmt.Errorf("%w: %s: a change was in force everywhere after %v, want %v", errBound, what, worst, configBound)
+		}
+		return nil
+	}
+	was, began = g.cost(), time.Now()
+	h, err := g.changes(ctx, *changes, nothing)
+	if err != nil {
+		return f, err
+	}
+	is = g.cost()
+	span := time.Since(began).Seconds()
+	per := func(all, rest float64) float64 {
+		return max(0, all/float64(*nodes)-rest*span) / float64(*changes)
+	}
+	changeCPU, changeBytes := per(float64((is.cpu-was.cpu).Microseconds()), restCPU), per(float64(is.bytes-was.bytes), restBytes)
+	broken := show("calm", h)
+	fmt.Fprintf(out, "a change costs a node %.0f bytes and %.0f µs; at %.0f a day, from this slope: %.1f bytes/s, %.4f%% of a core\n",
+		changeBytes, changeCPU, configADay, restBytes+changeBytes*configADay/86400, (restCPU+changeCPU*configADay/86400)/1e4)
+	f.add("change_bytes", "%.0f", changeBytes)
+	f.add("change_cpu_us", "%.0f", changeCPU)
+	f.add("day_bytes_s", "%.1f", restBytes+changeBytes*configADay/86400)
+	f.add("day_cpu_pct", "%.4f", (restCPU+changeCPU*configADay/86400)/1e4)
+
+	h, err = g.changes(ctx, *changes, func() error { g.relays[0].Kill(); return nil })
+	if err != nil {
+		return f, errors.Join(broken, err)
+	}
+	broken = errors.Join(broken, show("relay_killed", h))
+
+	h, err = g.changes(ctx, *changes, func() error {
+		for i := range restarted {
+			g.nodes[i].Close()
+		}
+		for i := range restarted {
+			if err := g.node(i, true); err != nil {
+				return err
+			}
+			if v := g.nodes[i].version.Load(); v == 0 {
+				return fmt.Errorf("%w: a node that was restarted has nothing of its copy", errBound)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return f, errors.Join(broken, err)
+	}
+	broken = errors.Join(broken, show("restarted_5pct", h))
+
+	h, err = g.changes(ctx, *changes, func() error { return g.killLeader(ctx) })
+	if err != nil {
+		return f, errors.Join(broken, err)
+	}
+	return f, errors.Join(broken, show("leader_killed", h))
+}
+
+// killLeader kills the voter that leads.
+func (g *configRig) killLeader(ctx context.Context) error {
+	for addr, p := range g.voters {
+		if s, err := g.client.Status(ctx, addr); err == nil && s.Leads {
+			p.Kill()
+			return nil
+		}
+	}
+	return errors.New("no voter leads the others")
+}
--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -30,6 +30,7 @@
 	"mass":         {"six days of 300 nodes and 200 servers, in virtual time, on six seeds each", massRun},
 	"operation":    {"the operators' door, long bodies beside httputil.ReverseProxy, and their memory", operation},
 	"cluster":      {"a group of three voters: memory, compare-and-sets, and leaders killed and stopped", clusterRun},
+	"config":       {"changes of the configuration from voters through relays to many hollow nodes", func(ctx context.Context, out io.Writer) (figures, error) { return configRun(ctx, out, os.Args[2:]) }},
 	"members":      {"fleets of 5, 12 and 30 processes through joins, leaves, kills, splits, loss and pauses", membersRun},
 	"keys":         {"a node's idempotency keys in memory, on the disk, and through kills", keysRun},
 	"overhead":     {"processor time and p99 beside httputil.ReverseProxy", overhead},
@@ -53,8 +54,8 @@
 		}
 		return
 	}
-	if len(os.Args) != 2 || scenarios[os.Args[1]].run == nil {
-		fmt.Fprintln(os.Stderr, "usage: proof SCENARIO")
+	if len(os.Args) < 2 || scenarios[os.Args[1]].run == nil || len(os.Args) > 2 && os.Args[1] != "config" {
+		fmt.Fprintln(os.Stderr, "usage: proof SCENARIO, or proof config [--nodes N] [--relays R] [--voters V] [--changes C] [--records K]")
 		for _, name := range slices.Sorted(maps.Keys(scenarios)) {
 			fmt.Fprintf(os.Stderr, "  %-12s %s\n", name, scenarios[name].about)
 		}
