Change some rules of a route table at a cost by these, and share the rest

Cause: a table was built anew of all rules, so that each change of the configuration would cost by 37,000 routes. Change: Table.Change gives the next table; hosts are in an immutable radix tree, and only the paths of a host that a rule names are copied. New is a change of the empty table. A rapid model holds changed tables against New of all rules, and the tables before against what they said.

--- /dev/null
+++ b/internal/route/change_test.go
@@ -0,0 +1,170 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestChangesAgainstNew has a table that went through changes match as one of all its rules does, and
+// the tables before it as they did.
+func TestChangesAgainstNew(t *testing.T) {
+	hosts := []string{"", "a.org", "b.a.org", "*.a.org", "*.b.a.org", "*.org"}
+	paths := []string{"", "/a", "/a/", "/a/b"}
+	rule := rapid.Custom(func(t *rapid.T) Rule {
+		return Rule{
+			Host: rapid.SampledFrom(hosts).Draw(t, "host"), Path: rapid.SampledFrom(paths).Draw(t, "path"),
+			Method: rapid.SampledFrom([]string{"", "GET"}).Draw(t, "method"), Class: rapid.SampledFrom([]string{"", "a"}).Draw(t, "class"),
+		}
+	})
+	id := func(r Rule) string { return fmt.Sprint(r.Host, "|", r.Path, "|", r.Method, "|", r.Class) }
+	answers := func(t *Table) (all []string) {
+		for _, host := range []string{"a.org", "b.a.org", "c.b.a.org", "x.org", "z"} {
+			for _, path := range []string{"/", "/a", "/a/b", "/a/b/c", "/ab"} {
+				for _, method := range []string{"GET", "POST"} {
+					m, ok := t.Match(Query{Host: host, Path: path, Method: method})
+					text := "none"
+					if ok {
+						text = m.Pool + " " + m.Reason()
+					}
+					all = append(all, text)
+				}
+			}
+		}
+		return all
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		all := make(map[string]Rule)
+		table, err := New(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		type past struct {
+			table   *Table
+			answers []string
+		}
+		var before []past
+		for step := range rapid.IntRange(1, 8).Draw(t, "changes") {
+			before = append(before, past{table, answers(table)})
+			var without, with []Rule
+			for _, r := range rapid.SliceOfN(rule, 0, 3).Draw(t, "without") {
+				delete(all, id(r))
+				without = append(without, r)
+			}
+			for _, r := range rapid.SliceOfN(rule, 0, 6).Draw(t, "with") {
+				r.Targets = to(fmt.Sprint(step, " ", id(r)))
+				r.Origin = fmt.Sprint("step ", step)
+				if _, there := all[id(r)]; !there {
+					all[id(r)] = r
+					with = append(with, r)
+				}
+			}
+			if table, err = table.Change(without, with); err != nil {
+				t.Fatal(err)
+			}
+			whole, err := New(slices.Collect(maps.Values(all)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, want := answers(table), answers(whole); !slices.Equal(got, want) {
+				t.Fatalf("after %d changes: %q, want %q", step+1, got, want)
+			}
+		}
+		for i, p := range before {
+			if !slices.Equal(answers(p.table), p.answers) {
+				t.Fatalf("the table before change %d has changed", i)
+			}
+		}
+	})
+}
+
+// TestChangeWithBadRules has each told by its origin, and the table be without these alone.
+func TestChangeWithBadRules(t *testing.T) {
+	table, err := New([]Rule{{Origin: "0", Host: "a.org", Targets: to("a")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, err := table.Change(nil, []Rule{
+		{Origin: "1", Host: "a.org", Targets: to("b")},
+		{Origin: "2", Host: "b.org", Targets: to("b")},
+		{Origin: "3", Host: "Upper.org", Targets: to("c")},
+	})
+	if re := (*RuleError)(nil); !errors.As(err, &re) || !strings.Contains(err.Error(), "route at 1: matches the same as the route at 0") || !strings.Contains(err.Error(), "route at 3: ") || strings.Contains(err.Error(), "route at 2") {
+		t.Errorf("got %v", err)
+	}
+	for host, want := range map[string]string{"a.org": "a", "b.org": "b", "upper.org": ""} {
+		if m, _ := next.Match(Query{Host: host, Path: "/"}); m.Pool != want {
+			t.Errorf("%s goes to %q, want %q", host, m.Pool, want)
+		}
+	}
+	if _, ok := table.Match(Query{Host: "b.org", Path: "/"}); ok {
+		t.Error("the table before has changed")
+	}
+}
+
+func many(t testing.TB, n int) *Table {
+	t.Helper()
+	rules := make([]Rule, n)
+	for i := range rules {
+		rules[i] = Rule{Host: fmt.Sprintf("service-%d.example.org", i/28), Path: fmt.Sprint("/part-", i), Targets: to("p")}
+	}
+	table, err := New(rules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// TestChangeCostsByItself counts the bytes and pieces of memory that the change of a rule takes, in
+// tables of 364 and of 37,000 rules.
+func TestChangeCostsByItself(t *testing.T) {
+	cost := func(n int) float64 {
+		table := many(t, n)
+		r := []Rule{{Host: "service-7.example.org", Path: "/part-200", Targets: to("q")}}
+		return testing.AllocsPerRun(50, func() {
+			if _, err := table.Change(r, r); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+	few, most := cost(364), cost(37_000)
+	if most > 1.5*few {
+		t.Errorf("a change takes %v allocations among 364 rules and %v among 37,000", few, most)
+	}
+}
+
+// BenchmarkChange is the change of one rule of 28 at its host.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{364, 3_640, 37_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := many(b, n)
+			r := []Rule{{Host: "service-7.example.org", Path: "/part-200", Targets: to("q")}}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := table.Change(r, r); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkMatch is a look-up, of a host that has rules of its own.
+func BenchmarkMatch(b *testing.B) {
+	for _, n := range []int{364, 37_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := many(b, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := table.Match(Query{Host: "service-7.example.org", Path: "/part-200/17", Method: "GET"}); !ok {
+					b.Fatal("no match")
+				}
+			}
+		})
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,13 +1,18 @@
 // Package route finds the pool for a request by host, path prefix, method and
-// class, and says why. It is pure: a table is built once and never changes.
+// class, and says why. It is pure: a table never changes, and the next one shares
+// with it what is the same.
 package route
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
+
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
 )
 
 // RuleError is a complaint about one rule of a table.
@@ -55,13 +60,13 @@
 	host  string // what matched, for Reason
 }
 
-// Table is a set of rules.
+// Table is a set of rules, by host: readers need no lock.
 type Table struct {
-	exact, wild map[string]*paths // wild by domain, without "*."
-	other       *paths
+	exact, wild *iradix.Tree[*paths] // wild by domain, without "*."
+	other       *paths               // nil where there are no such rules
 }
 
-// paths are the rules of one host by their prefixes.
+// paths are the rules of one host by their prefixes. They never change.
 type paths struct {
 	name    string
 	rules   map[string][]*Rule // the closest first
@@ -70,41 +75,116 @@
 
 // New builds a table. Its error joins a RuleError for every rule that cannot be used.
 func New(rules []Rule) (*Table, error) {
-	t := &Table{exact: make(map[string]*paths), wild: make(map[string]*paths)}
+	none := &Table{exact: iradix.New[*paths](), wild: iradix.New[*paths]()}
+	return none.Change(nil, rules)
+}
+
+// Change gives the table without the rules that match the same as some, and then with others.
+// It costs by these rules and the others of their hosts. Its error joins a RuleError for every rule
+// that cannot be used, beside the table without them.
+func (t *Table) Change(without, with []Rule) (*Table, error) {
+	e := edit{exact: t.exact.Txn(), wild: t.wild.Txn(), other: t.other, own: make(map[string]*paths)}
+	for i := range without {
+		e.drop(&without[i])
+	}
 	var errs []error
-	type key struct{ host, path, method, class string }
-	first := make(map[key]*Rule, len(rules))
-	for i := range rules {
-		r := &rules[i]
-		if err := r.check(); err != nil {
+	for i := range with {
+		r := &with[i]
+		err := r.check()
+		if err == nil {
+			err = e.put(r)
+		}
+		if err != nil {
 			errs = append(errs, &RuleError{r.Origin, err})
-			continue
 		}
-		p := t.host(r.Host)
-		k := key{r.Host, r.Path, r.Method, r.Class}
-		if o := first[k]; o != nil {
-			errs = append(errs, &RuleError{r.Origin, fmt.Errorf("matches the same as the route at %s: want another host, path, method or class", o.Origin)})
-			continue
+	}
+	return e.commit(), errors.Join(errs...)
+}
+
+// edit is a table that is being made of another.
+type edit struct {
+	exact, wild *iradix.Txn[*paths]
+	other       *paths
+	own         map[string]*paths // by host: those that no table has yet
+}
+
+// host gives a host's paths as they may be changed.
+func (e *edit) host(name string) *paths {
+	if p := e.own[name]; p != nil {
+		return p
+	}
+	p := &paths{name: "host " + name, rules: make(map[string][]*Rule)}
+	if name == "" {
+		p.name = "any other host"
+	}
+	if was := e.find(name); was != nil {
+		p.rules, p.lengths = maps.Clone(was.rules), was.lengths
+	}
+	e.own[name] = p
+	return p
+}
+
+func (e *edit) find(name string) (p *paths) {
+	switch domain, wild := strings.CutPrefix(name, "*."); {
+	case name == "":
+		p = e.other
+	case wild:
+		p, _ = e.wild.Get([]byte(domain))
+	default:
+		p, _ = e.exact.Get([]byte(name))
+	}
+	return p
+}
+
+func (r *Rule) same(o *Rule) bool { return r.Method == o.Method && r.Class == o.Class }
+
+func (e *edit) drop(r *Rule) {
+	p := e.host(r.Host)
+	// The slices belong to the table before.
+	if p.rules[r.Path] = slices.DeleteFunc(slices.Clone(p.rules[r.Path]), r.same); len(p.rules[r.Path]) == 0 {
+		delete(p.rules, r.Path)
+	}
+}
+
+func (e *edit) put(r *Rule) error {
+	p := e.host(r.Host)
+	all := p.rules[r.Path]
+	if at := slices.IndexFunc(all, r.same); at >= 0 {
+		return fmt.Errorf("matches the same as the route at %s: want another host, path, method or class", all[at].Origin)
+	}
+	at := slices.IndexFunc(all, func(o *Rule) bool { return o.closeness() < r.closeness() })
+	if at < 0 {
+		at = len(all)
+	}
+	p.rules[r.Path] = slices.Insert(slices.Clip(all), at, r)
+	return nil
+}
+
+func (e *edit) commit() *Table {
+	for name, p := range e.own {
+		p.lengths = make([]int, 0, len(p.rules))
+		for path := range p.rules {
+			p.lengths = append(p.lengths, len(path))
 		}
-		first[k] = r
-		if p.rules[r.Path] == nil {
-			p.lengths = append(p.lengths, len(r.Path))
+		slices.SortFunc(p.lengths, func(a, b int) int { return b - a })
+		p.lengths = slices.Compact(p.lengths)
+		hosts := e.exact
+		domain, wild := strings.CutPrefix(name, "*.")
+		if wild {
+			hosts = e.wild
 		}
-		p.rules[r.Path] = append(p.rules[r.Path], r)
-	}
-	for _, hosts := range []map[string]*paths{t.exact, t.wild, {"": t.other}} {
-		for _, p := range hosts {
-			if p == nil {
-				continue
-			}
-			slices.SortFunc(p.lengths, func(a, b int) int { return b - a })
-			p.lengths = slices.Compact(p.lengths)
-			for _, rs := range p.rules {
-				slices.SortStableFunc(rs, func(a, b *Rule) int { return cmp.Compare(b.closeness(), a.closeness()) })
-			}
+		switch none := len(p.rules) == 0; {
+		case name == "" && none:
+			e.other = nil
+		case name == "":
+			e.other = p
+		case none:
+			hosts.Delete([]byte(domain))
+		default:
+			hosts.Insert([]byte(domain), p)
 		}
 	}
-	return t, errors.Join(errs...)
+	return &Table{exact: e.exact.Commit(), wild: e.wild.Commit(), other: e.other}
 }
 
 func (r *Rule) check() error {
@@ -151,23 +231,6 @@
 	return n
 }
 
-func (t *Table) host(name string) *paths {
-	hosts, key := t.exact, name
-	switch domain, wild := strings.CutPrefix(name, "*."); {
-	case name == "":
-		if t.other == nil {
-			t.other = &paths{name: "any other host", rules: make(map[string][]*Rule)}
-		}
-		return t.other
-	case wild:
-		hosts, key = t.wild, domain
-	}
-	if hosts[key] == nil {
-		hosts[key] = &paths{name: "host " + name, rules: make(map[string][]*Rule)}
-	}
-	return hosts[key]
-}
-
 // Match finds the rule for a request: the exact host before the longest wildcard
 // before any other host, then the longest path, then class before method. A host
 // that is named belongs to its rules alone: what they do not take, nobody does.
@@ -195,13 +258,17 @@
 }
 
 func (t *Table) find(host string) *paths {
-	if p := t.exact[host]; p != nil {
+	var room [maxHost]byte
+	rest := append(room[:0], host...)
+	if p, ok := t.exact.Root().Get(rest); ok {
 		return p
 	}
 	// A wildcard stands for one label or more.
-	for rest, ok := host, true; ok && len(t.wild) > 0; {
-		if _, rest, ok = strings.Cut(rest, "."); ok && t.wild[rest] != nil {
-			return t.wild[rest]
+	for ok := t.wild.Len() > 0; ok; {
+		if _, rest, ok = bytes.Cut(rest, []byte(".")); ok {
+			if p, ok := t.wild.Root().Get(rest); ok {
+				return p
+			}
 		}
 	}
 	return t.other
@@ -262,6 +329,9 @@
 	return name
 }
 
+// maxHost is the length of the longest host name.
+const maxHost = 253
+
 // What makes a host or path unfit to be routed by.
 var (
 	errHost = errors.New("not a host name or address")
@@ -294,7 +364,7 @@
 		return strings.ToLower(host), nil
 	}
 	host = strings.TrimSuffix(host, ".")
-	if host == "" || len(host) > 253 {
+	if host == "" || len(host) > maxHost {
 		return "", errHost
 	}
 	for label := range strings.SplitSeq(host, ".") {
