Read a configuration by its records, and put in force what a change differs by

Cause: a file of 11 MB is read whole for each change of one line in it. Change: config.Records splits an operator's file into records by the reading of the file, with its mistakes by line. config.Assembly holds the parsed forms of records, read by the same code; Update gives what a change differs by, refuses what it cannot use record by record and has it in force once what it wants is there, Check tells all mistakes of a change by record and field. A route may have a name in the file; two of one service may not share it.

--- /dev/null
+++ b/internal/config/assembly_test.go
@@ -0,0 +1,390 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"jasperpin/internal/peers/conf"
+	"jasperpin/internal/route"
+	"jasperpin/internal/standin/bigfile"
+)
+
+// force is what a node has in force by the deltas that it was given.
+type force struct {
+	pools    map[string]*Pool
+	services map[string]*Service
+	routes   *route.Table
+	share    float64
+}
+
+func newForce() *force {
+	return &force{pools: make(map[string]*Pool), services: make(map[string]*Service)}
+}
+
+func (f *force) use(d Delta) error {
+	for _, p := range d.Pools {
+		f.pools[p.Name] = p
+	}
+	for _, name := range d.GonePools {
+		delete(f.pools, name)
+	}
+	for _, s := range d.Services {
+		f.services[s.Name] = s
+	}
+	for _, name := range d.GoneServices {
+		delete(f.services, name)
+	}
+	f.routes = d.Routes
+	if d.Shares {
+		f.share = d.Share
+	}
+	return nil
+}
+
+// bed is an assembly whose deltas are followed.
+type bed struct {
+	testing.TB
+	*Assembly
+	*force
+}
+
+func newBed(t testing.TB, text string) *bed {
+	t.Helper()
+	b := &bed{t, NewAssembly(0, 1), newForce()}
+	if ms := b.put(records(t, text)...); len(ms) > 0 {
+		t.Fatal(ms)
+	}
+	return b
+}
+
+func records(t testing.TB, text string) []conf.Record {
+	t.Helper()
+	all, err := Records("node.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
+func (b *bed) put(all ...conf.Record) Mistakes {
+	b.Helper()
+	ms, err := b.Update(conf.Change{Records: all}, b.use)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return ms
+}
+
+func rec(key conf.Key, value string) conf.Record { return conf.Record{Key: key, Value: []byte(value)} }
+
+// to says where a host's requests go, "" for nowhere.
+func (b *bed) to(host string) string {
+	m, _ := b.force.routes.Match(route.Query{Host: host, Path: "/look/1", Method: "GET"})
+	return m.Pool
+}
+
+// TestRecordsSayWhatTheFileSays takes files apart, has their records in force, and holds that against
+// the file as it is read whole.
+func TestRecordsSayWhatTheFileSays(t *testing.T) {
+	t.Parallel()
+	var big bytes.Buffer
+	if err := bigfile.Full.Part(100).Write(&big, "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	for name, text := range map[string]string{"example": example(t), "small": small, "big": big.String()} {
+		want, err := Parse("node.toml", []byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := newBed(t, text)
+		if len(b.force.pools) != len(want.Pools) || len(b.force.services) != len(want.Services) {
+			t.Errorf("%s: %d pools and %d services", name, len(b.force.pools), len(b.force.services))
+		}
+		for _, p := range want.Pools {
+			got := *b.force.pools[p.Name]
+			if got.Share < 0 {
+				got.Share = b.share
+			}
+			if !reflect.DeepEqual(got, p) {
+				t.Errorf("%s: pool %s is %+v, want %+v", name, p.Name, got, p)
+			}
+		}
+		for _, s := range want.Services {
+			got := *b.force.services[s.Name]
+			if len(got.Gate.Tenants) == 0 && len(s.Gate.Tenants) == 0 {
+				got.Gate.Tenants, s.Gate.Tenants = nil, nil
+			}
+			if got.TenantHeader != s.TenantHeader || !reflect.DeepEqual(got.Gate, s.Gate) {
+				t.Errorf("%s: service %s is %+v, want %+v", name, s.Name, got, s)
+			}
+			for _, r := range s.Routes {
+				path := r.Path
+				if path == "" {
+					path = "/"
+				}
+				m, ok := b.force.routes.Match(route.Query{Host: r.Host, Path: path, Method: r.Method})
+				if !ok || m.Rule.Service != s.Name || !reflect.DeepEqual(m.Rule.Targets, r.Targets) || m.Rule.As != r.As {
+					t.Errorf("%s: %+v is matched by %+v", name, r, m.Rule)
+				}
+			}
+		}
+		again := records(t, text)
+		if !reflect.DeepEqual(again, records(t, text)) {
+			t.Errorf("%s: the records of one file differ", name)
+		}
+		if ms, err := b.Replace(slices.Values(again), func(Delta) error { return errors.New("something differs") }); err != nil || len(ms) > 0 {
+			t.Errorf("%s: the same records again: %v, %v", name, ms, err)
+		}
+	}
+}
+
+const twoPools = small + `
+[[pool]]
+name = "q"
+share = 0.25
+servers = ["127.0.0.1:2"]
+[[pool.class]]
+name = "look"
+repeat = "safe"
+[[pool.class]]
+name = "buy"
+repeat = "never"
+[[service]]
+name = "u"
+tenant_header = "Req-Owner"
+[[service.tenant]]
+name = "*"
+rate = 5
+[[service.route]]
+name = "all"
+hosts = ["u.org"]
+pool = "q"
+class = "buy"
+[[service.route]]
+name = "look"
+hosts = ["u.org"]
+pool = "q"
+`
+
+const poolP = `{"class":[{"name":"look","repeat":"safe"}],"servers":["127.0.0.1:1"]}`
+
+// TestCheckTellsAll has changes with mistakes told with record and field, all at once, and nothing in
+// force by it.
+func TestCheckTellsAll(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name    string
+		records []conf.Record
+		want    []string // each in a mistake of its own, in this order
+	}{
+		{"by themselves", []conf.Record{
+			rec("pool/p", `{"share":3,"shar":1,"servers":["here"],"class":[{"name":"look","repeat":"safe","aim":"2"}]}`),
+			rec("service/s", `{"rate":"many","route":[]}`), rec("service/s/route/x", `{"hosts":["s.org"],"path":"a","pool":"p"}`),
+			rec("service/u/tenant/%2A", `{"weight":0}`), rec("pool/other", `{"name":"another","servers":["127.0.0.1:9"],"class":[{"name":"look","repeat":"safe"}]}`), rec("pool/text", `[]`), rec("tool/p", `{}`),
+		}, []string{
+			`pool/other: name is "another": want the name that the record's key has`,
+			`pool/p: class[0].aim is "2": want a time`, `pool/p: servers is "here"`, `pool/p: servers is missing`, `pool/p: shar is no key of this table: did you mean share?`, `pool/p: share is 3: want a number from 0 to 1`,
+			`pool/text: want one JSON object`, `service/s: rate is "many"`, `service/s: route is no key of this table`, `service/s/route/x: path is "a"`, `service/u/tenant/%2A: weight is 0`, `tool/p: the change cannot be used: "tool/p" is no key`,
+		}},
+		{"a pool that is not there", []conf.Record{rec("service/s/route/x", `{"hosts":["s.org"],"pool":"none"}`)}, []string{`service/s/route/x: pool "none" is no pool`}},
+		{"a class that is not there", []conf.Record{rec("service/s/route/x", `{"hosts":["s.org"],"pool":"p","as":"buy"}`)}, []string{`service/s/route/x: pool "p" has no class "buy"`}},
+		{"a class that goes", []conf.Record{rec("pool/q", poolP)}, []string{`pool/q: class does not go with service/u/route/all: "q" has no class "buy"`}},
+		{"a pool that goes", []conf.Record{{Key: "pool/q"}}, []string{`pool/q: is to be deleted, and service/u/route/all leads to it`}},
+		{"the same match", []conf.Record{rec("service/s/route/x", `{"hosts":["u.org"],"pool":"p"}`)}, []string{`service/s/route/x: matches the same as the route at service/u/route/look`}},
+		{"the same match twice", []conf.Record{rec("service/s/route/x", `{"hosts":["v.org"],"pool":"p"}`), rec("service/s/route/y", `{"hosts":["v.org"],"pool":"p"}`)}, []string{`service/s/route/y: matches the same as the route at service/s/route/x`}},
+		{"shares", []conf.Record{rec("pool/p", strings.Replace(poolP, "{", `{"share":0.8,`, 1))}, []string{`pool/p: share is 0.8: all pools' shares add up to 1.05`}},
+		{"tenants without header", []conf.Record{rec("service/u", `{}`), rec("service/s/tenant/a", `{}`)}, []string{`service/s/tenant/a: stands in a service whose tenant_header is missing`, `service/u: tenant_header is missing`}},
+		{"no route", []conf.Record{rec("service/new", `{}`)}, []string{`service/new: route is missing`}},
+		{"a service that is not there", []conf.Record{rec("service/new/route/x", `{"pool":"p","hosts":["x.org"]}`)}, []string{`service/new/route/x: stands without service/new`}},
+		{"parts that stay", []conf.Record{{Key: "service/u"}, {Key: "service/u/tenant/%2A"}}, []string{`service/u: is to be deleted, and service/u/route/`}},
+		{"what follows from another's mistake", []conf.Record{rec("pool/new", `{}`), rec("service/s/route/x", `{"hosts":["s.org"],"pool":"new"}`)}, []string{`pool/new: class is missing`, `pool/new: servers is missing`}},
+		{"nothing", []conf.Record{
+			rec("pool/new", poolP), rec("service/new", `{}`), rec("service/new/route/x", `{"hosts":["new.org"],"pools":[{"name":"new","weight":2},{"name":"p"}]}`),
+			{Key: "pool/q"}, {Key: "service/u"}, {Key: "service/u/route/all"}, {Key: "service/u/route/look"}, {Key: "service/u/tenant/%2A"},
+		}, nil},
+	} {
+		b := newBed(t, twoPools)
+		routes, pool := b.force.routes, b.force.pools["p"]
+		err := b.Check(conf.Change{Records: c.records})
+		var got Mistakes
+		errors.As(err, &got)
+		ok := len(got) == len(c.want)
+		for i := 0; ok && i < len(got); i++ {
+			ok = strings.HasPrefix(got[i].Error(), c.want[i])
+		}
+		if !ok {
+			t.Errorf("%s: got\n%v\nwant\n%s", c.name, err, strings.Join(c.want, "\n"))
+		}
+		if b.force.routes != routes || b.force.pools["p"] != pool || len(b.force.pools) != 2 || len(b.force.services) != 2 || b.Refused() != 0 || len(b.Assembly.pools) != 2 {
+			t.Errorf("%s: something is in force", c.name)
+		}
+	}
+}
+
+// TestRefusedRecordsStopNoOthers has a record that cannot be used leave what it was, the others of its
+// change go in force, and itself as soon as what it wants is there.
+func TestRefusedRecordsStopNoOthers(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, twoPools)
+	was := b.force.pools["p"]
+	ms := b.put(rec("pool/p", `{"of":"another version"}`), rec("pool/r", poolP), rec("service/s/route/x", `{"hosts":["x.org"],"pool":"r"}`),
+		rec("service/s/route/y", `{"hosts":["y.org"],"pool":"late"}`), rec("service/late/route/z", `{"hosts":["z.org"],"pool":"late"}`))
+	if b.force.pools["p"] != was || b.to("x.org") != "r" || b.to("y.org") != "p" || b.Refused() != 3 {
+		t.Errorf("x.org to %q, y.org to %q, %d refused: %v", b.to("x.org"), b.to("y.org"), b.Refused(), ms)
+	}
+	if ms := b.put(rec("pool/late", poolP)); len(ms) != 0 || b.to("y.org") != "late" || b.Refused() != 2 {
+		t.Errorf("with the pool y.org goes to %q, %d refused: %v", b.to("y.org"), b.Refused(), ms)
+	}
+	if ms := b.put(rec("service/late", `{}`)); len(ms) != 0 || b.to("z.org") != "late" || b.Refused() != 1 {
+		t.Errorf("with the service z.org goes to %q, %d refused: %v", b.to("z.org"), b.Refused(), ms)
+	}
+	// A pool that a route leads to stays until the route is gone, and goes then.
+	if ms := b.put(conf.Record{Key: "pool/r"}); len(ms) != 1 || b.to("x.org") != "r" {
+		t.Errorf("a pool in use goes: %v", ms)
+	}
+	if ms := b.put(conf.Record{Key: "service/s/route/x"}); len(ms) != 0 || b.force.pools["r"] != nil || b.Refused() != 1 {
+		t.Errorf("a pool that is to go stays: %v", ms)
+	}
+	if ms := b.put(rec("pool/p", poolP)); len(ms) != 0 || b.Refused() != 0 || len(b.waiting) != 0 {
+		t.Errorf("%d refused, %d waited for: %v", b.Refused(), len(b.waiting), ms)
+	}
+	// What the node cannot use leaves all as it was.
+	no := errors.New("no")
+	if _, err := b.Update(conf.Change{Records: []conf.Record{rec("pool/p", strings.Replace(poolP, "{", `{"share":0.5,`, 1))}}, func(Delta) error { return no }); err != no || b.Assembly.pools["p"].Share >= 0 {
+		t.Errorf("got %v, and share %g", err, b.Assembly.pools["p"].Share)
+	}
+}
+
+// TestAnyOrderComesToTheSame has random changes, good and bad, come to the same as one change of all that
+// is there in the end, and never to a route that leads nowhere.
+func TestAnyOrderComesToTheSame(t *testing.T) {
+	pool := func(classes ...string) string {
+		text := `{"servers":["127.0.0.1:1"],"class":[`
+		for i, c := range classes {
+			if i > 0 {
+				text += ","
+			}
+			text += fmt.Sprintf(`{"name":%q,"repeat":"safe"}`, c)
+		}
+		return text + "]}"
+	}
+	values := map[conf.Key][]string{
+		"pool/a": {"", pool("look"), pool("look", "buy"), `{"what":1}`}, "pool/b": {"", pool("look"), pool("buy")},
+		"service/s": {"", `{}`, `{"tenant_header":"A"}`, `{"x":1}`}, "service/s/tenant/t": {"", `{"rate":3}`},
+		"service/s/route/one": {"", `{"hosts":["one.org"],"pool":"a","as":"buy"}`, `{"hosts":["one.org"],"pool":"b"}`},
+		"service/s/route/two": {"", `{"hosts":["two.org"],"pool":"b"}`, `{"hosts":["one.org"],"pool":"b"}`, `{"hosts":["two.org"],"pool":"a"}`},
+	}
+	var keys []conf.Key
+	for k := range values {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	rapid.Check(t, func(t *rapid.T) {
+		a, f := NewAssembly(0, 1), newForce()
+		for range rapid.IntRange(1, 12).Draw(t, "changes") {
+			var all []conf.Record
+			for _, k := range rapid.SliceOfNDistinct(rapid.SampledFrom(keys), 1, 4, rapid.ID).Draw(t, "keys") {
+				all = append(all, rec(k, rapid.SampledFrom(values[k]).Draw(t, "value")))
+			}
+			if _, err := a.Update(conf.Change{Records: all}, f.use); err != nil {
+				t.Fatal(err)
+			}
+			if f.routes == nil {
+				continue
+			}
+			for _, host := range []string{"one.org", "two.org"} {
+				m, ok := f.routes.Match(route.Query{Host: host, Path: "/look", Method: "GET"})
+				if !ok {
+					continue
+				}
+				if f.services[m.Rule.Service] == nil || f.pools[m.Pool] == nil {
+					t.Fatalf("%s goes to %s of %s, which is not there", host, m.Pool, m.Rule.Service)
+				}
+				if text := f.pools[m.Pool].unknown(*m.Rule); len(text) > 0 {
+					t.Fatalf("%s goes to %s, which %s", host, m.Pool, text)
+				}
+			}
+			if s := f.services["s"]; s != nil && len(s.Gate.Tenants) > 0 && s.TenantHeader == "" {
+				t.Fatal("tenants that nothing tells apart")
+			}
+		}
+		// In the end all is well, and in force whatever was refused before.
+		last := []conf.Record{
+			rec("pool/a", values["pool/a"][2]), rec("pool/b", values["pool/b"][1]), rec("service/s", `{"tenant_header":"A"}`), rec("service/s/tenant/t", `{"rate":3}`),
+			rec("service/s/route/one", values["service/s/route/one"][1]), rec("service/s/route/two", values["service/s/route/two"][1]),
+		}
+		ms, err := a.Update(conf.Change{Records: last}, f.use)
+		if err != nil || len(ms) > 0 || a.Refused() != 0 || len(a.waiting) != 0 {
+			t.Fatalf("%v, %v, %d refused, %d waited for", ms, err, a.Refused(), len(a.waiting))
+		}
+		b, g := NewAssembly(0, 1), newForce()
+		if _, err := b.Update(conf.Change{Records: last}, g.use); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(f.pools, g.pools) || !reflect.DeepEqual(f.services, g.services) || a.parts != b.parts || a.unnamed != b.unnamed || f.share != g.share {
+			t.Fatalf("got %+v, want %+v", f, g)
+		}
+	})
+}
+
+// TestUpdateCostsByTheChange counts the allocations of one route's change and of one pool's, among 13 and
+// 1,300 services.
+func TestUpdateCostsByTheChange(t *testing.T) {
+	cost := func(services int) float64 {
+		b := sized(t, services)
+		at := 0
+		return testing.AllocsPerRun(20, func() {
+			at++
+			if ms := b.put(routeAndPool(at)...); len(ms) > 0 {
+				t.Fatal(ms)
+			}
+		})
+	}
+	few, most := cost(13), cost(1_300)
+	if most > 1.5*few {
+		t.Errorf("a change takes %v allocations among 13 services and %v among 1,300", few, most)
+	}
+}
+
+func routeAndPool(at int) []conf.Record {
+	return []conf.Record{
+		rec("service/service-3/route/mine", fmt.Sprintf(`{"hosts":["service-3.example.org"],"path":"/mine-%d","as":"look","pool":"pool-3"}`, at)),
+		rec("pool/pool-3", fmt.Sprintf(`{"servers":["127.0.0.1:%d"],"class":[{"name":"look","repeat":"safe"}]}`, 1+at%1000)),
+	}
+}
+
+// sized has so many services, with their part of the stated routes, tenants and servers.
+func sized(t testing.TB, services int) *bed {
+	t.Helper()
+	size := bigfile.Full.Part(bigfile.Full.Services / services)
+	size.Tenants /= 10 // they count for nothing here
+	var text bytes.Buffer
+	if err := size.Write(&text, "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	return newBed(t, text.String())
+}
+
+// BenchmarkUpdate is the change of one route and of the servers of one pool.
+func BenchmarkUpdate(b *testing.B) {
+	for _, services := range []int{13, 130, 650, 1_300} {
+		b.Run(fmt.Sprint(services), func(b *testing.B) {
+			bed := sized(b, services)
+			b.ReportAllocs()
+			at := 0
+			for b.Loop() {
+				at++
+				if ms := bed.put(routeAndPool(at)...); len(ms) > 0 {
+					b.Fatal(ms)
+				}
+			}
+		})
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,7 +38,9 @@
 	// version finds the one that runs; "" for none.
 	Private string
 	Seed    uint64
-	Limits  limit.Machine
+	// Number is this node's among so many that serve the same servers.
+	Number, Nodes int
+	Limits        limit.Machine
 	// Budgets says whether pools share the limits out. A node with one pool that
 	// has them all to itself needs none.
 	Budgets  bool
@@ -93,7 +95,7 @@
 	// Plain pools speak HTTP at large, others the platform's protocol.
 	Plain       bool
 	Body        int64              // the longest body, either way, in bytes
-	Share       float64            // guaranteed part of the limits, 0 to 1
+	Share       float64            // guaranteed part of the limits, 0 to 1; unnamed in a Delta: its Share
 	Gate        limit.GateSettings // places and the line for them
 	Servers     []core.Host
 	Discovery   string // its address; "" where the servers are listed
@@ -227,16 +229,16 @@
 	}
 	c.Control = node.text("control", "", "an address and port such as 127.0.0.1:9800, or unix:/PATH", isDoor)
 	c.Private = node.text("private", "", "the absolute path of a folder", filepath.IsAbs)
-	number, nodes := node.count("number", 0, 0, math.MaxUint16), node.count("nodes", 1, 1, math.MaxUint16)
+	c.Number, c.Nodes = node.count("number", 0, 0, math.MaxUint16), node.count("nodes", 1, 1, math.MaxUint16)
 	for _, key := range []string{"number", "nodes"} {
 		if root.m["members"] != nil && node.m[key] != nil {
 			node.fail(key, "stands beside [members], by which the node knows it: want one of the two")
 		}
 	}
-	if number >= nodes {
-		node.fail("number", "is %d of %d nodes: want 0 to %d", number, nodes, nodes-1)
+	if c.Number >= c.Nodes {
+		node.fail("number", "is %d of %d nodes: want 0 to %d", c.Number, c.Nodes, c.Nodes-1)
 	}
-	c.Seed = uint64(node.count("seed", 0, 0, math.MaxInt32)) ^ seat(c.Name, number)
+	c.Seed = uint64(node.count("seed", 0, 0, math.MaxInt32)) ^ seat(c.Name, c.Number)
 	if root.m["node"] == nil {
 		root.fail("node", "is missing: want a table [node] with name and listen")
 	}
@@ -258,10 +260,26 @@
 	c.readCluster(root)
 	c.readMembers(root)
 
+	c.readServed(root, func(*table) {})
+	switch {
+	case c.Role == Planner && len(c.Services) > 0:
+		root.fail("service", "stands with a planner, which serves no clients: want pools alone")
+	case len(c.Services) == 0 && c.Role != Planner:
+		root.fail("service", "is missing: want one [[service]] or more")
+	}
+	root.done()
+	root.decodeUnread()
+	c.checkRoutes(r)
+	return c, r.result()
+}
+
+// readServed reads the pools and the services; each sees their tables.
+func (c *Config) readServed(root *table, each func(*table)) {
 	pools := &known{pools: make(map[string]*Pool)}
 	for t := range root.tables("pool") {
+		each(t)
 		p := readPool(t)
-		p.Settings.Self, p.Settings.Nodes = number, nodes
+		p.Settings.Self, p.Settings.Nodes = c.Number, c.Nodes
 		if pools.pools[p.Name] != nil {
 			t.fail("name", "%q is used twice: want another name for each pool", p.Name)
 		}
@@ -271,6 +289,7 @@
 	c.share(root)
 	names := make(map[string]bool)
 	for t := range root.tables("service") {
+		each(t)
 		s := readService(t, pools)
 		if names[s.Name] {
 			t.fail("name", "%q is used twice: want another name for each service", s.Name)
@@ -278,20 +297,15 @@
 		names[s.Name] = true
 		c.Services = append(c.Services, s)
 	}
-	switch {
-	case c.Role == Planner && len(c.Services) > 0:
-		root.fail("service", "stands with a planner, which serves no clients: want pools alone")
-	case len(c.Services) == 0 && c.Role != Planner:
-		root.fail("service", "is missing: want one [[service]] or more")
-	}
-	root.done()
-	root.decodeUnread()
+}
+
+// checkRoutes complains of routes that do not go together, where all else is well.
+func (c *Config) checkRoutes(r *reader) {
 	if r.broken == nil && len(r.errs) == 0 {
 		if _, err := c.Table(); err != nil {
 			r.routes(err)
 		}
 	}
-	return c, r.result()
 }
 
 // readPlanning reads how forwarders and planners meet.
@@ -354,7 +368,7 @@
 	}
 	for i := range c.Pools {
 		if c.Pools[i].Share < 0 {
-			c.Pools[i].Share = max(0, min(defaultShareOf, 1-sum)) / float64(unnamed)
+			c.Pools[i].Share = shareOf(sum, unnamed)
 		}
 	}
 }
@@ -495,40 +509,64 @@
 }
 
 func readService(t *table, pools *known) Service {
-	s := Service{Name: t.word("name", ""), TenantHeader: canonical(t.text("tenant_header", "", "the name of a header", isWord))}
-	s.Gate = readPlaces(t)
-	s.Gate.Rate, s.Gate.Burst = t.number("rate", 0, 0, maxRate), t.number("burst", 0, 0, maxRate)
+	s := readHead(t)
 	s.Gate.Tenants = make(map[string]limit.TenantSettings)
 	for n := range t.tables("tenant") {
-		name := n.text("name", "", "a tenant's name, or \"*\" for all others", func(s string) bool { return s == "*" || isWord(s) })
-		n.must("name")
-		if name == "*" {
-			name = limit.Others
-		}
+		name, set := readTenant(n)
 		if _, twice := s.Gate.Tenants[name]; twice {
 			n.fail("name", "%q is used twice in one service: want each tenant once", cmp.Or(name, "*"))
 		}
-		s.Gate.Tenants[name] = limit.TenantSettings{
-			Rate: n.number("rate", 0, 0, maxRate), Burst: n.number("burst", 0, 0, maxRate),
-			Concurrent: n.count("concurrent", 0, 0, maxHeld), Weight: n.number("weight", 1, 0.001, 1e6),
-		}
-		n.done()
+		s.Gate.Tenants[name] = set
 	}
 	if len(s.Gate.Tenants) > 0 && s.TenantHeader == "" {
-		t.fail("tenant_header", "is missing: want the header that names the tenant, such as \"Req-Owner\"")
+		t.fail("tenant_header", noTenantHeader)
 	}
+	names := make(map[string]bool)
 	for n := range t.tables("route") {
-		s.Routes = append(s.Routes, readRoute(n, s.Name, pools)...)
+		name, rules := readRoute(n, s.Name, pools)
+		if names[name] && name != "" {
+			n.fail("name", "%q is used twice in one service: want another name for each route", name)
+		}
+		names[name] = true
+		s.Routes = append(s.Routes, rules...)
 	}
 	if len(s.Routes) == 0 {
-		t.fail("route", "is missing: want one [[service.route]] or more")
+		t.fail("route", noRoute)
 	}
 	t.done()
 	return s
 }
 
-// readRoute makes a rule for each host of a route.
-func readRoute(t *table, service string, pools *known) []route.Rule {
+const (
+	noTenantHeader = `is missing: want the header that names the tenant, such as "Req-Owner"`
+	noRoute        = "is missing: want one [[service.route]] or more"
+)
+
+// readHead reads what a service says beside its tenants and routes.
+func readHead(t *table) Service {
+	s := Service{Name: t.word("name", ""), TenantHeader: canonical(t.text("tenant_header", "", "the name of a header", isWord))}
+	s.Gate = readPlaces(t)
+	s.Gate.Rate, s.Gate.Burst = t.number("rate", 0, 0, maxRate), t.number("burst", 0, 0, maxRate)
+	return s
+}
+
+func readTenant(t *table) (name string, set limit.TenantSettings) {
+	name = t.text("name", "", "a tenant's name, or \"*\" for all others", func(s string) bool { return s == "*" || isWord(s) })
+	t.must("name")
+	if name == "*" {
+		name = limit.Others
+	}
+	set = limit.TenantSettings{
+		Rate: t.number("rate", 0, 0, maxRate), Burst: t.number("burst", 0, 0, maxRate),
+		Concurrent: t.count("concurrent", 0, 0, maxHeld), Weight: t.number("weight", 1, 0.001, 1e6),
+	}
+	t.done()
+	return name, set
+}
+
+// readRoute makes a rule for each host of a route, which may have a name.
+func readRoute(t *table, service string, pools *known) (name string, rules []route.Rule) {
+	name = t.text("name", "", "a name of letters, digits, '.', '_' and '-', 64 at the most", isWord)
 	r := route.Rule{
 		Service: service, Path: t.text("path", "", "a prefix that begins with /", func(s string) bool { return strings.HasPrefix(s, "/") }),
 		Method: t.text("method", "", "a method in upper case such as GET", isMethod),
@@ -556,12 +594,11 @@
 	if len(hosts) == 0 {
 		hosts = []string{""}
 	}
-	var rules []route.Rule
 	for _, h := range hosts {
 		r.Host = h
 		rules = append(rules, r)
 	}
-	return rules
+	return name, rules
 }
 
 // known are the pools of a file, by name.
@@ -570,8 +607,12 @@
 	want  string // the names, worded when the first route asks for another one
 }
 
-// check checks that a route's target is there and knows the class it is given.
+// check checks that a route's target is there and knows the class it is given. A record's
+// is checked beside the other records.
 func (k *known) check(t *table, key, pool string, r route.Rule) {
+	if k == nil {
+		return
+	}
 	p := k.pools[pool]
 	if p == nil {
 		if pool != "" {
@@ -582,11 +623,19 @@
 		}
 		return
 	}
+	for _, text := range p.unknown(r) {
+		t.fail(key, "%s", text)
+	}
+}
+
+// unknown words the classes that a route gives a pool and that this does not have.
+func (p *Pool) unknown(r route.Rule) (all []string) {
 	for _, class := range []string{r.As, r.Class} {
 		if _, ok := p.Classes[class]; !ok && class != "" && (class == r.As || r.As == "") {
-			t.fail(key, "%q has no class %q: want %s", pool, class, oneOf(slices.Sorted(maps.Keys(p.Classes))))
+			all = append(all, fmt.Sprintf("%q has no class %q: want %s", p.Name, class, oneOf(slices.Sorted(maps.Keys(p.Classes)))))
 		}
 	}
+	return all
 }
 
 // isDoor says whether operators can call at a place.
--- a/internal/config/parts.go
+++ b/internal/config/parts.go
@@ -21,8 +21,11 @@
 	// array and at name the element; array is "" for what is in none.
 	array string
 	at    int
-	lists []*elements    // of what is in none: all arrays
-	lines map[string]int // by path, such as service[0].route[1].path; nil until one is asked for
+	lists []*elements // of what is in none: all arrays
+	// record says that this is a record of a configuration: what is wrong with it is told by
+	// its key and the field, and not by a line.
+	record bool
+	lines  map[string]int // by path, such as service[0].route[1].path; nil until one is asked for
 }
 
 // span is a run of whole lines.
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -16,10 +16,10 @@
 	"jasperpin/internal/route"
 )
 
-// Mistake is one thing wrong with a file.
+// Mistake is one thing wrong with a file, or with a record.
 type Mistake struct {
-	File string
-	Line int // from 1; 0 where no line is to blame
+	File string // or the record's key
+	Line int    // from 1; 0 where no line is to blame
 	Text string
 }
 
@@ -30,7 +30,7 @@
 	return fmt.Sprintf("%s:%d: %s", m.File, m.Line, m.Text)
 }
 
-// Mistakes are all things wrong with a file, by line.
+// Mistakes are all things wrong with a file, by line, or with records.
 type Mistakes []Mistake
 
 func (ms Mistakes) Error() string {
@@ -94,6 +94,10 @@
 
 // fail complains about a key, at its line or, where it is not there, its table's.
 func (t *table) fail(key, format string, args ...any) {
+	if t.record {
+		t.add(0, "%s %s", join(t.path, key), fmt.Sprintf(format, args...))
+		return
+	}
 	line, ok := t.line(join(t.path, key))
 	if !ok {
 		line, _ = t.line(t.path)
@@ -103,6 +107,9 @@
 
 // origin is where the table stands.
 func (t *table) origin() string {
+	if t.record {
+		return t.file
+	}
 	line, _ := t.line(t.path)
 	return t.file + ":" + strconv.Itoa(line)
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -24,6 +24,13 @@
 func (e *RuleError) Error() string { return "route at " + e.Origin + ": " + e.Err.Error() }
 func (e *RuleError) Unwrap() error { return e.Err }
 
+// SameError is a complaint about a rule that matches the same as another.
+type SameError struct{ Origin string } // of the other
+
+func (e *SameError) Error() string {
+	return "matches the same as the route at " + e.Origin + ": want another host, path, method or class"
+}
+
 // Rule sends what it matches to one of its targets. Empty fields match all.
 type Rule struct {
 	Service string
@@ -150,7 +157,7 @@
 	p := e.host(r.Host)
 	all := p.rules[r.Path]
 	if at := slices.IndexFunc(all, r.same); at >= 0 {
-		return fmt.Errorf("matches the same as the route at %s: want another host, path, method or class", all[at].Origin)
+		return &SameError{all[at].Origin}
 	}
 	at := slices.IndexFunc(all, func(o *Rule) bool { return o.closeness() < r.closeness() })
 	if at < 0 {
