Put in force what a change differs by, and leave all other pools and services alone

Cause: a configuration was put in force whole, by all its pools and services. Change: Set.Change takes a delta of config.Assembly; pools and services are in immutable trees that the next table shares, budgets are laid out only where guaranteed parts differ, keys only where theirs do. Apply makes a delta of a whole file. Pools are asked for by name or one after another. Keys.Settings and Pool.Guarantee take the place of the whole configuration's; their tests hold the same.

--- a/internal/config/assembly.go
+++ b/internal/config/assembly.go
@@ -22,8 +22,7 @@
 	pools         map[string]*heldPool
 	services      map[string]*heldService
 	routes        *route.Table
-	parts         int64 // guaranteed by name, in wholePart of all
-	unnamed       int   // pools whose guaranteed part no record names
+	tally         tally
 	refused       map[conf.Key]refusal
 	waiting       map[conf.Key]map[conf.Key]bool // refused ones, by the record that they want
 }
@@ -41,6 +40,26 @@
 	routes  map[string][]route.Rule
 }
 
+// tally is what is counted over all pools.
+type tally struct {
+	parts   int64 // guaranteed by name, in wholePart of all
+	unnamed int   // pools whose guaranteed part no record names
+	pools   int
+	watched int // whose servers a discovery tells
+}
+
+func (t *tally) count(p *Pool, sign int) {
+	if part, named := p.part(); named {
+		t.parts += int64(sign) * part
+	} else {
+		t.unnamed += sign
+	}
+	t.pools += sign
+	if p.Discovery != "" {
+		t.watched += sign
+	}
+}
+
 // refusal is why a record is not in force as it was last written, and, where that may change with
 // another record, which one and what it says.
 type refusal struct {
@@ -76,6 +95,8 @@
 	// own is below 0.
 	Shares bool
 	Share  float64
+	// Count is how many pools there are, and Watched those whose servers a discovery tells.
+	Count, Watched int
 }
 
 // Update has a change in force, as far as this program can use its records. Use is called with what
@@ -412,33 +433,26 @@
 	return int64(math.Round(p.Share * wholePart)), true
 }
 
-// shares counts the guaranteed parts that are named, and the pools that name none.
-func (p *plan) shares() (parts int64, unnamed int) {
-	parts, unnamed = p.parts, p.unnamed
-	count := func(pool *Pool, sign int) {
-		if part, named := pool.part(); named {
-			parts += int64(sign) * part
-		} else {
-			unnamed += sign
-		}
-	}
+// count is the tally of the pools as the plan has them.
+func (p *plan) count() tally {
+	t := p.tally
 	for _, r := range p.in {
 		if r.kind != conf.Pool {
 			continue
 		}
 		if was := p.pools[r.name]; was != nil {
-			count(was.Pool, -1)
+			t.count(was.Pool, -1)
 		}
 		if !r.gone() {
-			count(r.pool, 1)
+			t.count(r.pool, 1)
 		}
 	}
-	return parts, unnamed
+	return t
 }
 
 // unfitShares refuses pools, the last first, that want more than there is to be guaranteed.
 func (p *plan) unfitShares(bad map[conf.Key]refusal) {
-	parts, _ := p.shares()
+	parts := p.count().parts
 	for _, k := range slices.Backward(p.keys) {
 		r := p.in[k]
 		if parts <= wholePart+slackPart {
@@ -566,10 +580,8 @@
 
 // delta is what the plan changes in force.
 func (p *plan) delta() Delta {
-	d := Delta{Routes: p.routes}
-	parts, unnamed := p.shares()
-	d.Shares = parts != p.parts || unnamed != p.unnamed
-	d.Share = shareOf(float64(parts)/wholePart, unnamed)
+	t := p.count()
+	d := Delta{Routes: p.routes, Share: shareOf(float64(t.parts)/wholePart, t.unnamed), Count: t.pools, Watched: t.watched}
 	p.tenants = make(map[string]map[string]limit.TenantSettings)
 	for _, k := range p.keys {
 		switch r := p.in[k]; r.kind {
@@ -623,7 +635,7 @@
 // commit has the plan in force.
 func (p *plan) commit() {
 	a := p.Assembly
-	a.parts, a.unnamed = p.shares()
+	a.tally = p.count()
 	if p.routes != nil {
 		a.routes = p.routes
 	}
--- a/internal/config/assembly_test.go
+++ b/internal/config/assembly_test.go
@@ -328,7 +328,7 @@
 		if _, err := b.Update(conf.Change{Records: last}, g.use); err != nil {
 			t.Fatal(err)
 		}
-		if !reflect.DeepEqual(f.pools, g.pools) || !reflect.DeepEqual(f.services, g.services) || a.parts != b.parts || a.unnamed != b.unnamed || f.share != g.share {
+		if !reflect.DeepEqual(f.pools, g.pools) || !reflect.DeepEqual(f.services, g.services) || a.tally != b.tally || f.share != g.share {
 			t.Fatalf("got %+v, want %+v", f, g)
 		}
 	})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -135,13 +135,12 @@
 	return names
 }
 
-// Guarantees gives each pool's part of a number of units.
-func (c *Config) Guarantees(total int) map[string]int {
-	g := make(map[string]int, len(c.Pools))
-	for i := range c.Pools {
-		g[c.Pools[i].Name] = int(c.Pools[i].Share*float64(total) + 1e-6) // what rounding loses
+// Guarantee is the pool's part of a number of units; share is that of pools that name none.
+func (p *Pool) Guarantee(total int, share float64) int {
+	if p.Share >= 0 {
+		share = p.Share
 	}
-	return g
+	return int(share*float64(total) + 1e-6) // what rounding loses
 }
 
 // Table builds the route table.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -217,7 +217,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := c.Guarantees(100)
+	g := make(map[string]int)
+	for _, p := range c.Pools {
+		g[p.Name] = p.Guarantee(100, 0)
+	}
 	if g["a"] != 80 || g["b"] != 10 || g["p"] != 10 {
 		t.Errorf("got %v", g)
 	}
@@ -255,7 +258,8 @@
 			t.Errorf("no table: %v", err)
 		}
 		sum := 0
-		for _, n := range c.Guarantees(1000) {
+		for _, p := range c.Pools {
+			n := p.Guarantee(1000, 0)
 			sum += n
 		}
 		if sum > 1000 {
--- a/internal/config/keys.go
+++ b/internal/config/keys.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"iter"
 	"time"
 
 	"jasperpin/internal/core"
@@ -82,15 +83,15 @@
 	return r
 }
 
-// KeySettings are the bounds and classes of keys, and false where no class has any.
-func (c *Config) KeySettings() (idem.Settings, bool) {
+// Settings are the bounds and the classes of some pools, and false where none has any.
+func (k Keys) Settings(pools iter.Seq[*Pool]) (idem.Settings, bool) {
 	set := idem.Settings{
-		Entries: c.Keys.Entries, Bytes: c.Keys.Memory, TenantShare: c.Keys.TenantShare,
-		LongAnswer: int(c.Keys.LongAnswer), Waiters: c.Keys.Waiters, Classes: make(map[string]idem.Class),
+		Entries: k.Entries, Bytes: k.Memory, TenantShare: k.TenantShare,
+		LongAnswer: int(k.LongAnswer), Waiters: k.Waiters, Classes: make(map[string]idem.Class),
 	}
-	for i := range c.Pools {
-		for class, rule := range c.Pools[i].Keys {
-			set.Classes[KeyClass(c.Pools[i].Name, class)] = rule.Class
+	for p := range pools {
+		for class, rule := range p.Keys {
+			set.Classes[KeyClass(p.Name, class)] = rule.Class
 		}
 	}
 	return set, len(set.Classes) > 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -354,12 +354,7 @@
 // longest is the longest time that a request may still take, as the platform counts it
 // before it kills a process that was told to end.
 func (n *Node) longest() time.Duration {
-	var longest time.Duration
-	for i := range n.cfg.Pools {
-		for _, c := range n.cfg.Pools[i].Settings.Classes {
-			longest = max(longest, c.Deadline)
-		}
-	}
+	longest := n.set.Longest()
 	if longest == 0 {
 		return longestCounted
 	}
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -98,15 +98,14 @@
 	if o.set == nil {
 		return errPlanner
 	}
-	pools := o.set.Pools()
 	name := ""
-	p := pools[""]
+	p := o.set.Pool("")
 	if p == nil {
 		var ok bool
 		if name, id, ok = strings.Cut(id, "/"); !ok {
 			return errors.New("this node has pools: name the server as POOL/ID")
 		}
-		if p = pools[name]; p == nil {
+		if p = o.set.Pool(name); p == nil {
 			return fmt.Errorf("no pool %.40q", name)
 		}
 	}
--- a/internal/node/succeed.go
+++ b/internal/node/succeed.go
@@ -48,7 +48,7 @@
 func (k kin) Memory() map[string]core.Memory { return k.set.Memory() }
 
 func (k kin) Apply(c succession.Call) {
-	p := k.set.Pools()[c.Pool]
+	p := k.set.Pool(c.Pool)
 	if p == nil {
 		return
 	}
@@ -80,9 +80,8 @@
 }
 
 func (k kin) Hear(from names.Side, news map[string]names.News) {
-	pools := k.set.Pools()
 	for name, n := range news {
-		if p := pools[name]; p != nil {
+		if p := k.set.Pool(name); p != nil {
 			if err := p.Hear(from, n); err != nil {
 				k.log.Warn("news of another process's names", "pool", name, "err", err)
 			}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -7,13 +7,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"iter"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+
 	"jasperpin/internal/config"
 	"jasperpin/internal/core"
 	"jasperpin/internal/figures"
@@ -73,13 +77,37 @@
 	Name string // of the class among those of all pools
 }
 
-// table is one configuration in force. It never changes.
+// table is one configuration in force. It never changes, and the next one shares with it what is
+// the same.
 type table struct {
 	routes   *route.Table
-	services map[string]*Service
-	pools    map[string]*Pool
-	keyed    map[string]*Keyed // by config.KeyClass; nil where there are none
-	only     *Target           // where everything goes, where there is no choice
+	services byName[*Service]
+	pools    byName[*member]
+	only     *Target // where everything goes, where there is no choice
+}
+
+// member is a pool with what is done about the keys of its classes.
+type member struct {
+	*Pool
+	keyed map[string]*Keyed // nil where there are none
+}
+
+// byName is a map that is changed at the cost of what differs. Readers need no lock.
+type byName[T any] struct{ tree *iradix.Tree[T] }
+
+func newByName[T any]() byName[T] { return byName[T]{iradix.New[T]()} }
+
+// get gives what has a name, or T's zero value.
+func (m byName[T]) get(name string) T {
+	v, _ := m.tree.Root().Get([]byte(name))
+	return v
+}
+
+// all are the names, in order, and what has them.
+func (m byName[T]) all() iter.Seq2[string, T] {
+	return func(yield func(string, T) bool) {
+		m.tree.Root().Walk(func(name []byte, v T) bool { return !yield(string(name), v) })
+	}
 }
 
 // Find finds where a request goes by its Host header and what else the query
@@ -101,11 +129,8 @@
 	if !ok {
 		return Target{}, ErrNoRoute
 	}
-	target := Target{Service: t.services[m.Rule.Service], Pool: t.pools[m.Pool], Class: m.Class}
-	if t.keyed != nil {
-		target.Keyed = t.keyed[config.KeyClass(m.Pool, m.Class)]
-	}
-	return target, nil
+	p := t.pools.get(m.Pool)
+	return Target{Service: t.services.get(m.Rule.Service), Pool: p.Pool, Class: m.Class, Keyed: p.keyed[m.Class]}, nil
 }
 
 // Refusal says that a request was not let in, and when to come back, if known.
@@ -241,13 +266,16 @@
 	make    MakeUpstream
 	guide   MakeGuide // nil where pools decide alone
 
-	mu    sync.Mutex // one configuration at a time
-	cfg   *config.Config
-	keys  *keys.Holder           // from the first configuration on that has keys
-	known map[string]core.Memory // of the process before, until the first Apply
-	endBy time.Time
-	stand *core.Standing  // nil where the configuration says it
-	old   map[*owned]bool // pools that drain
+	mu       sync.Mutex // one configuration at a time
+	limits   limit.Machine
+	seed     uint64
+	share    float64      // the guaranteed part of pools that name none
+	keys     *keys.Holder // from the first configuration on that has keys
+	keyTerms config.Keys
+	known    map[string]core.Memory // of the process before, until there are pools
+	endBy    time.Time
+	stand    *core.Standing  // nil where the configuration says it
+	old      map[*owned]bool // pools that drain
 }
 
 // Room is where connections to servers are counted.
@@ -269,7 +297,7 @@
 	if cfg.Budgets {
 		s.budgets = newBudgets()
 	}
-	s.now.Store(&table{})
+	s.now.Store(&table{services: newByName[*Service](), pools: newByName[*member]()})
 	if err := s.Apply(cfg); err != nil {
 		return nil, err
 	}
@@ -286,90 +314,207 @@
 	if err != nil {
 		return fmt.Errorf("applying a configuration: %w", err)
 	}
-	if err := s.share(cfg, cfg.Limits); err != nil {
-		return fmt.Errorf("applying a configuration: %w", err)
+	d := config.Delta{Routes: routes, Shares: true}
+	was := s.now.Load()
+	named := make(map[string]bool)
+	for i := range cfg.Pools {
+		named[cfg.Pools[i].Name] = true
+		d.Pools = append(d.Pools, &cfg.Pools[i])
 	}
-	keyed, err := s.keep(cfg)
-	if err != nil {
-		return fmt.Errorf("applying a configuration: %w", err)
+	for name := range was.pools.all() {
+		if !named[name] {
+			d.GonePools = append(d.GonePools, name)
+		}
+	}
+	clear(named)
+	for i := range cfg.Services {
+		named[cfg.Services[i].Name] = true
+		d.Services = append(d.Services, &cfg.Services[i])
+	}
+	for name := range was.services.all() {
+		if !named[name] {
+			d.GoneServices = append(d.GoneServices, name)
+		}
 	}
+	return s.change(d, terms{cfg.Limits, cfg.Seed, cfg.Keys, true})
+}
+
+// Change puts in force what differs, or changes nothing and says why. What the delta does not name
+// stays the same, and costs nothing.
+func (s *Set) Change(d config.Delta) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.change(d, terms{s.limits, s.seed, s.keyTerms, false})
+}
+
+// terms are what a node says of itself; differ says that they may not be those in force.
+type terms struct {
+	limits limit.Machine
+	seed   uint64
+	keys   config.Keys
+	differ bool
+}
+
+func (s *Set) change(d config.Delta, by terms) error {
 	was := s.now.Load()
-	next := &table{keyed: keyed, routes: routes, services: make(map[string]*Service), pools: make(map[string]*Pool)}
-	for i := range cfg.Pools {
-		c := &cfg.Pools[i]
-		old := was.pools[c.Name]
-		if old != nil {
-			old.line.configure(c.Gate)
+	pools := s.after(was, d)
+	if d.Shares {
+		if err := s.lay(pools, by.limits, d.Share); err != nil {
+			return fmt.Errorf("applying a configuration: %w", err)
+		}
+	}
+	if by.differ || s.keysDiffer(was, d) {
+		if err := s.keep(by.keys, pools); err != nil {
+			if d.Shares { // nothing has changed
+				err = errors.Join(err, s.lay(s.after(was, config.Delta{}), s.limits, s.share))
+			}
+			return fmt.Errorf("applying a configuration: %w", err)
 		}
-		if old != nil && old.own.update(c) {
-			next.pools[c.Name] = old
-			continue
+	}
+	if s.limits, s.seed, s.keyTerms = by.limits, by.seed, by.keys; d.Shares {
+		s.share = d.Share
+	}
+	next := &table{routes: d.Routes}
+	var over []*Pool
+	members := was.pools.tree.Txn()
+	for _, c := range d.Pools {
+		old := was.pools.get(c.Name)
+		p := s.pool(c, old)
+		if old != nil && old.Pool != p {
+			over = append(over, old.Pool)
+		}
+		members.Insert([]byte(c.Name), &member{p, s.keyed(c)})
+	}
+	for _, name := range d.GonePools {
+		if old, ok := members.Delete([]byte(name)); ok {
+			over = append(over, old.Pool)
 		}
+	}
+	services := was.services.tree.Txn()
+	for _, c := range d.Services {
+		services.Insert([]byte(c.Name), was.services.get(c.Name).configure(c))
+	}
+	for _, name := range d.GoneServices {
+		services.Delete([]byte(name))
+	}
+	next.pools.tree, next.services.tree = members.Commit(), services.Commit()
+	if s.budgets == nil && len(d.Pools) == 1 && len(d.Services) == 1 {
+		next.only = &Target{Service: next.services.get(d.Services[0].Name), Pool: next.pools.get(d.Pools[0].Name).Pool}
+	}
+	if next.pools.tree.Len() > 0 {
+		s.known = nil
+	}
+	s.now.Store(next)
+	for _, p := range over {
+		s.retire(p)
+	}
+	return nil
+}
+
+// pool gives a pool under its configuration, beside the one in force, if any.
+func (s *Set) pool(c *config.Pool, was *member) *Pool {
+	if was == nil {
 		var known *core.Memory
-		if m, ok := s.known[c.Name]; ok && old == nil {
+		if m, ok := s.known[c.Name]; ok {
 			known = &m // of the process before
 		}
-		if old != nil {
-			m := old.Memory()
-			known = &m
+		p := s.begin(c, s.seed, nil, known)
+		p.line = newLine(c.Gate)
+		s.well(c.Name)
+		return p
+	}
+	old := was.Pool
+	if old.line.configure(c.Gate); old.own.update(c) {
+		return old
+	}
+	m := old.Memory()
+	p := s.begin(c, s.seed, old, &m)
+	p.line = old.line // who is in the old one still counts
+	s.well(c.Name)
+	return p
+}
+
+// well has the budgets forget the trouble of a pool's name: the one before may have been in some.
+func (s *Set) well(pool string) {
+	if s.budgets != nil {
+		s.trouble(pool, false)
+	}
+}
+
+// after are the configurations of the pools once a delta is in force.
+func (s *Set) after(was *table, d config.Delta) iter.Seq[*config.Pool] {
+	return func(yield func(*config.Pool) bool) {
+		other := make(map[string]bool, len(d.Pools)+len(d.GonePools))
+		for _, name := range d.GonePools {
+			other[name] = true
 		}
-		p := s.begin(c, cfg.Seed, old, known)
-		if p.line = newLine(c.Gate); old != nil {
-			p.line = old.line // who is in the old one still counts
+		for _, c := range d.Pools {
+			if other[c.Name] = true; !yield(c) {
+				return
+			}
 		}
-		next.pools[c.Name] = p
-		if s.budgets != nil {
-			s.trouble(c.Name, false) // the one before may have been
+		for name, p := range was.pools.all() {
+			if !other[name] && !yield(p.own.cfg) {
+				return
+			}
 		}
 	}
-	for i := range cfg.Services {
-		c := &cfg.Services[i]
-		next.services[c.Name] = was.services[c.Name].configure(c)
-	}
-	if !cfg.Budgets && len(cfg.Pools) == 1 && len(cfg.Services) == 1 {
-		next.only = &Target{Service: next.services[cfg.Services[0].Name], Pool: next.pools[cfg.Pools[0].Name]}
+}
+
+// keysDiffer says whether what is done about keys is other than it was.
+func (s *Set) keysDiffer(was *table, d config.Delta) bool {
+	for _, c := range d.Pools {
+		old := was.pools.get(c.Name)
+		if old == nil && len(c.Keys) > 0 || old != nil && !maps.Equal(old.own.cfg.Keys, c.Keys) {
+			return true
+		}
 	}
-	s.cfg, s.known = cfg, nil
-	s.now.Store(next)
-	for name, p := range was.pools {
-		if next.pools[name] != p {
-			s.retire(p)
+	for _, name := range d.GonePools {
+		if old := was.pools.get(name); old != nil && len(old.own.cfg.Keys) > 0 {
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
 // keep has keys kept as a configuration says. Called under the lock.
-func (s *Set) keep(cfg *config.Config) (map[string]*Keyed, error) {
-	set, any := cfg.KeySettings()
+func (s *Set) keep(terms config.Keys, pools iter.Seq[*config.Pool]) error {
+	set, any := terms.Settings(pools)
+	if s.keys != nil && any {
+		return s.keys.Configure(set)
+	}
 	if !any {
-		return nil, nil
+		return nil
 	}
-	if s.keys == nil {
-		h, err := keys.New(keys.Options{Bounds: set, File: cfg.Keys.Durable, Log: s.log})
-		if err != nil {
-			return nil, err
-		}
-		s.keys = h
-		s.Figures.Keys(h)
-	} else if err := s.keys.Configure(set); err != nil {
-		return nil, err
+	h, err := keys.New(keys.Options{Bounds: set, File: terms.Durable, Log: s.log})
+	if err != nil {
+		return err
 	}
-	keyed := make(map[string]*Keyed)
-	for i := range cfg.Pools {
-		for class, rule := range cfg.Pools[i].Keys {
-			name := config.KeyClass(cfg.Pools[i].Name, class)
-			keyed[name] = &Keyed{s.keys, rule, name}
-		}
+	s.keys = h
+	s.Figures.Keys(h)
+	return nil
+}
+
+// keyed is what is done about the keys of a pool's classes.
+func (s *Set) keyed(c *config.Pool) map[string]*Keyed {
+	if len(c.Keys) == 0 {
+		return nil
+	}
+	keyed := make(map[string]*Keyed, len(c.Keys))
+	for class, rule := range c.Keys {
+		keyed[class] = &Keyed{s.keys, rule, config.KeyClass(c.Name, class)}
 	}
-	return keyed, nil
+	return keyed
 }
 
-// share lays out what the pools share. Called under the lock.
-func (s *Set) share(cfg *config.Config, m limit.Machine) error {
+// lay lays out what the pools share. Called under the lock.
+func (s *Set) lay(pools iter.Seq[*config.Pool], m limit.Machine, share float64) error {
 	guarantees := func(total int) map[string]int {
-		g := cfg.Guarantees(total)
-		for name := range s.now.Load().pools {
+		g := make(map[string]int)
+		for c := range pools {
+			g[c.Name] = c.Guarantee(total, share)
+		}
+		for name := range s.now.Load().pools.all() {
 			g[name] += 0 // what drains still connects, but is guaranteed nothing
 		}
 		for o := range s.old {
@@ -434,8 +579,8 @@
 
 // each does something to all pools, those that drain too. The lock is held.
 func (s *Set) each(do func(*core.Pool)) {
-	for _, p := range s.now.Load().pools {
-		do(p.Pool)
+	for _, p := range s.now.Load().pools.all() {
+		do(p.Pool.Pool)
 	}
 	for o := range s.old {
 		do(o.pool)
@@ -447,25 +592,57 @@
 func (s *Set) Resize(m limit.Machine) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.share(s.cfg, m)
+	if err := s.lay(s.after(s.now.Load(), config.Delta{}), m, s.share); err != nil {
+		return err
+	}
+	s.limits = m
+	return nil
+}
+
+// Longest is the longest time that a request of any class may take.
+func (s *Set) Longest() (longest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.now.Load().pools.all() {
+		for _, c := range p.own.cfg.Settings.Classes {
+			longest = max(longest, c.Deadline)
+		}
+	}
+	return longest
 }
 
 // Memory is what the pools in force know, by name.
 func (s *Set) Memory() map[string]core.Memory {
 	m := make(map[string]core.Memory)
-	for name, p := range s.now.Load().pools {
+	for name, p := range s.Pools() {
 		m[name] = p.Memory()
 	}
 	return m
 }
 
 // Pools are the pools in force, by name.
-func (s *Set) Pools() map[string]*Pool { return s.now.Load().pools }
+func (s *Set) Pools() iter.Seq2[string, *Pool] {
+	return func(yield func(string, *Pool) bool) {
+		for name, p := range s.now.Load().pools.all() {
+			if !yield(name, p.Pool) {
+				return
+			}
+		}
+	}
+}
+
+// Pool is the one in force under a name, or nil.
+func (s *Set) Pool(name string) *Pool {
+	if p := s.now.Load().pools.get(name); p != nil {
+		return p.Pool
+	}
+	return nil
+}
 
 // Close ends all pools. No request may be open.
 func (s *Set) Close() {
 	s.mu.Lock()
-	pools := s.now.Load().pools
+	pools := s.Pools()
 	old := make([]*owned, 0, len(s.old))
 	for o := range s.old {
 		old = append(old, o)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -84,9 +84,11 @@
 	return s
 }
 
+var someLook = route.Query{Path: "/look/1", Method: "GET"}
+
 func find(t *testing.T, s *Set, host string) Target {
 	t.Helper()
-	target, err := s.Find(host, route.Query{Path: "/look/1", Method: "GET"})
+	target, err := s.Find(host, someLook)
 	if err != nil {
 		t.Fatal(err)
 	}
