Have a node's pools and services come from relays: [config]

Cause: nothing carried a change of the configuration to the nodes. Change: with [config] a node's file holds no service and no pool. It starts from the copy on its disk or waits, not ready and taking no client, for the first version; each change is put in force as it comes, by the node's own goroutine, with a log line of its version, records, refused ones and time. One that wants more descriptors than there are leaves all as it was. SIGHUP reads the node's own file. The door tells config_version, config_age_ms, config_refused and config_relay, and is ready from the first version on. Without the table nothing of it runs.

--- a/internal/config/cluster.go
+++ b/internal/config/cluster.go
@@ -36,12 +36,8 @@
 		Voters: t.texts("voters", addr, isAddr),
 		Listen: t.text("listen", "", addr, isAddr),
 		Folder: t.text("folder", "", "the path of a folder", some),
-		Files: mtls.Files{
-			Certificate: t.text("certificate", "", "the name of a file in PEM", some),
-			Key:         t.text("key", "", "the name of a file in PEM", some),
-			Authorities: t.text("authorities", "", "the name of a file in PEM", some),
-		},
-		Lease: t.time("lease", defaultLease, time.Second, time.Minute),
+		Files:  readFiles(t),
+		Lease:  t.time("lease", defaultLease, time.Second, time.Minute),
 	}
 	for _, key := range []string{"voters", "certificate", "key", "authorities"} {
 		t.must(key)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,6 +51,7 @@
 	Planning Planning
 	Cluster  Cluster
 	Members  Members
+	Remote   Remote
 }
 
 // seat keeps the nodes of a fleet from drawing the same numbers, by what sets them apart: all would
@@ -169,6 +170,7 @@
 	for _, file := range []*string{
 		&c.Planning.Certificate, &c.Planning.Key, &c.Planning.Authorities,
 		&c.Cluster.Files.Certificate, &c.Cluster.Files.Key, &c.Cluster.Files.Authorities, &c.Cluster.Folder, &c.Keys.Durable, &c.Members.Folder,
+		&c.Remote.Files.Certificate, &c.Remote.Files.Key, &c.Remote.Files.Authorities, &c.Remote.Folder,
 	} {
 		if *file != "" && !filepath.IsAbs(*file) {
 			*file = filepath.Join(filepath.Dir(path), *file)
@@ -259,8 +261,12 @@
 	c.readCluster(root)
 	c.readMembers(root)
 
-	c.readServed(root, func(*table) {})
+	c.readRemote(root)
+	if !c.Remote.On() {
+		c.readServed(root, func(*table) {})
+	}
 	switch {
+	case c.Remote.On():
 	case c.Role == Planner && len(c.Services) > 0:
 		root.fail("service", "stands with a planner, which serves no clients: want pools alone")
 	case len(c.Services) == 0 && c.Role != Planner:
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,12 +4,14 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"jasperpin/decide"
+	"jasperpin/internal/mtls"
 	"jasperpin/internal/route"
 )
 
@@ -63,6 +65,27 @@
 	}
 }
 
+// TestExampleFromRelays has the example's [config] in force, without what then comes from relays.
+func TestExampleFromRelays(t *testing.T) {
+	text, _, _ := strings.Cut(example(t), "# A service is what clients ask for.")
+	at := strings.Index(text, "# [config]")
+	if at < 0 {
+		t.Fatal("the example has no [config]")
+	}
+	about, rest, _ := strings.Cut(text[at:], "\n\n")
+	c, err := Parse("jasperpin.toml", []byte(text[:at]+strings.ReplaceAll("\n"+about, "\n# ", "\n")+"\n\n"+rest))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Remote{
+		Relays: []Relay{{"relay-1", "127.0.0.1:7810", "a", "north"}, {"127.0.0.1:7811", "127.0.0.1:7811", "b", "north"}},
+		Zone:   "a", Region: "north", Folder: "configuration", Files: mtls.Files{Certificate: "config.pem", Key: "config.key", Authorities: "config-ca.pem"},
+	}
+	if !reflect.DeepEqual(c.Remote, want) || len(c.Pools)+len(c.Services) > 0 {
+		t.Errorf("got %+v", c.Remote)
+	}
+}
+
 const small = `[node]
 listen = ["127.0.0.1:0"]
 [[service]]
@@ -122,6 +145,15 @@
 		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\ngone = \"1s\"\n[node]\nname = \"a\"", `f:3: gone is 1s: want 10s at the least`},
 		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\n[node]\nname = \"a\"\nnodes = 3", `f:5: nodes stands beside [members]`},
 		{`[node]`, "[members]\nlisten = \"127.0.0.1:1\"\n[node]", `f:2: listen stands with a node that has no name`},
+		{`[node]`, "[config]\n[node]\nname = \"a\"", `f:1: relay is missing`},
+		{`[node]`, "[config]\nzone = 3\n[[config.relay]]\naddress = \"127.0.0.1:1\"\n[node]\nname = \"a\"", `f:2: zone is 3: want the name of a place, in quotes`},
+		{`[node]`, "[config]\n[[config.relay]]\nzone = \"a\"\n[node]\nname = \"a\"", `f:2: address is missing`},
+		{`[node]`, "[config]\n[[config.relay]]\naddress = \"127.0.0.1:1\"\n[[config.relay]]\naddress = \"127.0.0.1:1\"\n[node]\nname = \"a\"", `f:4: name "127.0.0.1:1" stands for two relays`},
+		{`[node]`, "[config]\n[[config.relay]]\naddress = \"127.0.0.1:1\"\n[node]\nname = \"a\"", `f:7: service stands beside [config]`},
+		{`[node]`, "[config]\n[[config.relay]]\naddress = \"127.0.0.1:1\"\n[node]\nname = \"a\"", `f:11: pool stands beside [config]`},
+		{`[node]`, "[config]\n[[config.relay]]\naddress = \"127.0.0.1:1\"\n[node]", `f:2: relay stands with a node that has no name`},
+		{`[node]`, "[config]\n[[config.relay]]\naddress = \"127.0.0.1:1\"\n[node]\nname = \"a\"\nrole = \"planner\"", `f:2: relay stands with a planner`},
+		{`pool = "p"`, "name = \"a\"\npool = \"p\"\n[[service.route]]\nname = \"a\"\nhosts = [\"a.org\"]\npool = \"p\"", `f:9: name "a" is used twice in one service`},
 		{`repeat = "safe"`, `repeat = `, `f:12: not TOML`},
 		{`repeat = "safe"`, `repeat = "safe"` + "\nrepeat = \"safe\"", `not TOML`},
 	} {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -82,6 +83,7 @@
 	draining  atomic.Bool
 	fleet     *fleetMember      // nil where it meets no others
 	group     *cluster.Instance // nil where the node belongs to none
+	remote    *remote           // nil where pools and services are in the file
 	line      *succession.Line  // of this node's processes; nil where it has no folder
 	shares    chan succession.Share
 	share     succession.Share
@@ -100,6 +102,7 @@
 	n := &Node{cfg: cfg, source: source, log: log, figures: figures.New(), shares: make(chan succession.Share, 1), share: succession.Share{Of: 1}}
 	if err := n.start(); err != nil {
 		n.unlisten()
+		n.remote.close()
 		n.fleet.close()
 		if n.group != nil {
 			n.group.Close()
@@ -123,13 +126,23 @@
 		log.Warn("the system lets this process open fewer descriptors than its limits say", "limits", cfg.Limits.Descriptors, "system", most)
 		cfg.Limits.Descriptors = most
 	}
-	links := len(cfg.Pools) * len(cfg.Planning.Planners)
+	watched := 0
 	for i := range cfg.Pools {
 		if cfg.Pools[i].Discovery != "" {
-			links++
+			watched++
 		}
 	}
-	if err := cfg.Limits.Links(links); err != nil {
+	return links(cfg, len(cfg.Pools), watched)
+}
+
+// links has the limits leave room for the connections that so many pools keep, some of which watch
+// a discovery.
+func links(cfg *config.Config, pools, watched int) error {
+	n := pools*len(cfg.Planning.Planners) + watched
+	if cfg.Remote.On() {
+		n++
+	}
+	if err := cfg.Limits.Links(n); err != nil {
 		return fmt.Errorf("limits: %w", err)
 	}
 	return nil
@@ -176,6 +189,9 @@
 	}
 	n.front = httpfront.New(n.set, n.machine(), log)
 	n.served = make(chan error, len(n.listeners))
+	if err := n.follow(); err != nil {
+		return err
+	}
 	n.part(n.share)
 	if err := n.line.Listen(n.kin()); err != nil {
 		// A path too long, say: it serves, and a new version will know nothing of it.
@@ -274,6 +290,8 @@
 			n.part(s)
 		case <-patience:
 			n.accept()
+		case p := <-n.remote.news():
+			p.done <- p.put()
 		case <-ctx.Done():
 			if n.planner != nil {
 				return nil // it holds no request: forwarders go on without it
@@ -287,6 +305,7 @@
 	if n.door != nil {
 		n.door.Close()
 	}
+	n.remote.close()
 	n.fleet.close() // before the lease that it goes by
 	if n.group != nil {
 		n.group.Close()
@@ -305,7 +324,11 @@
 		n.planner.apply(cfg)
 		return nil
 	}
-	if err := n.set.Apply(cfg); err != nil {
+	put := n.set.Apply
+	if n.remote != nil {
+		put = n.set.Reterm
+	}
+	if err := put(cfg); err != nil {
 		return err
 	}
 	if n.clients != nil {
@@ -319,6 +342,9 @@
 	if err == nil {
 		err = fit(next, n.log)
 	}
+	if err == nil && n.remote != nil {
+		err = links(next, n.remote.pools, n.remote.watched)
+	}
 	if err == nil {
 		err = n.apply(next)
 	}
@@ -368,6 +394,7 @@
 	heir := n.line.Succeeded()
 	n.log.Info("draining", "successor", heir)
 	n.draining.Store(true)
+	n.remote.end()
 	n.front.Drain()
 	var left sync.WaitGroup
 	left.Go(n.fleet.leave) // what is out is ended without a part: it begins nothing more at cold servers
@@ -439,6 +466,17 @@
 		next.Members = was.Members
 		restart = append(restart, "members")
 	}
+	if !reflect.DeepEqual(was.Remote, next.Remote) {
+		if was.Remote.On() != next.Remote.On() {
+			return nil, nil, errors.New("[config] comes or goes: a node learns where its pools and services are by a restart")
+		}
+		next.Remote = was.Remote
+		restart = append(restart, "config")
+	}
+	if was.Remote.On() && (was.Number != next.Number || was.Nodes != next.Nodes) { // which each pool was told
+		next.Number, next.Nodes = was.Number, was.Nodes
+		restart = append(restart, "node.number and nodes")
+	}
 	if was.Keys.Durable != next.Keys.Durable {
 		next.Keys.Durable = was.Keys.Durable
 		restart = append(restart, "keys.durable")
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -74,7 +74,7 @@
 	if o.draining.Load() {
 		return errDraining
 	}
-	return nil
+	return o.remote.ready()
 }
 
 func (o operator) Figures(w *bytes.Buffer) error {
@@ -86,7 +86,11 @@
 			s.Out += out
 		}
 	}
-	return o.figures.Write(w, s)
+	if err := o.figures.Write(w, s); err != nil {
+		return err
+	}
+	o.remote.figures(w)
+	return nil
 }
 
 func (o operator) Exclude(id string) error { return o.server(id, (*core.Pool).Exclude, "excluded") }
--- a/internal/node/succeed.go
+++ b/internal/node/succeed.go
@@ -134,11 +134,15 @@
 	}
 }
 
-// accept takes clients, from the first call on.
+// accept takes clients, from the first call on with something to serve them by.
 func (n *Node) accept() {
 	if n.accepting || n.front == nil {
 		return
 	}
+	if n.remote != nil && n.remote.ready() != nil {
+		n.remote.accept = true // as soon as it has
+		return
+	}
 	n.accepting = true
 	for _, ln := range n.listeners {
 		go func() { n.served <- n.front.Serve(ln) }()
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -347,6 +347,14 @@
 	return s.change(d, terms{s.limits, s.seed, s.keyTerms, false})
 }
 
+// Reterm puts in force what a configuration says of the node itself: its limits and the bounds of
+// keys, or changes nothing and says why. Pools and services stay as they are.
+func (s *Set) Reterm(cfg *config.Config) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.change(config.Delta{Routes: s.now.Load().routes, Shares: true, Share: s.share}, terms{cfg.Limits, cfg.Seed, cfg.Keys, true})
+}
+
 // terms are what a node says of itself; differ says that they may not be those in force.
 type terms struct {
 	limits limit.Machine
