Have relays look for voters while they follow each other, and streams stay dead after cuts

The model showed two relays that had lost the voters follow each other and count as level for 4 s, so that all were level only 4 to 7 s after the faults' end.

--- a/internal/peers/conf/follower.go
+++ b/internal/peers/conf/follower.go
@@ -55,7 +55,7 @@
 	Name         string // its own, that no other has
 	Zone, Region string
 	Peers        []Peer
-	Log          bool   // it is a relay: snapshots come with the log
+	Relay        bool   // it serves others: it wants the log with a snapshot, and looks for news more eagerly
 	Seed         uint64 // of what it draws
 }
 
@@ -354,7 +354,7 @@
 	f.chosen, f.build = l, nil
 	f.home = l.heard + f.most(Home)
 	l.progress, l.chosen = l.heard, l.heard
-	r := Resume{Stream: l.stream, Version: f.state.Version(), Digest: f.state.Digest(), Log: f.opts.Log}
+	r := Resume{Stream: l.stream, Version: f.state.Version(), Digest: f.state.Digest(), Log: f.opts.Relay}
 	if f.doubt {
 		r.Version, r.Digest = 0, Digest{}
 	}
@@ -476,22 +476,22 @@
 		}
 	}
 	was := f.wanting
+	of := len(f.peers)
 	if f.wanting = f.chosen != nil && !f.isLevel(f.chosen, now); f.wanting && !was {
-		f.next = max(f.next, now+f.within(Retry)) // all that follow the same relay see the same
+		f.next = max(f.next, now+f.within(f.lull())) // all that follow the same relay see the same
+	} else if f.opts.Relay && f.chosen != nil && f.chosen.peer.Rank > f.peers[0].Rank {
+		// Two relays that have lost the voters may follow each other, and think themselves level for long.
+		f.wanting = true
+		of = slices.IndexFunc(f.peers, func(p *peer) bool { return p.Rank == f.chosen.peer.Rank })
 	}
 	if now < f.next {
 		return
 	}
 	switch {
-	case f.chosen == nil:
-		if p := f.pick(now, len(f.peers)); p != nil {
-			f.dial(p, now)
-			f.next = now + f.most(Stagger)
-		}
-	case f.wanting: // it is kept for what it may bring, and another looked for
-		if p := f.pick(now, len(f.peers)); p != nil {
+	case f.chosen == nil || f.wanting: // which is kept for what it may bring, and another looked for
+		if p := f.pick(now, of); p != nil {
 			f.dial(p, now)
-			f.next = now + f.most(Retry)
+			f.next = now + f.most(f.lull())
 		}
 	case now >= f.home:
 		f.home = now + f.most(Home)
@@ -501,17 +501,26 @@
 	}
 }
 
+// lull is how long after a dial the next one is due at most. Whoever has a relay that is not level does no harm
+// by waiting a little, and there may be thousands of such nodes, all of which look at relays that are there.
+func (f *Follower) lull() time.Duration {
+	if f.wanting && !f.opts.Relay {
+		return Retry
+	}
+	return Stagger
+}
+
 // pick chooses whom to dial of the first peers by preference. Who was not tried of late goes first, and beside
 // a relay that is not level those that share least with what was found wanting.
 func (f *Follower) pick(now time.Duration, of int) *peer {
-	type score [4]time.Duration
+	type score [5]time.Duration
 	var best *peer
 	var least score
 	for _, p := range f.peers[:of] {
 		if p.link != nil || now < p.due || now < p.barred {
 			continue
 		}
-		s := score{3: time.Duration(p.order)}
+		s := score{2: time.Duration(p.Rank), 4: time.Duration(p.order)}
 		if now < p.shunned {
 			s[0] = 1
 		}
@@ -519,7 +528,7 @@
 			s[1] = max(p.tried, 1)
 		}
 		if f.wanting {
-			s[2] = f.near(p, now)
+			s[3] = f.near(p, now)
 		}
 		if best == nil || slices.Compare(s[:], least[:]) < 0 {
 			best, least = p, s
--- a/internal/peers/conf/model_test.go
+++ b/internal/peers/conf/model_test.go
@@ -19,13 +19,15 @@
 	t.Cleanup(func() { maxLog, pieceBytes = log, piece })
 }
 
-// wire is one stream of the model, as TCP has it: what was sent comes in order, late, or not at all.
+// wire is one stream of the model, as TCP has it: what was sent comes in order, late, or not at all. After a cut
+// it may stay dead, and neither side hears of that.
 type wire struct {
 	id     uint64
 	from   *party // the follower
 	to     *party
 	cursor *Cursor
-	up     bool     // the dial has come about
+	up     bool // the dial has come about
+	dead   bool
 	words  []Word   // on their way to the follower
 	ask    []Resume // and to the relay
 }
@@ -141,7 +143,7 @@
 	p.version, p.inForce = s.Version(), table(s)
 	p.runs++
 	p.born = m.now
-	p.f = NewFollower(Options{Name: p.name, Zone: p.zone, Region: p.zone, Peers: p.peers, Log: p.serves != nil, Seed: p.runs}, s, 0)
+	p.f = NewFollower(Options{Name: p.name, Zone: p.zone, Region: p.zone, Peers: p.peers, Relay: p.serves != nil, Seed: p.runs}, s, 0)
 	m.check(p)
 }
 
@@ -278,7 +280,7 @@
 
 // pass moves what a stream has, both ways.
 func (m *tier) pass(w *wire, crashes bool) {
-	if !slices.Contains(m.wires, w) || w.from.f == nil {
+	if !slices.Contains(m.wires, w) || w.from.f == nil || w.dead {
 		return
 	}
 	f := w.from.f
@@ -420,16 +422,16 @@
 			m.propose()
 		case 2: // one way, or both
 			a, b, is := any("from"), any("to"), rapid.Bool().Draw(t, "cut")
-			m.cut[[2]string{a.name, b.name}] = is
+			m.split(a, b, is)
 			if rapid.Bool().Draw(t, "both ways") {
-				m.cut[[2]string{b.name, a.name}] = is
+				m.split(b, a, is)
 			}
 		case 3: // a region from another
 			is := rapid.Bool().Draw(t, "regions cut")
 			for _, a := range m.all {
 				for _, b := range m.all {
 					if a.zone != b.zone {
-						m.cut[[2]string{a.name, b.name}] = is
+						m.split(a, b, is)
 					}
 				}
 			}
@@ -467,6 +469,16 @@
 	}
 }
 
+// split cuts a link one way, or mends it.
+func (m *tier) split(a, b *party, is bool) {
+	m.cut[[2]string{a.name, b.name}] = is
+	for _, w := range m.wires {
+		if is && (w.from == a && w.to == b || w.from == b && w.to == a) {
+			w.dead = w.dead || rapid.Bool().Draw(m.t, "dead")
+		}
+	}
+}
+
 // heal ends all faults but lies.
 func (m *tier) heal() {
 	m.cut, m.rough = make(map[[2]string]bool), false
