--- a/internal/peers/conf/model_test.go
+++ b/internal/peers/conf/model_test.go
@@ -28,6 +28,7 @@
 	cursor *Cursor
 	up     bool // the dial has come about
 	dead   bool
+	old    Piece    // the last one of an old snapshot, from a liar that gives such
 	words  []Word   // on their way to the follower
 	ask    []Resume // and to the relay
 }
@@ -65,6 +66,8 @@
 	cut     map[[2]string]bool // from one to another
 	rough   bool               // words within a stream are lost, doubled and out of order
 	errs    bool               // so that honest relays may be called liars
+	manner  int                // of the liar
+	old     *Snapshot          // that it gives in place of newer ones
 	heard   int                // changes that came, and pieces, and lies that were found
 	pieces  int
 	lies    int
@@ -312,7 +315,9 @@
 			break
 		}
 		if w.to.liar {
-			word = m.lie(word)
+			if word = m.lie(w, word); word == nil {
+				continue
+			}
 		}
 		sent, err := DecodeWord(AppendWord(nil, word))
 		if err != nil {
@@ -347,8 +352,28 @@
 	}
 }
 
-// lie makes something else of a word now and then.
-func (m *tier) lie(w Word) Word {
+// lie makes something else of a word now and then, or always promises what it never gives, or gives what is old.
+func (m *tier) lie(on *wire, w Word) Word {
+	o, offers := w.(Offer)
+	switch {
+	case m.manner == 1 && offers:
+		o.Version += 1000
+		return o
+	case m.manner == 1:
+		return nil
+	case m.manner == 2 && offers && m.old == nil && rapid.Bool().Draw(m.t, "old"):
+		s := m.voters.Snapshot()
+		m.old = &s
+	case m.manner == 2 && !offers && m.old != nil:
+		if on.old.Last {
+			return nil
+		}
+		on.old = m.old.Piece(on.old)
+		return on.old
+	}
+	if m.manner > 0 {
+		return w
+	}
 	kind := rapid.IntRange(0, 5).Draw(m.t, "lie")
 	switch w := w.(type) {
 	case Offer:
@@ -390,6 +415,11 @@
 			w.Records = w.Records[:len(w.Records)/2]
 		case 4:
 			w.Digest[1]++
+		case 5:
+			if len(w.Changes) > 0 {
+				w.Changes = slices.Clone(w.Changes)
+				w.Changes[0].Author = "nobody"
+			}
 		}
 		return w
 	}
@@ -523,6 +553,7 @@
 	heard, pieces, lies := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newTier(t, rapid.IntRange(2, 3).Draw(t, "relays"), 4, rapid.IntRange(0, 1).Draw(t, "liars"))
+		m.manner = rapid.IntRange(0, 2).Draw(t, "manner")
 		m.faults(80)
 		m.heal()
 		took := m.within(7 * time.Second)
