--- a/internal/config/assembly.go
+++ b/internal/config/assembly.go
@@ -475,13 +475,19 @@
 
 // unfitRoutes makes the route table, and refuses the routes that it cannot take.
 func (p *plan) unfitRoutes(bad map[conf.Key]refusal) {
-	var without, with []route.Rule
+	var without, with []*route.Rule
+	add := func(to []*route.Rule, rules []route.Rule) []*route.Rule {
+		for i := range rules {
+			to = append(to, &rules[i])
+		}
+		return to
+	}
 	for _, k := range p.keys {
 		if r := p.in[k]; r.kind == conf.Route {
 			if s := p.services[r.service]; s != nil {
-				without = append(without, s.routes[r.name]...)
+				without = add(without, s.routes[r.name])
 			}
-			with = append(with, r.rules...)
+			with = add(with, r.rules)
 		}
 	}
 	if p.routes = p.Assembly.routes; len(without)+len(with) == 0 {
--- a/internal/route/change_test.go
+++ b/internal/route/change_test.go
@@ -51,17 +51,17 @@
 		var before []past
 		for step := range rapid.IntRange(1, 8).Draw(t, "changes") {
 			before = append(before, past{table, answers(table)})
-			var without, with []Rule
+			var without, with []*Rule
 			for _, r := range rapid.SliceOfN(rule, 0, 3).Draw(t, "without") {
 				delete(all, id(r))
-				without = append(without, r)
+				without = append(without, &r)
 			}
 			for _, r := range rapid.SliceOfN(rule, 0, 6).Draw(t, "with") {
 				r.Targets = to(fmt.Sprint(step, " ", id(r)))
 				r.Origin = fmt.Sprint("step ", step)
 				if _, there := all[id(r)]; !there {
 					all[id(r)] = r
-					with = append(with, r)
+					with = append(with, &r)
 				}
 			}
 			if table, err = table.Change(without, with); err != nil {
@@ -89,7 +89,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	next, err := table.Change(nil, []Rule{
+	next, err := table.Change(nil, []*Rule{
 		{Origin: "1", Host: "a.org", Targets: to("b")},
 		{Origin: "2", Host: "b.org", Targets: to("b")},
 		{Origin: "3", Host: "Upper.org", Targets: to("c")},
@@ -125,7 +125,7 @@
 func TestChangeCostsByItself(t *testing.T) {
 	cost := func(n int) float64 {
 		table := many(t, n)
-		r := []Rule{{Host: "service-7.example.org", Path: "/part-200", Targets: to("q")}}
+		r := []*Rule{{Host: "service-7.example.org", Path: "/part-200", Targets: to("q")}}
 		return testing.AllocsPerRun(50, func() {
 			if _, err := table.Change(r, r); err != nil {
 				t.Fatal(err)
@@ -143,7 +143,7 @@
 	for _, n := range []int{364, 3_640, 37_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			table := many(b, n)
-			r := []Rule{{Host: "service-7.example.org", Path: "/part-200", Targets: to("q")}}
+			r := []*Rule{{Host: "service-7.example.org", Path: "/part-200", Targets: to("q")}}
 			b.ReportAllocs()
 			for b.Loop() {
 				if _, err := table.Change(r, r); err != nil {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -83,20 +83,23 @@
 // New builds a table. Its error joins a RuleError for every rule that cannot be used.
 func New(rules []Rule) (*Table, error) {
 	none := &Table{exact: iradix.New[*paths](), wild: iradix.New[*paths]()}
-	return none.Change(nil, rules)
+	all := make([]*Rule, len(rules))
+	for i := range rules {
+		all[i] = &rules[i]
+	}
+	return none.Change(nil, all)
 }
 
 // Change gives the table without the rules that match the same as some, and then with others.
 // It costs by these rules and the others of their hosts. Its error joins a RuleError for every rule
-// that cannot be used, beside the table without them.
-func (t *Table) Change(without, with []Rule) (*Table, error) {
+// that cannot be used, beside the table without them. The rules must not change from then on.
+func (t *Table) Change(without, with []*Rule) (*Table, error) {
 	e := edit{exact: t.exact.Txn(), wild: t.wild.Txn(), other: t.other, own: make(map[string]*paths)}
-	for i := range without {
-		e.drop(&without[i])
+	for _, r := range without {
+		e.drop(r)
 	}
 	var errs []error
-	for i := range with {
-		r := &with[i]
+	for _, r := range with {
 		err := r.check()
 		if err == nil {
 			err = e.put(r)
