Try again what a node had no room for, with the next change or reading of its file

Cause: records whose delta the node could not use, as for want of descriptors, were lost to it until a whole configuration came. Change: the assembly keeps them as refused ones and tries them with the next update; where that still fails the other records go in force alone. A node tries after it has read its own file, too. A whole configuration takes the place of refused records that it does not hold.

--- a/internal/config/assembly.go
+++ b/internal/config/assembly.go
@@ -25,6 +25,7 @@
 	tally         tally
 	refused       map[conf.Key]refusal
 	waiting       map[conf.Key]map[conf.Key]bool // refused ones, by the record that they want
+	unused        map[conf.Key]bool              // refused ones, since what differs could not be used
 }
 
 // heldPool is a pool in force, with the routes that lead to it.
@@ -80,7 +81,7 @@
 	routes, _ := route.New(nil) // no rule can be wrong
 	return &Assembly{
 		number: number, nodes: nodes, pools: make(map[string]*heldPool), services: make(map[string]*heldService), routes: routes,
-		refused: make(map[conf.Key]refusal), waiting: make(map[conf.Key]map[conf.Key]bool),
+		refused: make(map[conf.Key]refusal), waiting: make(map[conf.Key]map[conf.Key]bool), unused: make(map[conf.Key]bool),
 	}
 }
 
@@ -100,8 +101,9 @@
 }
 
 // Update has a change in force, as far as this program can use its records. Use is called with what
-// differs, if anything does; with its error nothing has changed. The mistakes tell of the records that
-// are left as they were, by key: a later change, of these or of what they want, has them in force.
+// differs, if anything does; with its error nothing has changed, and what differs is tried again with
+// the next update, which may be one of no records. The mistakes tell of the records that are left as
+// they were, by key: a later change, of these or of what they want, has them in force.
 func (a *Assembly) Update(c conf.Change, use func(Delta) error) (Mistakes, error) {
 	return a.update(c.Records, use)
 }
@@ -113,6 +115,9 @@
 		gone[k] = true
 	}
 	var all []conf.Record
+	for k := range a.refused {
+		gone[k] = true
+	}
 	for r := range records {
 		delete(gone, r.Key)
 		all = append(all, r)
@@ -174,18 +179,37 @@
 }
 
 func (a *Assembly) update(records []conf.Record, use func(Delta) error) (Mistakes, error) {
+	if len(a.unused) > 0 {
+		all := slices.Clone(records)
+		for k := range a.unused {
+			if !slices.ContainsFunc(records, func(r conf.Record) bool { return r.Key == k }) {
+				all = append(all, conf.Record{Key: k, Value: a.refused[k].value})
+			}
+		}
+		if p := a.plan(all); len(p.in) == 0 || use(p.delta()) == nil {
+			return p.commit(), nil
+		}
+	}
 	p := a.plan(records)
 	if len(p.in) > 0 {
 		if err := use(p.delta()); err != nil {
+			p.keep(err)
 			return nil, err
 		}
 	}
-	p.commit()
-	var all Mistakes
-	for _, r := range p.refused {
-		all = append(all, r.why...)
+	return p.commit(), nil
+}
+
+// keep has the plan tried again with the next update.
+func (p *plan) keep(err error) {
+	for k := range p.named {
+		p.settle(k)
+	}
+	for k, r := range p.in {
+		p.Assembly.refused[k] = refusal{why: Mistakes{{string(k), 0, err.Error()}}, value: r.Value}
+		p.unused[k] = true
 	}
-	return all.sorted(), nil
+	p.refuse()
 }
 
 // parsed is a record as it was read.
@@ -638,8 +662,8 @@
 	}
 }
 
-// commit has the plan in force.
-func (p *plan) commit() {
+// commit has the plan in force, and gives what is wrong with what is not.
+func (p *plan) commit() Mistakes {
 	a := p.Assembly
 	a.tally = p.count()
 	if p.routes != nil {
@@ -680,15 +704,22 @@
 	for k := range p.named {
 		a.settle(k)
 	}
+	return p.refuse()
+}
+
+// refuse remembers what the plan refuses.
+func (p *plan) refuse() (all Mistakes) {
 	for k, r := range p.refused {
-		a.refused[k] = r
+		all = append(all, r.why...)
+		p.Assembly.refused[k] = r
 		if r.wants != "" {
-			if a.waiting[r.wants] == nil {
-				a.waiting[r.wants] = make(map[conf.Key]bool)
+			if p.waiting[r.wants] == nil {
+				p.waiting[r.wants] = make(map[conf.Key]bool)
 			}
-			a.waiting[r.wants][k] = true
+			p.waiting[r.wants][k] = true
 		}
 	}
+	return all.sorted()
 }
 
 // setRoute has a route in force, and the pools that it leads to know of it.
@@ -722,6 +753,7 @@
 		return
 	}
 	delete(a.refused, k)
+	delete(a.unused, k)
 	if delete(a.waiting[was.wants], k); len(a.waiting[was.wants]) == 0 {
 		delete(a.waiting, was.wants)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -357,6 +357,7 @@
 	if n.cfg = next; next.Limits != was || n.share.Of > 1 {
 		n.part(n.share)
 	}
+	n.remote.again()
 	n.figures.Accepted.Add(1)
 	n.log.Info("reloaded", "services", len(next.Services), "pools", len(next.Pools))
 	if len(restart) > 0 {
--- a/internal/node/remote.go
+++ b/internal/node/remote.go
@@ -113,11 +113,11 @@
 func (r *remote) put(version uint64, records int, update func() (config.Mistakes, error)) error {
 	began := time.Now()
 	wrong, err := update()
+	r.refused.Store(int64(r.assembly.Refused()))
 	if err != nil {
 		return err
 	}
 	r.version.Store(version)
-	r.refused.Store(int64(r.assembly.Refused()))
 	r.node.log.Info("configuration in force", "version", version, "records", records, "refused", r.assembly.Refused(), "took", time.Since(began).Round(time.Microsecond).String())
 	if r.accept {
 		r.accept = false
@@ -132,6 +132,17 @@
 	return nil
 }
 
+// again tries what could not be used, after the node's own file has changed.
+func (r *remote) again() {
+	if r == nil || r.assembly.Refused() == 0 {
+		return
+	}
+	if _, err := r.assembly.Update(conf.Change{}, r.use); err != nil {
+		r.node.log.Warn("a part of the configuration is still not in force", "err", err)
+	}
+	r.refused.Store(int64(r.assembly.Refused()))
+}
+
 // use puts what differs in force, where the limits have room for it.
 func (r *remote) use(d config.Delta) error {
 	next := *r.node.cfg
--- a/internal/node/remote_test.go
+++ b/internal/node/remote_test.go
@@ -207,7 +207,8 @@
 	all("late", two)
 }
 
-// TestConfigurationWithoutRoom has a change that wants more descriptors than there are leave all as it was.
+// TestConfigurationWithoutRoom has a change that wants more descriptors than there are leave all as it was,
+// stop no other, and be in force as soon as there are enough.
 func TestConfigurationWithoutRoom(t *testing.T) {
 	s := newSource(t)
 	one := check.Raw(t, standin.Echo)
@@ -224,4 +225,17 @@
 	if status, body, _ := n.once(at("orders", look("x"))); status != 200 || n.node.set.Pool("p1") != nil {
 		t.Errorf("%d %q", status, body)
 	}
+	n.has("config_refused=500")
+	s.propose(recordsOf(t, svc("late", "")+pool("late", "", one.Addr))...)
+	n.has("config_version=3")
+	n.has("config_refused=500")
+	if status, body, _ := n.once(at("late", look("y"))); status != 200 {
+		t.Errorf("%d %q", status, body)
+	}
+	text := s.text("n0", n.node.cfg.Remote.Folder, "")
+	n.reloadedWhole(strings.NewReplacer("512", "2048", "64MB", "128MB").Replace(text))
+	n.has("config_refused=0")
+	if n.node.set.Pool("p1") == nil {
+		t.Error("with room for it, it is not in force")
+	}
 }
