--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -375,8 +375,8 @@
 	return nil
 }
 
-// TestBadRelays has nodes meet relays that lie by a digest, go back in versions, say what makes no sense, or have
-// heard of nobody for long: each is left, and what was in force at any time is what the voters agreed on.
+// TestBadRelays has nodes meet relays that lie by a digest, go back in versions, fall silent, say what makes no
+// sense, or have heard of nobody for long: each is left, and what was in force at any time is what the voters agreed on.
 func TestBadRelays(t *testing.T) {
 	v := newVoters()
 	first := v.propose(t, "one", "{}")
@@ -410,6 +410,13 @@
 			<-resumed
 			return say(c, conf.Changes{first}, conf.Offer{Version: 0, Digest: conf.New().Digest()})
 		}},
+		{"falls silent", conf.Silent, func(c net.Conn, resumed <-chan conf.Resume) error {
+			if err := say(c, offer); err != nil {
+				return err
+			}
+			<-resumed
+			return say(c, conf.Changes{first})
+		}},
 		{"makes no sense", conf.Lost, func(c net.Conn, resumed <-chan conf.Resume) error {
 			return send(c, endFrame(append(newFrame(), "nonsense"...)))
 		}},
