--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -31,6 +31,7 @@
 	"mass":         {"six days of 300 nodes and 200 servers, in virtual time, on six seeds each", massRun},
 	"operation":    {"the operators' door, long bodies beside httputil.ReverseProxy, and their memory", operation},
 	"cluster":      {"a group of three voters: memory, compare-and-sets, and leaders killed and stopped", clusterRun},
+	"config":       {"changes of the configuration from voters through relays to many hollow nodes", func(ctx context.Context, out io.Writer) (figures, error) { return configRun(ctx, out, os.Args[2:]) }},
 	"members":      {"fleets of 5, 12 and 30 processes through joins, leaves, kills, splits, loss and pauses", membersRun},
 	"ready":        {"thirty and sixty processes restarted together, before a discovery that serves, is overrun or is down", readyRun},
 	"keys":         {"a node's idempotency keys in memory, on the disk, and through kills", keysRun},
@@ -56,8 +57,8 @@
 		}
 		return
 	}
-	if len(os.Args) < 2 || scenarios[os.Args[1]].run == nil || len(os.Args) > 2 && os.Args[1] != "scale" {
-		fmt.Fprintln(os.Stderr, "usage: proof SCENARIO, or proof scale [-only TRIAL] [-small] [sizes: see -h]")
+	if len(os.Args) < 2 || scenarios[os.Args[1]].run == nil || len(os.Args) > 2 && os.Args[1] != "scale" && os.Args[1] != "config" {
+		fmt.Fprintln(os.Stderr, "usage: proof SCENARIO, or proof scale or config with flags: see -h")
 		for _, name := range slices.Sorted(maps.Keys(scenarios)) {
 			fmt.Fprintf(os.Stderr, "  %-12s %s\n", name, scenarios[name].about)
 		}
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -74,7 +74,7 @@
 	if o.draining.Load() {
 		return errDraining
 	}
-	return nil
+	return o.remote.ready()
 }
 
 func (o operator) Figures(w *bytes.Buffer) error {
@@ -86,7 +86,11 @@
 			s.Out += out
 		}
 	}
-	return o.figures.Write(w, s)
+	if err := o.figures.Write(w, s); err != nil {
+		return err
+	}
+	o.remote.figures(w)
+	return nil
 }
 
 func (o operator) Exclude(id string) error { return o.server(id, (*core.Pool).Exclude, "excluded") }
@@ -98,15 +102,14 @@
 	if o.set == nil {
 		return errPlanner
 	}
-	pools := o.set.Pools()
 	name := ""
-	p := pools[""]
+	p := o.set.Pool("")
 	if p == nil {
 		var ok bool
 		if name, id, ok = strings.Cut(id, "/"); !ok {
 			return errors.New("this node has pools: name the server as POOL/ID")
 		}
-		if p = pools[name]; p == nil {
+		if p = o.set.Pool(name); p == nil {
 			return fmt.Errorf("no pool %.40q", name)
 		}
 	}
