--- a/cmd/proof/scale.go
+++ b/cmd/proof/scale.go
@@ -39,6 +39,7 @@
 	defer os.RemoveAll(o.Dir)
 	o.Node = func(dir, name, file string) (*stand.Process, error) { return start(dir, "node", file) }
 	var f figures
+	var errs []error // one trial's failure leaves the others
 	played := false
 	for _, t := range scale.Trials {
 		if *only != "" && *only != t.Name {
@@ -47,7 +48,8 @@
 		played = true
 		found, err := t.Run(ctx, o, out)
 		if err != nil {
-			return f, err
+			errs = append(errs, err)
+			continue
 		}
 		for _, s := range found.Slopes {
 			v, err := s.Judge()
@@ -63,5 +65,5 @@
 	if !played {
 		return f, fmt.Errorf("no trial %q: want one of %s", *only, strings.Join(names, ", "))
 	}
-	return f, nil
+	return f, errors.Join(errs...)
 }
--- a/internal/scale/central.go
+++ b/internal/scale/central.go
@@ -28,14 +28,8 @@
 
 // central measures what is central: a planner's belief by its forwarders, and the group's state and
 // words by its instances.
-func central(ctx context.Context, o Options) (found Found, err error) {
-	add := func(s Slope, sizes []int, measure func(int) (float64, error)) {
-		if err == nil {
-			s.Runs = tries
-			s, err = s.over(ctx, sizes, measure)
-			found.Slopes = append(found.Slopes, s)
-		}
-	}
+func central(ctx context.Context, o Options) (Found, error) {
+	g := gather{ctx: ctx}
 	many := o.sizes([]int{10, 20, 40, 80}, 100, 300, 1_000, o.Nodes)
 	servers := int(per(o.Servers, o.Services))
 	planner := func(forwarders int) (*plan.Planner, *silentPlanner, []plan.Source, time.Duration) {
@@ -54,9 +48,9 @@
 		}
 		return p, out, from, now
 	}
-	s := Slope{Role: "planner", By: fmt.Sprintf("forwarders of a pool of %d servers", servers), Stated: float64(o.Nodes), Name: "a request placed and ended", Unit: "us"}
+	s := Slope{Role: "planner", By: fmt.Sprintf("forwarders of a pool of %d servers", servers), Stated: float64(o.Nodes), Runs: tries}
 	words := 0.0
-	add(s, many, func(n int) (float64, error) {
+	g.slope(s.named("a request placed and ended", "us", 0), many, func(n int) (float64, error) {
 		p, out, from, now := planner(n)
 		id, asked, sent := decide.RequestID(0), 0, 0
 		took := o.cost(func() {
@@ -79,18 +73,17 @@
 		words = float64(sent+out.bytes) / float64(asked)
 		return micros(took) / 100, nil
 	})
-	s.Name, s.Unit = "memory of a pool's forwarders", "MB"
-	add(s, many, func(n int) (float64, error) {
+	g.slope(s.named("memory of a pool's forwarders", "MB", 0), many, func(n int) (float64, error) {
 		return heap(func() any {
 			p, _, from, _ := planner(n)
 			return []any{p, from}
 		}) / 1e6, nil
 	})
-	if err != nil {
-		return found, err
+	if g.err != nil {
+		return g.Found, g.err
 	}
-	found.note("a request is %.0f bytes of words between the two, without frames and TLS; at %s a second that is %s%% of a core of decisions in all", words, digits(o.Requests), digits(100*o.Requests*found.Slopes[0].Samples[len(many)-1].Value/1e6))
-	found.note("each forwarder's pool has a connection to each planner: %s pools of %s nodes make %s connections to one planner of all", digits(float64(o.Services)), digits(float64(o.Nodes)), digits(float64(o.Services*o.Nodes)))
+	g.note("a request is %.0f bytes of words between the two, without frames and TLS; at %s a second that is %s%% of a core of decisions in all", words, digits(o.Requests), digits(100*o.Requests*g.Slopes[0].Samples[len(many)-1].Value/1e6))
+	g.note("each forwarder's pool has a connection to each planner: %s pools of %s nodes make %s connections to one planner of all", digits(float64(o.Services)), digits(float64(o.Nodes)), digits(float64(o.Services*o.Nodes)))
 
 	agreed := func(n int) *group.State {
 		st := group.New()
@@ -99,8 +92,8 @@
 		}
 		return st
 	}
-	s = Slope{Role: "group voter", By: "instances", Stated: float64(o.Nodes), Name: "a renewal put into the state", Unit: "us"}
-	add(s, many, func(n int) (float64, error) {
+	s = Slope{Role: "group voter", By: "instances", Stated: float64(o.Nodes), Runs: tries}
+	g.slope(s.named("a renewal put into the state", "us", 0), many, func(n int) (float64, error) {
 		st := agreed(n)
 		leases := st.Leases("")
 		i := 0
@@ -114,20 +107,17 @@
 			}
 		})) / 100, nil
 	})
-	s.Name, s.Unit, s.Allowed = "the list of instances, which each node with group = true reads each second", "bytes/s", o.Bytes
-	add(s, many, func(n int) (float64, error) {
+	g.slope(s.named("the list of instances, which each node with group = true reads each second", "bytes/s", o.Bytes), many, func(n int) (float64, error) {
 		b, err := json.Marshal(agreed(n).Leases(""))
 		return float64(len(b)), err
 	})
-	s.Name, s.Unit, s.Allowed = "a snapshot", "bytes", 0
-	add(s, many, func(n int) (float64, error) {
+	g.slope(s.named("a snapshot", "bytes", 0), many, func(n int) (float64, error) {
 		b, err := agreed(n).Snapshot()
 		return float64(len(b)), err
 	})
-	s.Name, s.Unit = "memory", "MB"
-	add(s, many, func(n int) (float64, error) {
+	g.slope(s.named("memory", "MB", 0), many, func(n int) (float64, error) {
 		return heap(func() any { return agreed(n) }) / 1e6, nil
 	})
-	found.note("a lease of 3 s is renewed each second: %s renewals a second through the log were all nodes instances", digits(float64(o.Nodes)))
-	return found, err
+	g.note("a lease of 3 s is renewed each second: %s renewals a second through the log were all nodes instances", digits(float64(o.Nodes)))
+	return g.Found, g.err
 }
--- a/internal/scale/config.go
+++ b/internal/scale/config.go
@@ -116,16 +116,11 @@
 	}
 	full := o.wholeFile()
 	base := Slope{Role: "node: its file", By: "services, with all else in proportion", Stated: float64(o.Services), Runs: runs}
-	made := func(name, unit string, allowed float64) *Slope {
-		s := base
-		s.Name, s.Unit, s.Allowed = name, unit, allowed
-		return &s
-	}
-	text, start := made("the text", "MB", 0), made("reading, checking, in force: processor time of the start", "s", 0)
-	peak, lasts := made("peak of the start", "MB", o.Memory), made("memory at rest", "MB", o.Memory)
-	reload, reloadPeak := made("a reload that changes nothing", "s", 0), made("peak of the reload", "MB", o.Memory)
-	change, idle := made("a reload that changes a service and a pool", "s", 0), made("idle with the file in force", "% of a core", 100*o.Core)
-	call, answer := made("figures at the door: processor time", "ms", 0), made("figures at the door: answer", "bytes", 0)
+	text, start := base.named("the text", "MB", 0), base.named("reading, checking, in force: processor time of the start", "s", 0)
+	peak, lasts := base.named("peak of the start", "MB", o.Memory), base.named("memory at rest", "MB", o.Memory)
+	reload, reloadPeak := base.named("a reload that changes nothing", "s", 0), base.named("peak of the reload", "MB", o.Memory)
+	change, idle := base.named("a reload that changes a service and a pool", "s", 0), base.named("idle with the file in force", "% of a core", 100*o.Core)
+	call, answer := base.named("figures at the door: processor time", "ms", 0), base.named("figures at the door: answer", "bytes", 0)
 	all := []*Slope{text, start, peak, lasts, reload, reloadPeak, change, idle, call, answer}
 	for _, part := range parts {
 		size := full.Part(part)
--- a/internal/scale/decide.go
+++ b/internal/scale/decide.go
@@ -50,15 +50,10 @@
 
 // decisions measures the decision module: what a pool's timers and requests cost by its servers, and
 // what many pools cost that rest.
-func decisions(ctx context.Context, o Options) (found Found, err error) {
+func decisions(ctx context.Context, o Options) (Found, error) {
+	g := gather{ctx: ctx}
 	sizes := o.sizes([]int{4, 8, 16, 32}, 5, 21, 80, 320, 1300)
 	of := per(o.Servers, o.Services)
-	add := func(s Slope, sizes []int, measure func(int) (float64, error)) {
-		if err == nil {
-			s, err = s.over(ctx, sizes, measure)
-			found.Slopes = append(found.Slopes, s)
-		}
-	}
 	module := func(n int) (*decide.Balancer, *nothing) {
 		out := &nothing{}
 		b := decide.New(moduleSettings(o.Nodes), 1, time.Hour, out)
@@ -78,10 +73,9 @@
 		}
 	}
 	s := Slope{Role: "node: decisions", By: "servers of the pool", Stated: of, Runs: tries}
-	named := func(name, unit string) Slope { s.Name, s.Unit = name, unit; return s }
-	add(named("a tick", "us"), sizes, timer(tickToken))
-	add(named("a sweep", "us"), sizes, timer(sweepToken))
-	add(named("a request", "us"), sizes, func(n int) (float64, error) {
+	g.slope(s.named("a tick", "us", 0), sizes, timer(tickToken))
+	g.slope(s.named("a sweep", "us", 0), sizes, timer(sweepToken))
+	g.slope(s.named("a request", "us", 0), sizes, func(n int) (float64, error) {
 		b, out := module(n)
 		now, id := time.Hour, decide.RequestID(0)
 		return micros(o.cost(func() {
@@ -95,7 +89,7 @@
 			}
 		})) / 100, nil
 	})
-	add(named("a whole list", "us"), sizes, func(n int) (float64, error) {
+	g.slope(s.named("a whole list", "us", 0), sizes, func(n int) (float64, error) {
 		b, _ := module(n)
 		list, now := moduleList(n), time.Hour
 		return micros(o.cost(func() {
@@ -106,21 +100,12 @@
 
 	pools := o.sizes([]int{4, 8, 16, 32}, 160, 325, 650, 1300)
 	rest := Slope{Role: "node: pools at rest", By: fmt.Sprintf("pools, of %.0f servers each", of), Stated: float64(o.Services), Runs: tries}
-	var cpu, memory Slope
-	cpu, memory = rest, rest
-	cpu.Name, cpu.Unit, cpu.Allowed = "processor time at rest", "% of a core", 100*o.Core
-	memory.Name, memory.Unit, memory.Allowed = "memory", "MB", o.Memory
+	cpu, memory := rest.named("processor time at rest", "% of a core", 100*o.Core), rest.named("memory", "MB", o.Memory)
 	lasts := 3 * time.Second
 	if o.Small {
 		lasts = 100 * time.Millisecond
 	}
-	for _, n := range pools {
-		if err == nil {
-			err = ctx.Err()
-		}
-		if err != nil {
-			return found, err
-		}
+	g.slope(cpu, pools, func(n int) (float64, error) {
 		var all []*core.Pool
 		bytes := heap(func() any {
 			for i := range n {
@@ -130,6 +115,7 @@
 			}
 			return all
 		})
+		memory.Samples = append(memory.Samples, Sample{float64(n), bytes / 1e6})
 		var shares []float64
 		for range tries {
 			began, used := time.Now(), processorTime()
@@ -140,14 +126,13 @@
 			used = processorTime() - used
 			shares = append(shares, 100*used.Seconds()/time.Since(began).Seconds())
 		}
-		cpu.Samples = append(cpu.Samples, Sample{float64(n), median(shares)})
-		memory.Samples = append(memory.Samples, Sample{float64(n), bytes / 1e6})
 		for _, p := range all {
 			p.Close()
 		}
-	}
-	found.Slopes = append(found.Slopes, cpu, memory)
-	return found, nil
+		return median(shares), ctx.Err()
+	})
+	g.Slopes = append(g.Slopes, *memory)
+	return g.Found, g.err
 }
 
 // unreachable is the upstream of pools that send nothing.
--- a/internal/scale/members.go
+++ b/internal/scale/members.go
@@ -255,16 +255,11 @@
 		virtual = []int{8, 12, 16, 24}
 	}
 	base := Slope{Role: "node: members", By: "members", Stated: float64(o.Nodes), Runs: 1}
-	made := func(name, unit string, allowed float64) Slope {
-		s := base
-		s.Name, s.Unit, s.Allowed = name, unit, allowed
-		return s
-	}
 	if !o.Small {
-		bytes, core, memory := made("bytes sent at rest", "bytes/s", o.Bytes), made("processor time at rest", "% of a core", 100*o.Core), made("memory", "MB", o.Memory)
-		changing := made("bytes sent as one is killed and comes back", "bytes/s", o.Bytes)
-		begin, kill := made("all begin until all know", "s", 0), made("a kill until all know", "s", 0)
-		back, heal := made("a next life until all know", "s", 0), made("a region's return until all know", "s", 0)
+		bytes, core, memory := base.named("bytes sent at rest", "bytes/s", o.Bytes), base.named("processor time at rest", "% of a core", 100*o.Core), base.named("memory", "MB", o.Memory)
+		changing := base.named("bytes sent as one is killed and comes back", "bytes/s", o.Bytes)
+		begin, kill := base.named("all begin until all know", "s", 0), base.named("a kill until all know", "s", 0)
+		back, heal := base.named("a next life until all know", "s", 0), base.named("a region's return until all know", "s", 0)
 		for _, n := range sizes {
 			m, err := newMixed(o, n, real)
 			if err != nil {
@@ -276,16 +271,18 @@
 				return found, fmt.Errorf("%d members: %w", n, err)
 			}
 			fmt.Fprintf(o.Log, "%d members: %+v\n", n, s)
-			for at, v := range map[*Slope]float64{&bytes: s.bytes, &core: s.core, &memory: s.memory, &changing: s.changing, &begin: s.begin, &kill: s.kill, &back: s.back, &heal: s.heal} {
+			for at, v := range map[*Slope]float64{bytes: s.bytes, core: s.core, memory: s.memory, changing: s.changing, begin: s.begin, kill: s.kill, back: s.back, heal: s.heal} {
 				at.Samples = append(at.Samples, Sample{float64(n), v})
 			}
 		}
-		found.Slopes = append(found.Slopes, bytes, changing, core, memory, begin, kill, back, heal)
+		for _, s := range []*Slope{bytes, changing, core, memory, begin, kill, back, heal} {
+			found.Slopes = append(found.Slopes, *s)
+		}
 		found.note("%d processes of the program in each fleet, the others hollow; bytes are of hollow ones, processor time and memory of processes; one run of %v at rest", real, rest)
 		found.note("a process killed, one paused and one half cut off one way for 2 s, a fourth away for %v: the processes' parts added up to 1 at the most", regionAway)
 	}
-	words := made("bytes through five changes, in virtual time", "bytes/s", o.Bytes)
-	known := made("the slowest of five changes until all know, in virtual time", "s", 0)
+	words := base.named("bytes through five changes, in virtual time", "bytes/s", o.Bytes)
+	known := base.named("the slowest of five changes until all know, in virtual time", "s", 0)
 	for _, n := range virtual {
 		if err := ctx.Err(); err != nil {
 			return found, err
@@ -301,7 +298,7 @@
 		words.Samples = append(words.Samples, Sample{float64(n), r.Bytes})
 		known.Samples = append(known.Samples, Sample{float64(n), slowest.Seconds()})
 	}
-	found.Slopes = append(found.Slopes, words, known)
+	found.Slopes = append(found.Slopes, *words, *known)
 	found.note("in virtual time a tenth of the words is lost; changes follow each other as soon as all know")
 	return found, nil
 }
--- a/internal/scale/node.go
+++ b/internal/scale/node.go
@@ -89,7 +89,7 @@
 // tally counts what passes connections.
 type tally struct {
 	net.Listener
-	bytes, conns atomic.Int64
+	bytes atomic.Int64
 }
 
 func (t *tally) Accept() (net.Conn, error) {
@@ -97,7 +97,6 @@
 	if err != nil {
 		return nil, err
 	}
-	t.conns.Add(1)
 	return counted{c, t}, nil
 }
 
@@ -164,13 +163,8 @@
 	}
 	servers := int(per(o.Servers, o.Services))
 	base := Slope{Role: "node: discovery", By: fmt.Sprintf("pools with a watch each, of %d servers", servers), Stated: float64(o.Services), Runs: 1}
-	made := func(name, unit string, allowed float64) *Slope {
-		s := base
-		s.Name, s.Unit, s.Allowed = name, unit, allowed
-		return &s
-	}
-	calls, bytes, cpu := made("calls", "calls/s", 0), made("bytes both ways", "bytes/s", o.Bytes), made("processor time with discovery", "% of a core", 100*o.Core)
-	memory, fds, goroutines := made("memory with discovery", "MB", o.Memory), made("descriptors", "descriptors", 0), made("goroutines of watches", "goroutines", 0)
+	calls, bytes, cpu := base.named("calls", "calls/s", 0), base.named("bytes both ways", "bytes/s", o.Bytes), base.named("processor time with discovery", "% of a core", 100*o.Core)
+	memory, fds, goroutines := base.named("memory with discovery", "MB", o.Memory), base.named("descriptors", "descriptors", 0), base.named("goroutines of watches", "goroutines", 0)
 	for _, n := range sizes {
 		got, err := o.askedBy(ctx, n, servers, lasts)
 		if err != nil {
@@ -302,14 +296,9 @@
 		return t.Quantile(0.5).Seconds() * 1e3, t.Quantile(0.99).Seconds() * 1e3, t.Asked, nil
 	}
 	base := Slope{Role: "node: requests", By: "services", Stated: float64(o.Services), Runs: runs}
-	made := func(name, unit string, allowed float64) *Slope {
-		s := base
-		s.Name, s.Unit, s.Allowed = name, unit, allowed
-		return &s
-	}
-	whole, tail := made("p50 through the node", "ms", 0), made("p99 through the node", "ms", 0)
-	links, cpu := made("new connections a request", "connections", 0), made("processor time a request", "us", 0)
-	call, lines := made("figures at the door: processor time", "ms", 0), made("figures at the door: answer", "bytes", 0)
+	whole, tail := base.named("p50 through the node", "ms", 0), base.named("p99 through the node", "ms", 0)
+	links, cpu := base.named("new connections a request", "connections", 0), base.named("processor time a request", "us", 0)
+	call, lines := base.named("figures at the door: processor time", "ms", 0), base.named("figures at the door: answer", "bytes", 0)
 	var direct50, direct99 []float64
 	for _, n := range sizes {
 		door := "unix:" + filepath.Join(o.Dir, "added.door")
--- a/internal/scale/route.go
+++ b/internal/scale/route.go
@@ -10,14 +10,8 @@
 )
 
 // lookups measures the route table by its routes, and a service's limits by its tenants.
-func lookups(ctx context.Context, o Options) (found Found, err error) {
-	add := func(s Slope, sizes []int, measure func(int) (float64, error)) {
-		if err == nil {
-			s.Runs = tries
-			s, err = s.over(ctx, sizes, measure)
-			found.Slopes = append(found.Slopes, s)
-		}
-	}
+func lookups(ctx context.Context, o Options) (Found, error) {
+	g := gather{ctx: ctx}
 	each := int(per(o.Routes, o.Services))
 	rules := func(n int) []route.Rule {
 		all := make([]route.Rule, n)
@@ -28,9 +22,8 @@
 		return all
 	}
 	sizes := o.sizes([]int{100, 200, 400, 800}, 500, 2_000, 9_000, o.Routes)
-	s := Slope{Role: "node: routes", By: fmt.Sprintf("routes, %d a host", each), Stated: float64(o.Routes)}
-	s.Name, s.Unit = "a look-up", "us"
-	add(s, sizes, func(n int) (float64, error) {
+	s := Slope{Role: "node: routes", By: fmt.Sprintf("routes, %d a host", each), Stated: float64(o.Routes), Runs: tries}
+	g.slope(s.named("a look-up", "us", 0), sizes, func(n int) (float64, error) {
 		all := rules(n)
 		t, err := route.New(all)
 		if err != nil {
@@ -47,13 +40,11 @@
 		})
 		return micros(took) / 100, nil
 	})
-	s.Name, s.Unit = "building the table", "ms"
-	add(s, sizes, func(n int) (float64, error) {
+	g.slope(s.named("building the table", "ms", 0), sizes, func(n int) (float64, error) {
 		all := rules(n)
 		return micros(o.cost(func() { _, _ = route.New(all) })) / 1e3, nil
 	})
-	s.Name, s.Unit, s.Allowed = "the table's memory", "MB", o.Memory
-	add(s, sizes, func(n int) (float64, error) {
+	g.slope(s.named("the table's memory", "MB", o.Memory), sizes, func(n int) (float64, error) {
 		return heap(func() any {
 			all := rules(n)
 			t, _ := route.New(all)
@@ -70,22 +61,22 @@
 	}
 	most := int(per(o.Tenants, o.Services))
 	tenants := o.sizes([]int{10, 20, 40, 80}, 27, 108, 1_000, 10_000)
-	s = Slope{Role: "node: limits", By: "tenants of the service", Stated: float64(most), Name: "in and out with places free", Unit: "us"}
-	add(s, tenants, func(n int) (float64, error) {
-		g, i, now := gate(n, 100), 0, time.Duration(0)
+	s = Slope{Role: "node: limits", By: "tenants of the service", Stated: float64(most), Runs: tries}
+	g.slope(s.named("in and out with places free", "us", 0), tenants, func(n int) (float64, error) {
+		places, i, now := gate(n, 100), 0, time.Duration(0)
 		return micros(o.cost(func() {
 			for range 20 {
 				i, now = (i+7)%n, now+time.Millisecond
-				name := g.Tenant(fmt.Sprint("tenant-", i))
-				if v, _, _ := g.Arrive(now, name); v != limit.Admitted {
+				name := places.Tenant(fmt.Sprint("tenant-", i))
+				if v, _, _ := places.Arrive(now, name); v != limit.Admitted {
 					panic("no place where places are free")
 				}
-				g.Done(name)
+				places.Done(name)
 			}
 		})) / 20, nil
 	})
-	s.Name, s.Unit, s.By, s.Stated, s.Allowed = "limits' memory", "MB", fmt.Sprintf("tenants in all, %d a service", most), float64(o.Tenants), o.Memory
-	add(s, o.sizes([]int{1_000, 2_000, 4_000, 8_000}, 2_000, 10_000, 40_000, o.Tenants), func(n int) (float64, error) {
+	s.By, s.Stated = fmt.Sprintf("tenants in all, %d a service", most), float64(o.Tenants)
+	g.slope(s.named("limits' memory", "MB", o.Memory), o.sizes([]int{1_000, 2_000, 4_000, 8_000}, 2_000, 10_000, 40_000, o.Tenants), func(n int) (float64, error) {
 		return heap(func() any {
 			var all []*limit.Gate
 			for left := n; left > 0; left -= most {
@@ -94,5 +85,5 @@
 			return all
 		}) / 1e6, nil
 	})
-	return found, err
+	return g.Found, g.err
 }
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -233,17 +233,34 @@
 
 func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
 
-// over measures a figure at each size.
-func (s Slope) over(ctx context.Context, sizes []int, measure func(size int) (float64, error)) (Slope, error) {
+// named is a slope of the same size as another, without samples.
+func (s Slope) named(name, unit string, allowed float64) *Slope {
+	s.Name, s.Unit, s.Allowed, s.Samples = name, unit, allowed, nil
+	return &s
+}
+
+// gather collects slopes one after the other until one fails.
+type gather struct {
+	Found
+	ctx context.Context
+	err error
+}
+
+// slope measures a figure at each size.
+func (g *gather) slope(s *Slope, sizes []int, measure func(size int) (float64, error)) {
 	for _, n := range sizes {
-		if err := ctx.Err(); err != nil {
-			return s, err
+		if g.err == nil {
+			g.err = g.ctx.Err()
+		}
+		if g.err != nil {
+			return
 		}
 		v, err := measure(n)
 		if err != nil {
-			return s, fmt.Errorf("%s at %d: %w", s.Name, n, err)
+			g.err = fmt.Errorf("%s at %d: %w", s.Name, n, err)
+			return
 		}
 		s.Samples = append(s.Samples, Sample{float64(n), v})
 	}
-	return s, nil
+	g.Slopes = append(g.Slopes, *s)
 }
