--- a/internal/scale/route.go
+++ b/internal/scale/route.go
@@ -76,11 +76,17 @@
 		})) / 20, nil
 	})
 	s.By, s.Stated = fmt.Sprintf("tenants in all, %d a service", most), float64(o.Tenants)
-	g.slope(s.named("limits' memory", "MB", o.Memory), o.sizes([]int{1_000, 2_000, 4_000, 8_000}, 2_000, 10_000, 40_000, o.Tenants), func(n int) (float64, error) {
+	g.slope(s.named("limits' memory once each has come", "MB", o.Memory), o.sizes([]int{1_000, 2_000, 4_000, 8_000}, 2_000, 10_000, 40_000, o.Tenants), func(n int) (float64, error) {
 		return heap(func() any {
 			var all []*limit.Gate
 			for left := n; left > 0; left -= most {
-				all = append(all, gate(min(left, most), 100))
+				service := gate(min(left, most), 100)
+				for i := range min(left, most) {
+					name := service.Tenant(fmt.Sprint("tenant-", i))
+					service.Arrive(0, name)
+					service.Done(name)
+				}
+				all = append(all, service)
 			}
 			return all
 		}) / 1e6, nil
