Find by what a file differs from the agreed configuration, and plan the changes for it

Operators need the difference between their file and what is agreed as changes that rest on the version they have read. Package revise finds it: what only others have touched since stays as they have it, what both have touched is told with whose came first, more than one change holds is split so that each holds together, and all of it is checked by the code that reads a file before anything is proposed. config reads [config] and [[config.relay]] for relays and operators, and one record by itself.

--- /dev/null
+++ b/internal/config/relay_test.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"jasperpin/internal/peers/conf"
+)
+
+const distributing = `[node]
+name = "m1"
+[cluster]
+voters = ["127.0.0.1:7800"]
+certificate = "c.pem"
+key = "c.key"
+authorities = "/ca.pem"
+[config]
+certificate = "n.pem"
+key = "n.key"
+authorities = "/nodes-ca.pem"
+listen = "127.0.0.1:7850"
+status = "127.0.0.1:7851"
+folder = "copy"
+[[config.relay]]
+name = "m1"
+zone = "z1"
+region = "r1"
+address = "127.0.0.1:7850"
+status = "127.0.0.1:7851"
+[[pool]]
+name = "read by others"
+`
+
+// TestDistribution reads a relay's file, whose other tables are not its own.
+func TestDistribution(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "m1.toml")
+	if err := os.WriteFile(path, []byte(distributing), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d, err := LoadDistribution(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Relay{Listen: "127.0.0.1:7850", Status: "127.0.0.1:7851", Folder: filepath.Join(filepath.Dir(path), "copy"), Streams: defaultStreams}
+	if d.Name != "m1" || d.Relay != want || d.Files.Certificate != filepath.Join(filepath.Dir(path), "n.pem") || d.Files.Authorities != "/nodes-ca.pem" || !d.Cluster.On() {
+		t.Errorf("got %+v", d)
+	}
+	if at := (RelayAt{"m1", "z1", "r1", "127.0.0.1:7850", "127.0.0.1:7851"}); len(d.Relays) != 1 || d.Relays[0] != at {
+		t.Errorf("got %+v", d.Relays)
+	}
+	for _, c := range []struct{ was, is, want string }{
+		{"[cluster]", "[others]", "m1.toml:0: cluster is missing"},
+		{"listen = \"127.0.0.1:7850\"\n", "", "m1.toml:12: status stands without listen"},
+		{"key = \"n.key\"\n", "", "m1.toml:8: key is missing"},
+		{"zone = \"z1\"", "sone = \"z1\"", "m1.toml:17: sone is no key of this table: did you mean zone?"},
+		{"status = \"127.0.0.1:7851\"\nfolder", "status = \"here\"\nfolder", "m1.toml:13: status is \"here\""},
+		{"[[pool]]", "[[config.relay]]\nname = \"m1\"\naddress = \"127.0.0.1:1\"\n[[pool]]", "m1.toml:22: name \"m1\" is used twice"},
+		{"folder = \"copy\"", "streams = 0", "m1.toml:14: streams is 0"},
+	} {
+		_, err := parseDistribution("m1.toml", []byte(strings.Replace(distributing, c.was, c.is, 1)))
+		if err == nil || !strings.Contains(strings.ReplaceAll(err.Error(), "m1.toml: ", "m1.toml:0: "), c.want) {
+			t.Errorf("%s: got %v, want %s", c.is, err, c.want)
+		}
+	}
+}
+
+// TestRecord reads one record as the file that it is a table of would have it.
+func TestRecord(t *testing.T) {
+	t.Parallel()
+	for _, text := range []string{"pool = \"p\"\n", "name = \"one\"\npool = \"p\"\n"} {
+		r, err := Record("service/s/route/one", "one.toml", []byte(text))
+		if err != nil || string(r.Value) != `{"pool":"p"}` {
+			t.Errorf("%q: got %s, %v", text, r.Value, err)
+		}
+	}
+	for _, c := range []struct{ key, text, want string }{
+		{"pond/p", "", "no key"},
+		{"pool/p", "a = 1\nb\n", "one.toml:2: not TOML"},
+		{"pool/p", "a = nan\n", "one.toml: a value can stand in no record"},
+		{"pool/p", "a = \"" + strings.Repeat("x", conf.MaxValue) + "\"\n", "one.toml: makes a record of"},
+	} {
+		_, err := Record(conf.Key(c.key), "one.toml", []byte(c.text))
+		var ms Mistakes
+		if err == nil || !strings.Contains(err.Error(), c.want) || c.key == "pool/p" && !errors.As(err, &ms) {
+			t.Errorf("%s: got %v, want %s", c.key, err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/revise/revise_test.go
@@ -0,0 +1,280 @@
+package revise
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"jasperpin/internal/config"
+	"jasperpin/internal/peers/conf"
+	_ "jasperpin/internal/seeded"
+	"jasperpin/internal/standin/bigfile"
+)
+
+const pool = `[[pool]]
+name = %q
+attempts = %d
+servers = ["127.0.0.1:1"]
+[[pool.class]]
+name = "look"
+repeat = "safe"
+aim = "1s"
+deadline = "2s"
+`
+
+const service = `[[service]]
+name = %q
+tenant_header = "Tenant"
+[[service.route]]
+name = "all"
+hosts = [%q]
+pool = %q
+`
+
+func records(t testing.TB, text string) []conf.Record {
+	t.Helper()
+	all, err := config.Records("services.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
+// agree has edits agreed on.
+func agree(t testing.TB, s *conf.State, base uint64, author string, edits []Edit) {
+	t.Helper()
+	changes, err := Plan(copied(t, s), base, edits, conf.Change{Author: author})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range changes {
+		if _, err := s.Propose(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func copied(t testing.TB, s *conf.State) *conf.State {
+	t.Helper()
+	is, err := conf.Restore(s.Snapshot().Encode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return is
+}
+
+func (e Edit) sign() string {
+	switch {
+	case e.Was == nil:
+		return "+" + string(e.Key)
+	case e.Is == nil:
+		return "-" + string(e.Key)
+	}
+	return "~" + string(e.Key)
+}
+
+func signs(edits []Edit) (all []string) {
+	for _, e := range edits {
+		all = append(all, e.sign())
+	}
+	return all
+}
+
+// TestLargeFile has a file of many more records than a change holds agreed on from nothing, and grown:
+// every change is within its bounds and holds together by itself.
+func TestLargeFile(t *testing.T) {
+	t.Parallel()
+	write := func(part int) []conf.Record {
+		var b bytes.Buffer
+		if err := bigfile.Full.Part(part).Write(&b, "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		return records(t, b.String())
+	}
+	s := conf.New()
+	for _, want := range [][]conf.Record{write(40), write(20)} {
+		edits := Difference(s, want)
+		parts := Parts(edits)
+		if len(edits) > conf.MaxChangeRecords && len(parts) < 2 {
+			t.Errorf("%d records in %d changes", len(edits), len(parts))
+		}
+		agree(t, s, s.Version(), "a", edits)
+		if left := Difference(s, want); len(left) > 0 {
+			t.Fatalf("%d records still differ: %v", len(left), left[0].Key)
+		}
+	}
+}
+
+// TestTwoOperators has two change what both have read: what only one has touched stays as that one has it,
+// and what both have touched is told with whose came first.
+func TestTwoOperators(t *testing.T) {
+	t.Parallel()
+	s := conf.New()
+	file := func(a, b int) []conf.Record {
+		return records(t, fmt.Sprintf(pool, "a", a)+fmt.Sprintf(pool, "b", b)+fmt.Sprintf(service, "s", "s.example.org", "a"))
+	}
+	agree(t, s, 0, "first", Difference(s, file(1, 1)))
+	agree(t, s, 1, "ann", Difference(s, file(2, 1)))
+
+	mine, err := Keep(s, 1, Difference(s, file(1, 2)))
+	if err != nil || !slices.Equal(signs(mine), []string{"~pool/b"}) {
+		t.Fatalf("got %v, %v: want pool/b alone, as pool/a was changed by another", signs(mine), err)
+	}
+	if err := Conflicts(s, 1, mine); err != nil {
+		t.Error(err)
+	}
+	mine, err = Keep(s, 1, Difference(s, file(3, 1)))
+	var lost LostError
+	if err != nil || !errors.As(Conflicts(s, 1, mine), &lost) || len(lost) != 1 || lost[0] != (Conflict{"pool/a", 2, "ann", ""}) {
+		t.Errorf("got %v of %v, %v", lost, signs(mine), err)
+	}
+	if _, err := Plan(copied(t, s), 1, mine, conf.Change{}); !errors.Is(err, conf.ErrConflict) {
+		t.Errorf("planned, and another came first: %v", err)
+	}
+	agree(t, s, 2, "ben", []Edit{{Key: "service/s/tenant/t", Is: []byte(`{"rate":5}`)}})
+	gone := []Edit{{Key: "service/s/route/all", Was: []byte("{}")}, {Key: "service/s", Was: []byte("{}")}}
+	if err := Conflicts(s, 2, gone); !errors.As(err, &lost) || lost[0].Key != "service/s/tenant/t" || lost[0].Author != "ben" {
+		t.Errorf("a service is deleted that has a new tenant: %v", err)
+	}
+	if _, err := Keep(s, 1, nil); err != nil {
+		t.Error(err)
+	}
+	for range conf.MaxLog {
+		agreeFast(t, s)
+	}
+	if _, err := Keep(s, 1, Difference(s, file(1, 2))); !errors.Is(err, conf.ErrForgotten) {
+		t.Errorf("version 1 is remembered: %v", err)
+	}
+	if err := Conflicts(s, 1, mine); !errors.Is(err, conf.ErrConflict) {
+		t.Errorf("a base that is forgotten: %v", err)
+	}
+}
+
+// agreeFast changes one record, without a check.
+func agreeFast(t *testing.T, s *conf.State) {
+	t.Helper()
+	if _, err := s.Propose(conf.Change{Base: s.Version(), Records: []conf.Record{{Key: "pool/z", Value: fmt.Append(nil, `{"at":`, s.Version(), `}`)}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestBadEdits holds that what cannot be in force is not planned, and is told by record and field.
+func TestBadEdits(t *testing.T) {
+	t.Parallel()
+	s := conf.New()
+	agree(t, s, 0, "a", Difference(s, records(t, fmt.Sprintf(pool, "a", 1)+fmt.Sprintf(service, "s", "s.example.org", "a"))))
+	for _, c := range []struct {
+		edit Edit
+		want string
+	}{
+		{Edit{Key: "pool/a", Is: []byte(`{"attempts":99}`)}, "pool/a: attempts is 99"},
+		{Edit{Key: "pool/a"}, "pool/a: is to be deleted, and service/s/route/all leads to it"},
+		{Edit{Key: "service/s/route/all"}, "service/s: route"},
+		{Edit{Key: "service/s/route/b", Is: []byte(`{"hosts":["b.example.org"],"pool":"none"}`)}, `service/s/route/b: pool "none"`},
+		{Edit{Key: "pool/none"}, "pool/none is to be deleted and is not there"},
+	} {
+		_, err := Plan(copied(t, s), 1, []Edit{c.edit}, conf.Change{})
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got %v, want %s", c.edit.Key, err, c.want)
+		}
+	}
+}
+
+func TestFields(t *testing.T) {
+	t.Parallel()
+	e := Edit{Key: "pool/a", Was: []byte(`{"a":1,"b":{"c":2,"d":[1]},"e":"x"}`), Is: []byte(`{"a":1,"b":{"c":3,"d":[1,2]},"f":true}`)}
+	var got []string
+	for _, f := range e.Fields() {
+		got = append(got, fmt.Sprintf("%s %s %s", f.Path, f.Was, f.Is))
+	}
+	if want := []string{"b.c 2 3", "b.d [1] [1,2]", "e \"x\" ", "f  true"}; !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got := (Edit{Is: []byte(`{"a":1}`)}).Fields(); len(got) != 1 || got[0].Path != "a" || got[0].Was != nil {
+		t.Errorf("got %v of a new record", got)
+	}
+}
+
+// TestEditsAgainstAModel holds against plain maps that two operators' edits of what both have read come to
+// both their edits, or the second is told that it lost: nobody's are undone unseen.
+func TestEditsAgainstAModel(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(label string) map[conf.Key]string {
+			m := make(map[conf.Key]string)
+			for _, k := range []conf.Key{"pool/a", "pool/b", "pool/c", "pool/d"} {
+				if n := rapid.IntRange(0, 3).Draw(t, label+" "+string(k)); n > 0 {
+					m[k] = fmt.Sprintf(`{"attempts":%d}`, n)
+				}
+			}
+			return m
+		}
+		list := func(m map[conf.Key]string) (all []conf.Record) {
+			for _, k := range []conf.Key{"pool/a", "pool/b", "pool/c", "pool/d"} {
+				if v, ok := m[k]; ok {
+					all = append(all, conf.Record{Key: k, Value: []byte(v)})
+				}
+			}
+			return all
+		}
+		s := conf.New()
+		put := func(edits []Edit) bool {
+			var c conf.Change
+			for _, e := range edits {
+				c.Records = append(c.Records, e.record())
+			}
+			c.Base = s.Version()
+			if len(edits) == 0 {
+				return false
+			}
+			if _, err := s.Propose(c); err != nil {
+				t.Fatal(err)
+			}
+			return true
+		}
+		was, hers, his := draw("was"), draw("hers"), draw("his")
+		put(Difference(s, list(was)))
+		base := s.Version()
+		put(Difference(s, list(hers)))
+		edits, err := Keep(s, base, Difference(s, list(his)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		both := false // have changed a record, not to the same
+		want := make(map[conf.Key]string)
+		for _, k := range []conf.Key{"pool/a", "pool/b", "pool/c", "pool/d"} {
+			is := hers[k]
+			if his[k] != was[k] {
+				is = his[k]
+			}
+			both = both || hers[k] != was[k] && his[k] != was[k] && hers[k] != his[k]
+			if is != "" {
+				want[k] = is
+			}
+		}
+		lost := Conflicts(s, base, edits)
+		if (lost != nil) != both {
+			t.Fatalf("told %v, and both have changed a record: %v", lost, both)
+		}
+		if lost != nil {
+			return
+		}
+		c := conf.Change{Base: base}
+		for _, e := range edits {
+			c.Records = append(c.Records, e.record())
+		}
+		if len(edits) > 0 {
+			if _, err := s.Propose(c); err != nil {
+				t.Fatalf("the voters turn it down: %v", err)
+			}
+		}
+		if left := Difference(s, list(want)); len(left) > 0 {
+			t.Fatalf("%v differ from both their edits", signs(left))
+		}
+	})
+}
