Let operators change the agreed configuration, and run relays: jasperpin config

propose, put, delete, diff, log, rollback and status ask the voters as cluster does; a mistake is told by record and field, a lost race by record, version and author, and exits 2. config relay carries the configuration to nodes, with the machine's voter where the file has one, and tells operators at a port of its own how far its nodes are, the worst first.

--- /dev/null
+++ b/cmd/jasperpin/config_test.go
@@ -0,0 +1,382 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"jasperpin/internal/cluster"
+	"jasperpin/internal/config"
+	"jasperpin/internal/confsync"
+	"jasperpin/internal/mtls"
+	"jasperpin/internal/peers/conf"
+	"jasperpin/internal/revise"
+	"jasperpin/internal/standin"
+	"jasperpin/internal/standin/check"
+)
+
+// configSite is three voters, two of them relays too, as the command line runs them, and operators' files.
+type configSite struct {
+	t      *testing.T
+	dir    string
+	auth   *standin.Authority
+	voters map[string]string
+	relays []confsync.RelayAt
+	status map[string]string
+	log    *check.Log
+	stops  map[string]func() error
+}
+
+func (s *configSite) files(name string) mtls.Files {
+	s.t.Helper()
+	cert, key, err := s.auth.Issue(name)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return mtls.Files{Certificate: cert, Key: key, Authorities: s.auth.File}
+}
+
+func (s *configSite) write(name, text string) string {
+	s.t.Helper()
+	path := filepath.Join(s.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+// newConfigSite begins a group of three, and starts it.
+func newConfigSite(t *testing.T) *configSite {
+	t.Helper()
+	s := &configSite{t: t, dir: t.TempDir(), voters: make(map[string]string), status: make(map[string]string), log: &check.Log{}, stops: make(map[string]func() error)}
+	s.auth = check.Must[*standin.Authority](t)(standin.NewAuthority(s.dir))
+	var all []string
+	list := ""
+	for _, name := range []string{"a", "b", "c"} {
+		s.voters[name] = check.Unused(t)
+		all = append(all, `"`+s.voters[name]+`"`)
+	}
+	for _, name := range []string{"a", "b"} {
+		at := confsync.RelayAt{Peer: conf.Peer{Name: name, Zone: "zone-" + name}, Addr: check.Unused(t)}
+		s.relays, s.status[name] = append(s.relays, at), check.Unused(t)
+		list += fmt.Sprintf("[[config.relay]]\nname = %q\nzone = %q\naddress = %q\nstatus = %q\n", name, at.Zone, at.Addr, s.status[name])
+	}
+	file := func(name, own, ownRelay string) string {
+		f, r := s.files(cluster.VoterName), s.files(confsync.RelayName)
+		return s.write(name+".toml", fmt.Sprintf("[node]\nname = %q\n[cluster]\nvoters = [%s]\ncertificate = %q\nkey = %q\nauthorities = %q\n%s[config]\ncertificate = %q\nkey = %q\nauthorities = %q\n%s%s",
+			name, strings.Join(all, ", "), f.Certificate, f.Key, f.Authorities, own, r.Certificate, r.Key, r.Authorities, ownRelay, list))
+	}
+	file("ops", "", "")
+	for _, name := range []string{"a", "b", "c"} {
+		folder := filepath.Join(s.dir, "group-"+name)
+		if err := cluster.Begin(folder, name, s.voters); err != nil {
+			t.Fatal(err)
+		}
+		if name == "c" {
+			v := check.Must[*cluster.Voter](t)(cluster.Start(cluster.Options{Listen: s.voters[name], Dir: folder, Files: s.files(cluster.VoterName), Log: slog.New(slog.NewTextHandler(s.log, nil))}))
+			t.Cleanup(v.Close)
+			continue
+		}
+		i := slices.IndexFunc(s.relays, func(r confsync.RelayAt) bool { return r.Name == name })
+		path := file(name, fmt.Sprintf("listen = %q\nfolder = \"group-%s\"\n", s.voters[name], name),
+			fmt.Sprintf("listen = %q\nstatus = %q\nfolder = \"copy-%s\"\n", s.relays[i].Addr, s.status[name], name))
+		s.start(name, path)
+	}
+	return s
+}
+
+// start runs a relay until its stop is called, which gives its error.
+func (s *configSite) start(name, path string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		cmd := root()
+		cmd.SetErr(s.log)
+		cmd.SetArgs([]string{"config", "relay", "-c", path})
+		ended <- cmd.ExecuteContext(ctx)
+	}()
+	s.stops[name] = sync.OnceValue(func() error {
+		cancel()
+		return <-ended
+	})
+	s.t.Cleanup(func() {
+		if err := s.stops[name](); err != nil {
+			s.t.Errorf("relay %s: %v", name, err)
+		}
+	})
+}
+
+// call is one call by an operator, whose JSON goes to out.
+func (s *configSite) call(out any, words ...string) error {
+	text, err := s.say(append(words, "--json")...)
+	if err == nil && out != nil {
+		if err := json.Unmarshal([]byte(text), out); err != nil {
+			s.t.Fatalf("%q: %v", text, err)
+		}
+	}
+	return err
+}
+
+// say is one call by an operator, and what it writes.
+func (s *configSite) say(words ...string) (string, error) {
+	cmd := root()
+	var b bytes.Buffer
+	cmd.SetOut(&b)
+	cmd.SetErr(s.log)
+	cmd.SetArgs(append(append([]string{"config"}, words...), "-c", filepath.Join(s.dir, "ops.toml")))
+	err := cmd.ExecuteContext(s.t.Context())
+	return b.String(), err
+}
+
+// fails has a call fail with an exit code and some words, and nothing agreed on by it.
+func (s *configSite) fails(code int, want string, words ...string) {
+	s.t.Helper()
+	var was, is distribution
+	_ = s.call(&was, "status")
+	err := s.call(nil, words...)
+	if err == nil || exitCode(err) != code || !strings.Contains(err.Error(), want) {
+		s.t.Errorf("%q: exit %d, %v; want %d and %q", words, exitCode(err), err, code, want)
+	}
+	if _ = s.call(&is, "status"); is.Version != was.Version || is.Digest != was.Digest {
+		s.t.Errorf("%q: version %d after %d", words, is.Version, was.Version)
+	}
+}
+
+// agrees has a call come to a version.
+func (s *configSite) agrees(version uint64, words ...string) (is agreed) {
+	s.t.Helper()
+	if err := s.call(&is, words...); err != nil || len(is.Versions) != 1 || is.Versions[0] != version {
+		s.t.Fatalf("%q: %+v, %v; want version %d", words, is, err, version)
+	}
+	return is
+}
+
+// wait waits until the status is so.
+func (s *configSite) wait(what string, ok func(d *distribution) bool) {
+	s.t.Helper()
+	check.Eventually(s.t, what, func() bool {
+		var d distribution
+		return s.call(&d, "status") == nil && ok(&d)
+	})
+}
+
+// services is an operator's file.
+func services(attempts, other int) string {
+	text := `[[service]]
+name = "s"
+[[service.route]]
+name = "all"
+pool = "p"
+`
+	for i, n := range []int{attempts, other} {
+		text += fmt.Sprintf(`[[pool]]
+name = %q
+attempts = %d
+servers = ["127.0.0.1:1"]
+[[pool.class]]
+name = "look"
+repeat = "safe"
+`, "pq"[i:i+1], n)
+	}
+	return text
+}
+
+// TestConfigCommands has operators change what three voters agree on: by files and records, two at once, with
+// mistakes, and back.
+func TestConfigCommands(t *testing.T) {
+	t.Parallel()
+	s := newConfigSite(t)
+	s.wait("the voters agree on nothing", func(d *distribution) bool { return d.Majority && d.Version == 0 })
+	first := s.write("first.toml", services(1, 1))
+	if is := s.agrees(1, "propose", first, "--author", "ann", "--note", "to begin with"); is.New != 4 || is.Base != 0 {
+		t.Errorf("got %+v, want 4 new records", is)
+	}
+	var none agreed
+	if err := s.call(&none, "propose", first); err != nil || len(none.Versions) != 0 {
+		t.Errorf("the same again: %+v, %v", none, err)
+	}
+
+	second := s.write("second.toml", services(2, 1))
+	var differs struct{ Edits []edit }
+	if err := s.call(&differs, "diff", second); err != nil || len(differs.Edits) != 1 || differs.Edits[0].Key != "pool/p" || len(differs.Edits[0].Fields) != 1 {
+		t.Errorf("got %+v, %v", differs, err)
+	}
+	if text, err := s.say("diff", second); err != nil || text != "~ pool/p\n    attempts: 1 -> 2\n1 records differ from version 1\n" {
+		t.Errorf("got %q, %v", text, err)
+	}
+
+	s.fails(1, "bad.toml:8: attempts is 99", "propose", s.write("bad.toml", strings.Replace(services(7, 7), "attempts = 7", "attempts = 99", 1)))
+	s.fails(1, "has no pool and no service", "propose", s.write("empty.toml", "[node]\nname = \"n\"\nlisten = [\"127.0.0.1:0\"]\n"))
+	s.fails(1, "pool/p: attempts is 99", "put", "pool/p", s.write("bad.pool", "attempts = 99\n"))
+	s.fails(1, "not.pool:2: not TOML", "put", "pool/p", s.write("not.pool", "attempts = 1\nattempts\n"))
+	s.fails(1, "no key", "put", "pond/p", s.write("good.pool", "attempts = 1\n"))
+	s.fails(1, "pool/p: is to be deleted, and service/s/route/all leads to it", "delete", "pool/p")
+	s.fails(1, "pool/none: is not there", "delete", "pool/none")
+	s.fails(1, "the newest version is 1", "propose", second, "--base", "2")
+
+	// Ann and Ben have read version 1. What only one of them has touched stays.
+	s.agrees(2, "propose", second, "--author", "ann", "--base", "1")
+	s.fails(2, `pool/p was changed at version 2 by "ann"`, "propose", s.write("ben.toml", services(3, 1)), "--author", "ben", "--base", "1")
+	if is := s.agrees(3, "propose", s.write("ben.toml", services(1, 5)), "--author", "ben", "--base", "1"); is.Changed != 1 {
+		t.Errorf("got %+v, want pool/q alone", is)
+	}
+	if err := s.call(&differs, "diff", s.write("both.toml", services(2, 5))); err != nil || len(differs.Edits) != 0 {
+		t.Errorf("both their changes: %+v, %v", differs, err)
+	}
+
+	record := "attempts = 4\nservers = [\"127.0.0.1:1\"]\n[[class]]\nname = \"look\"\nrepeat = \"safe\"\n"
+	s.agrees(4, "put", "pool/q", s.write("q.pool", record))
+	if err := s.call(&none, "put", "pool/q", s.write("q.pool", "name = \"q\"\n"+record)); err != nil || len(none.Versions) != 0 {
+		t.Errorf("the same record: %+v, %v", none, err)
+	}
+	if is := s.agrees(5, "delete", "pool/q"); is.Deleted != 1 {
+		t.Errorf("got %+v", is)
+	}
+	s.fails(1, "want a number", "rollback", "one")
+	s.fails(1, "not remembered", "rollback", "9")
+	if is := s.agrees(6, "rollback", "1", "--note", "not so"); is.New != 1 || is.Changed != 1 {
+		t.Errorf("got %+v", is)
+	}
+	if err := s.call(&differs, "diff", first); err != nil || len(differs.Edits) != 0 {
+		t.Errorf("back at version 1: %+v, %v", differs, err)
+	}
+	var log []past
+	if err := s.call(&log, "log", "-n", "5"); err != nil || len(log) != 5 || log[0].Reverts != 1 || log[0].Note != "not so" || log[4].Author != "ann" || log[3].Author != "ben" || len(log[1].Deleted) != 1 || log[3].At.IsZero() {
+		t.Errorf("got %+v, %v", log, err)
+	}
+	if text, err := s.say("log"); err != nil || !strings.Contains(text, `"to begin with"`) || !strings.Contains(text, "-pool/q") || !strings.Contains(text, "back to 1. not so") {
+		t.Errorf("%v: %s", err, text)
+	}
+}
+
+// TestLostRace has another's change come between an operator's read and its proposal: the voters turn it down,
+// and the operator is told whose it was.
+func TestLostRace(t *testing.T) {
+	t.Parallel()
+	s := newConfigSite(t)
+	s.wait("the voters agree on nothing", func(d *distribution) bool { return d.Majority })
+	s.agrees(1, "propose", s.write("first.toml", services(1, 1)))
+	d := check.Must[*config.Distribution](t)(config.LoadDistribution(filepath.Join(s.dir, "ops.toml")))
+	voters := check.Must[*cluster.Client](t)(cluster.NewClient(d.Cluster.Voters, d.Cluster.Files))
+	defer voters.Close()
+	c := &configCall{configCalls: &configCalls{wait: check.Soon, author: "ben"}, ctx: t.Context(), voters: voters, site: d, out: s.log, notes: s.log}
+	err := c.change(func(is *conf.State) ([]revise.Edit, error) {
+		edits, err := c.read(is, s.write("second.toml", services(2, 1)))
+		s.agrees(2, "propose", s.write("ann.toml", services(3, 1)), "--author", "ann", "--note", "at once")
+		return edits, err
+	})
+	if exitCode(err) != exitLost || !strings.Contains(err.Error(), `pool/p was changed at version 2 by "ann": "at once"`) || !strings.Contains(err.Error(), "config diff") {
+		t.Errorf("got %v", err)
+	}
+	s.wait("the first stays", func(d *distribution) bool { return d.Version == 2 })
+}
+
+// TestRelayCommand has two relays serve two nodes: status tells of both, of what a node refuses and of a relay that
+// has ended; then the voters that went with them are no majority, and nothing is agreed on.
+func TestRelayCommand(t *testing.T) {
+	t.Parallel()
+	s := newConfigSite(t)
+	s.wait("the voters agree on nothing", func(d *distribution) bool { return d.Majority })
+	refuse := errors.New("pool/p: attempts is too many for this one")
+	for i := range 2 {
+		name := fmt.Sprint("n", i)
+		src := check.Must[*confsync.Source](t)(confsync.NewSource(confsync.SourceOptions{
+			Name: name, Zone: "zone-a", Relays: s.relays, Files: s.files("node"), Log: slog.New(slog.NewTextHandler(s.log, nil)),
+			Install: func(conf.Snapshot) error { return nil },
+			Change: func(c conf.Change) error {
+				if name == "n1" && c.Version == 2 {
+					return refuse
+				}
+				return nil
+			},
+		}))
+		t.Cleanup(src.Close)
+	}
+	s.agrees(1, "propose", s.write("first.toml", services(1, 1)))
+	level := func(d *distribution) (n int) {
+		for _, r := range d.Relays {
+			if r.Told != nil && r.Told.Version == d.Version && r.Told.Age >= 0 {
+				n += r.Told.Level
+			}
+		}
+		return n
+	}
+	s.wait("both nodes are level", func(d *distribution) bool { return d.Version == 1 && level(d) == 2 })
+	s.agrees(2, "propose", s.write("second.toml", services(2, 1)))
+	s.wait("a refusal is told", func(d *distribution) bool {
+		for _, r := range d.Relays {
+			if r.Told != nil && len(r.Told.Worst) > 0 && r.Told.Worst[0].Node == "n1" && r.Told.Worst[0].Refused == 1 && strings.Contains(r.Told.Worst[0].Why, refuse.Error()) {
+				return true
+			}
+		}
+		return false
+	})
+	if text, err := s.say("status"); err != nil || !strings.Contains(text, "version 2") || !strings.Contains(text, `"n1"`) || !strings.Contains(text, refuse.Error()) {
+		t.Errorf("%v: %s", err, text)
+	}
+
+	if err := s.stops["b"](); err != nil {
+		t.Errorf("relay b ends: %v", err)
+	}
+	s.wait("a relay that has ended is told of first, and its nodes are at the other", func(d *distribution) bool {
+		return d.Relays[0].Name == "b" && d.Relays[0].Error != "" && d.Relays[1].Told != nil && d.Relays[1].Told.Streams == 2 && d.Relays[1].Told.Level == 2
+	})
+	s.agrees(3, "propose", s.write("third.toml", services(3, 1)))
+	s.wait("the nodes have it from the other relay", func(d *distribution) bool { return d.Version == 3 && level(d) == 2 })
+
+	if err := s.stops["a"](); err != nil {
+		t.Errorf("relay a ends: %v", err)
+	}
+	if err := s.call(nil, "propose", s.write("fourth.toml", services(4, 1))); !errors.Is(err, errNoMajority) || exitCode(err) != exitFailed {
+		t.Errorf("without a majority: %v", err)
+	}
+	var log []past
+	if err := s.call(&log, "log"); err != nil || len(log) == 0 || log[0].Version != 3 {
+		t.Errorf("what one voter has can be read: %+v, %v", log, err)
+	}
+}
+
+// TestReport sums up a relay's nodes, the worst of them first.
+func TestReport(t *testing.T) {
+	t.Parallel()
+	told := func(name string, sent, version, refused uint64) confsync.NodeStatus {
+		return confsync.NodeStatus{Name: name, Sent: sent, Told: confsync.Told{Version: version, Refused: refused}}
+	}
+	all := []confsync.NodeStatus{
+		told("level", 9, 9, 0), told("slow", 9, 7, 0), told("stuck", 5, 5, 0), told("spare", 0, 0, 0), told("refuses", 9, 9, 2),
+	}
+	r := report(confsync.RelayStatus{Version: 9, Nodes: all}, all[0].Since, 10)
+	var names []string
+	for _, n := range r.Worst {
+		names = append(names, fmt.Sprint(n.Node, " ", n.Behind))
+	}
+	if want := []string{"refuses 0", "spare 9", "stuck 4", "slow 2"}; !slices.Equal(names, want) {
+		t.Errorf("got %q, want %q", names, want)
+	}
+	if r.Streams != 5 || r.Level != 2 || r.Behind != 2 || r.Silent != 1 || r.Refusing != 1 {
+		t.Errorf("got %+v", r)
+	}
+	if r := report(confsync.RelayStatus{Version: 9, Nodes: all}, all[0].Since, 1); len(r.Worst) != 1 || r.Behind != 2 {
+		t.Errorf("one is asked for: %+v", r)
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	t.Parallel()
+	for want, err := range map[int]error{
+		exitFailed: errNoMajority, exitLost: onwards(fmt.Errorf("x: %w", conf.ErrConflict)), exitUnknown: onwards(fmt.Errorf("x: %w", cluster.ErrUnknown)),
+	} {
+		if got := exitCode(err); got != want {
+			t.Errorf("%v: exit %d, want %d", err, got, want)
+		}
+	}
+}
--- a/cmd/jasperpin/main.go
+++ b/cmd/jasperpin/main.go
@@ -5,13 +5,34 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
+
+	"jasperpin/internal/cluster"
+	"jasperpin/internal/peers/conf"
+)
+
+// Exit codes of what failed.
+const (
+	exitFailed  = 1
+	exitLost    = 2 // another's change came first
+	exitUnknown = 3 // it is not known what became of a change
 )
 
 func main() {
 	if err := root().ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "jasperpin:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	switch {
+	case errors.Is(err, conf.ErrConflict):
+		return exitLost
+	case errors.Is(err, cluster.ErrUnknown):
+		return exitUnknown
 	}
+	return exitFailed
 }
--- a/cmd/jasperpin/serve.go
+++ b/cmd/jasperpin/serve.go
@@ -31,7 +31,7 @@
 		Example: "  jasperpin serve -c deploy/jasperpin.toml",
 	}
 	srv.Flags().AddFlagSet(cmd.Flags())
-	cmd.AddCommand(srv, ctlCommand(), clusterCommand(), membersCommand(), checkCommand(), routeCommand(), demoCommand(), versionCommand())
+	cmd.AddCommand(srv, ctlCommand(), clusterCommand(), configCommand(), membersCommand(), checkCommand(), routeCommand(), demoCommand(), versionCommand())
 	return cmd
 }
 
