Have a relay of the command's tests be a process that SIGTERM ends

Of the two relays that the tests run one is a process now: it ends by SIGTERM without an error, and the tests wait until both know of a majority.

--- a/cmd/jasperpin/config_test.go
+++ b/cmd/jasperpin/config_test.go
@@ -22,6 +22,7 @@
 	"jasperpin/internal/revise"
 	"jasperpin/internal/standin"
 	"jasperpin/internal/standin/check"
+	"jasperpin/internal/standin/stand"
 )
 
 // configSite is three voters, two of them relays too, as the command line runs them, and operators' files.
@@ -91,11 +92,25 @@
 			fmt.Sprintf("listen = %q\nstatus = %q\nfolder = \"copy-%s\"\n", s.relays[i].Addr, s.status[name], name))
 		s.start(name, path)
 	}
+	s.wait("the voters agree on nothing, and both relays know", func(d *distribution) bool {
+		both := d.Majority && d.Version == 0
+		for _, r := range d.Relays {
+			both = both && r.Told != nil && r.Told.Age >= 0
+		}
+		return both
+	})
 	return s
 }
 
-// start runs a relay until its stop is called, which gives its error.
+// start runs a relay until its stop is called, which gives its error: one as a process, that SIGTERM ends.
 func (s *configSite) start(name, path string) {
+	if name == "b" {
+		program := stand.Program{Path: os.Args[0], Env: []string{"JASPERPIN_TEST_MAIN=1"}}
+		p := check.Must[*stand.Process](s.t)(program.Start(s.dir, name, "config", "relay", "-c", path))
+		s.stops[name] = sync.OnceValue(p.End)
+		s.ends(name)
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
@@ -108,6 +123,10 @@
 		cancel()
 		return <-ended
 	})
+	s.ends(name)
+}
+
+func (s *configSite) ends(name string) {
 	s.t.Cleanup(func() {
 		if err := s.stops[name](); err != nil {
 			s.t.Errorf("relay %s: %v", name, err)
@@ -195,7 +214,6 @@
 func TestConfigCommands(t *testing.T) {
 	t.Parallel()
 	s := newConfigSite(t)
-	s.wait("the voters agree on nothing", func(d *distribution) bool { return d.Majority && d.Version == 0 })
 	first := s.write("first.toml", services(1, 1))
 	if is := s.agrees(1, "propose", first, "--author", "ann", "--note", "to begin with"); is.New != 4 || is.Base != 0 {
 		t.Errorf("got %+v, want 4 new records", is)
@@ -263,7 +281,6 @@
 func TestLostRace(t *testing.T) {
 	t.Parallel()
 	s := newConfigSite(t)
-	s.wait("the voters agree on nothing", func(d *distribution) bool { return d.Majority })
 	s.agrees(1, "propose", s.write("first.toml", services(1, 1)))
 	d := check.Must[*config.Distribution](t)(config.LoadDistribution(filepath.Join(s.dir, "ops.toml")))
 	voters := check.Must[*cluster.Client](t)(cluster.NewClient(d.Cluster.Voters, d.Cluster.Files))
@@ -285,7 +302,6 @@
 func TestRelayCommand(t *testing.T) {
 	t.Parallel()
 	s := newConfigSite(t)
-	s.wait("the voters agree on nothing", func(d *distribution) bool { return d.Majority })
 	refuse := errors.New("pool/p: attempts is too many for this one")
 	for i := range 2 {
 		name := fmt.Sprint("n", i)
