Log each change that a relay hears of, and line up the table of status

A relay's log now tells version, author, note and records of each change. A relay that doesn't answer no longer breaks the columns of jasperpin config status; nodes with an older version are LATE, as BEHIND counts versions.

--- a/cmd/jasperpin/config_test.go
+++ b/cmd/jasperpin/config_test.go
@@ -346,9 +346,16 @@
 	s.wait("a relay that has ended is told of first, and its nodes are at the other", func(d *distribution) bool {
 		return d.Relays[0].Name == "b" && d.Relays[0].Error != "" && d.Relays[1].Told != nil && d.Relays[1].Told.Streams == 2 && d.Relays[1].Told.Level == 2
 	})
+	if text, err := s.say("status"); err != nil || !strings.Contains(text, "connection refused") {
+		t.Errorf("%v: %s", err, text)
+	}
 	s.agrees(3, "propose", s.write("third.toml", services(3, 1)))
 	s.wait("the nodes have it from the other relay", func(d *distribution) bool { return d.Version == 3 && level(d) == 2 })
 
+	if text := s.log.String(); !strings.Contains(text, `msg="a change of the configuration" version=3`) {
+		t.Errorf("the relay's log tells nothing of version 3: %s", text)
+	}
+
 	if err := s.stops["a"](); err != nil {
 		t.Errorf("relay a ends: %v", err)
 	}
@@ -378,10 +385,10 @@
 	if want := []string{"refuses 0", "spare 9", "stuck 4", "slow 2"}; !slices.Equal(names, want) {
 		t.Errorf("got %q, want %q", names, want)
 	}
-	if r.Streams != 5 || r.Level != 2 || r.Behind != 2 || r.Silent != 1 || r.Refusing != 1 {
+	if r.Streams != 5 || r.Level != 2 || r.Late != 2 || r.Silent != 1 || r.Refusing != 1 {
 		t.Errorf("got %+v", r)
 	}
-	if r := report(confsync.RelayStatus{Version: 9, Nodes: all}, all[0].Since, 1); len(r.Worst) != 1 || r.Behind != 2 {
+	if r := report(confsync.RelayStatus{Version: 9, Nodes: all}, all[0].Since, 1); len(r.Worst) != 1 || r.Late != 2 {
 		t.Errorf("one is asked for: %+v", r)
 	}
 }
--- a/cmd/jasperpin/relay.go
+++ b/cmd/jasperpin/relay.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -50,7 +51,7 @@
 		return fmt.Errorf("listening for nodes: %w", err)
 	}
 	defer ln.Close()
-	r, err := confsync.NewRelay(confsync.RelayOptions{Voters: inst.Client, Files: d.Files, Streams: d.Relay.Streams, Folder: d.Relay.Folder, Log: log})
+	r, err := confsync.NewRelay(confsync.RelayOptions{Voters: heardVoters{inst.Client, log}, Files: d.Files, Streams: d.Relay.Streams, Folder: d.Relay.Folder, Log: log})
 	if err != nil {
 		return err
 	}
@@ -73,6 +74,27 @@
 	return err
 }
 
+// heardVoters are the voters whom a relay follows. What is news of them is logged.
+type heardVoters struct {
+	*cluster.Client
+	log *slog.Logger
+}
+
+// Config is the client's.
+func (v heardVoters) Config(ctx context.Context, since uint64, wait time.Duration) (cluster.News, error) {
+	n, err := v.Client.Config(ctx, since, wait)
+	switch all := n.Changes; {
+	case len(all) == 1 && len(all[0].Records) > 0:
+		c := all[0]
+		v.log.Info("a change of the configuration", "version", c.Version, "author", c.Author, "note", c.Note, "records", len(c.Records), "first", c.Records[0].Key, "reverts", c.Reverts)
+	case len(all) > 0: // it was away, or they come fast
+		v.log.Info("changes of the configuration", "from", all[0].Version, "to", all[len(all)-1].Version)
+	case n.Forgotten:
+		v.log.Info("the configuration is taken whole", "version", n.Version)
+	}
+	return n, err
+}
+
 // serveStatus tells operators how things stand with a relay.
 func serveStatus(d *config.Distribution, r *confsync.Relay, ended chan<- error) (*http.Server, error) {
 	t, err := d.Files.Load(confsync.RelayName)
@@ -113,9 +135,9 @@
 	Why     string        `json:",omitempty"` // it is not level
 	// Streams is how many nodes it serves: those that have its version in force, those that have told an older
 	// one, and those that have told none yet, as they have just come or look elsewhere too.
-	Streams, Level, Behind, Silent int
-	Refusing                       int          // that have refused records since they started
-	Worst                          []nodeReport `json:",omitempty"`
+	Streams, Level, Late, Silent int
+	Refusing                     int          // that have refused records since they started
+	Worst                        []nodeReport `json:",omitempty"`
 }
 
 // nodeReport is a node that is behind, or has refused something.
@@ -141,10 +163,10 @@
 			r.Silent++
 			why = append(why, fmt.Sprintf("has asked for nothing here in %v", now.Sub(n.Since).Round(time.Second)))
 		case n.Sent < s.Version:
-			r.Behind++
+			r.Late++
 			why = append(why, fmt.Sprintf("takes nothing more: it was sent up to version %d", n.Sent))
 		default:
-			r.Behind++
+			r.Late++
 			why = append(why, "was sent all, and has not said that it is in force")
 		}
 		if n.Told.Refused > 0 {
@@ -209,7 +231,7 @@
 func (d *distribution) show(out io.Writer, worst int) {
 	fmt.Fprintf(out, "version %d, digest %s\n\n", d.Version, d.Digest)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "RELAY\tZONE\tVERSION\tBEHIND\tAGE\tSTREAMS\tLEVEL\tBEHIND\tSILENT\tREFUSING\t")
+	fmt.Fprintln(w, "RELAY\tZONE\tVERSION\tBEHIND\tAGE\tSTREAMS\tLEVEL\tLATE\tSILENT\tREFUSING\t")
 	type of struct {
 		nodeReport
 		relay string
@@ -218,14 +240,14 @@
 	for _, r := range d.Relays {
 		t := r.Told
 		if t == nil {
-			fmt.Fprintf(w, "%s\t%s\t%s\n", r.Name, r.Zone, strings.ReplaceAll(r.Error, "\n", " "))
+			fmt.Fprintf(w, "%s\t%s%s%s\n", r.Name, r.Zone, strings.Repeat("\t", 9), strings.ReplaceAll(r.Error, "\n", " "))
 			continue
 		}
 		age := "never level"
 		if t.Age >= 0 {
 			age = t.Age.Round(100 * time.Millisecond).String()
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", r.Name, r.Zone, t.Version, r.Behind, age, t.Streams, t.Level, t.Behind, t.Silent, t.Refusing, t.Why)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", r.Name, r.Zone, t.Version, r.Behind, age, t.Streams, t.Level, t.Late, t.Silent, t.Refusing, t.Why)
 		for _, n := range t.Worst {
 			nodes = append(nodes, of{n, r.Name})
 		}
@@ -281,8 +303,11 @@
 		return nil, fmt.Errorf("asking a relay: %w", err)
 	}
 	resp, err := client.Do(req)
+	if at := (*url.Error)(nil); errors.As(err, &at) {
+		err = at.Err // the address is told beside it
+	}
 	if err != nil {
-		return nil, fmt.Errorf("asking a relay: %w", err)
+		return nil, err
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReport))
