--- a/internal/peers/conf/model_test.go
+++ b/internal/peers/conf/model_test.go
@@ -19,13 +19,16 @@
 	t.Cleanup(func() { maxLog, pieceBytes = log, piece })
 }
 
-// wire is one stream of the model, as TCP has it: what was sent comes in order, late, or not at all.
+// wire is one stream of the model, as TCP has it: what was sent comes in order, late, or not at all. After a cut
+// it may stay dead, and neither side hears of that.
 type wire struct {
 	id     uint64
 	from   *party // the follower
 	to     *party
 	cursor *Cursor
-	up     bool     // the dial has come about
+	up     bool // the dial has come about
+	dead   bool
+	old    Piece    // the last one of an old snapshot, from a liar that gives such
 	words  []Word   // on their way to the follower
 	ask    []Resume // and to the relay
 }
@@ -63,6 +66,8 @@
 	cut     map[[2]string]bool // from one to another
 	rough   bool               // words within a stream are lost, doubled and out of order
 	errs    bool               // so that honest relays may be called liars
+	manner  int                // of the liar
+	old     *Snapshot          // that it gives in place of newer ones
 	heard   int                // changes that came, and pieces, and lies that were found
 	pieces  int
 	lies    int
@@ -141,7 +146,7 @@
 	p.version, p.inForce = s.Version(), table(s)
 	p.runs++
 	p.born = m.now
-	p.f = NewFollower(Options{Name: p.name, Zone: p.zone, Region: p.zone, Peers: p.peers, Log: p.serves != nil, Seed: p.runs}, s, 0)
+	p.f = NewFollower(Options{Name: p.name, Zone: p.zone, Region: p.zone, Peers: p.peers, Relay: p.serves != nil, Seed: p.runs}, s, 0)
 	m.check(p)
 }
 
@@ -278,7 +283,7 @@
 
 // pass moves what a stream has, both ways.
 func (m *tier) pass(w *wire, crashes bool) {
-	if !slices.Contains(m.wires, w) || w.from.f == nil {
+	if !slices.Contains(m.wires, w) || w.from.f == nil || w.dead {
 		return
 	}
 	f := w.from.f
@@ -310,7 +315,9 @@
 			break
 		}
 		if w.to.liar {
-			word = m.lie(word)
+			if word = m.lie(w, word); word == nil {
+				continue
+			}
 		}
 		sent, err := DecodeWord(AppendWord(nil, word))
 		if err != nil {
@@ -345,8 +352,28 @@
 	}
 }
 
-// lie makes something else of a word now and then.
-func (m *tier) lie(w Word) Word {
+// lie makes something else of a word now and then, or always promises what it never gives, or gives what is old.
+func (m *tier) lie(on *wire, w Word) Word {
+	o, offers := w.(Offer)
+	switch {
+	case m.manner == 1 && offers:
+		o.Version += 1000
+		return o
+	case m.manner == 1:
+		return nil
+	case m.manner == 2 && offers && m.old == nil && rapid.Bool().Draw(m.t, "old"):
+		s := m.voters.Snapshot()
+		m.old = &s
+	case m.manner == 2 && !offers && m.old != nil:
+		if on.old.Last {
+			return nil
+		}
+		on.old = m.old.Piece(on.old)
+		return on.old
+	}
+	if m.manner > 0 {
+		return w
+	}
 	kind := rapid.IntRange(0, 5).Draw(m.t, "lie")
 	switch w := w.(type) {
 	case Offer:
@@ -388,6 +415,11 @@
 			w.Records = w.Records[:len(w.Records)/2]
 		case 4:
 			w.Digest[1]++
+		case 5:
+			if len(w.Changes) > 0 {
+				w.Changes = slices.Clone(w.Changes)
+				w.Changes[0].Author = "nobody"
+			}
 		}
 		return w
 	}
@@ -420,16 +452,16 @@
 			m.propose()
 		case 2: // one way, or both
 			a, b, is := any("from"), any("to"), rapid.Bool().Draw(t, "cut")
-			m.cut[[2]string{a.name, b.name}] = is
+			m.split(a, b, is)
 			if rapid.Bool().Draw(t, "both ways") {
-				m.cut[[2]string{b.name, a.name}] = is
+				m.split(b, a, is)
 			}
 		case 3: // a region from another
 			is := rapid.Bool().Draw(t, "regions cut")
 			for _, a := range m.all {
 				for _, b := range m.all {
 					if a.zone != b.zone {
-						m.cut[[2]string{a.name, b.name}] = is
+						m.split(a, b, is)
 					}
 				}
 			}
@@ -467,6 +499,16 @@
 	}
 }
 
+// split cuts a link one way, or mends it.
+func (m *tier) split(a, b *party, is bool) {
+	m.cut[[2]string{a.name, b.name}] = is
+	for _, w := range m.wires {
+		if is && (w.from == a && w.to == b || w.from == b && w.to == a) {
+			w.dead = w.dead || rapid.Bool().Draw(m.t, "dead")
+		}
+	}
+}
+
 // heal ends all faults but lies.
 func (m *tier) heal() {
 	m.cut, m.rough = make(map[[2]string]bool), false
@@ -511,6 +553,7 @@
 	heard, pieces, lies := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newTier(t, rapid.IntRange(2, 3).Draw(t, "relays"), 4, rapid.IntRange(0, 1).Draw(t, "liars"))
+		m.manner = rapid.IntRange(0, 2).Draw(t, "manner")
 		m.faults(80)
 		m.heal()
 		took := m.within(7 * time.Second)
