Read the list of relays alike for nodes and operators

A node's [config] lists relays with the same keys as an operator's file, which has status beside them. What relays and operators need takes the same types.

--- a/cmd/jasperpin/config.go
+++ b/cmd/jasperpin/config.go
@@ -99,7 +99,7 @@
 			if err != nil {
 				return err
 			}
-			if d.Relay.Listen == "" {
+			if d.Own.Listen == "" {
 				return fmt.Errorf("%s is no relay's: want config.listen", g.file)
 			}
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
--- a/cmd/jasperpin/relay.go
+++ b/cmd/jasperpin/relay.go
@@ -46,18 +46,18 @@
 		return fmt.Errorf("the group: %w", err)
 	}
 	defer inst.Close()
-	ln, err := net.Listen("tcp", d.Relay.Listen)
+	ln, err := net.Listen("tcp", d.Own.Listen)
 	if err != nil {
 		return fmt.Errorf("listening for nodes: %w", err)
 	}
 	defer ln.Close()
-	r, err := confsync.NewRelay(confsync.RelayOptions{Voters: heardVoters{inst.Client, log}, Files: d.Files, Streams: d.Relay.Streams, Folder: d.Relay.Folder, Log: log})
+	r, err := confsync.NewRelay(confsync.RelayOptions{Voters: heardVoters{inst.Client, log}, Files: d.Files, Streams: d.Own.Streams, Folder: d.Own.Folder, Log: log})
 	if err != nil {
 		return err
 	}
 	defer r.Close()
 	ended := make(chan error, 2)
-	if d.Relay.Status != "" {
+	if d.Own.Status != "" {
 		srv, err := serveStatus(d, r, ended)
 		if err != nil {
 			return err
@@ -65,7 +65,7 @@
 		defer srv.Close()
 	}
 	go func() { ended <- r.Serve(ln) }()
-	log.Info("the relay serves", "relay", d.Name, "at", ln.Addr().String(), "status", d.Relay.Status, "voter", c.Folder != "", "version", r.Status().Version)
+	log.Info("the relay serves", "relay", d.Name, "at", ln.Addr().String(), "status", d.Own.Status, "voter", c.Folder != "", "version", r.Status().Version)
 	select {
 	case err = <-ended:
 	case <-ctx.Done():
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("the relay's status: %w", err)
 	}
-	ln, err := net.Listen("tcp", d.Relay.Status)
+	ln, err := net.Listen("tcp", d.Own.Status)
 	if err != nil {
 		return nil, fmt.Errorf("listening for operators: %w", err)
 	}
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -13,29 +13,26 @@
 type Distribution struct {
 	Name    string // of the relay
 	Cluster Cluster
-	Relay   Relay
-	Relays  []RelayAt
+	Own     OwnRelay
+	Relays  []StatusRelay
 	Files   mtls.Files // for relays and whom they serve
 }
 
-// Relay is the relay that a process is. One that listens nowhere is none.
-type Relay struct {
+// OwnRelay is the relay that a process is. One that listens nowhere is none.
+type OwnRelay struct {
 	Listen  string // for nodes
 	Status  string // where it tells operators how things stand
 	Folder  string // of its copy; "" for none
 	Streams int    // the most nodes
 }
 
-// RelayAt is one of the relays of an installation.
-type RelayAt struct {
-	Name, Zone, Region string
-	Address            string // for nodes
-	Status             string // for operators; "" for nowhere
+// StatusRelay is a relay, and where operators ask how things stand with it; "" for nowhere.
+type StatusRelay struct {
+	Relay
+	Status string
 }
 
 const (
-	// maxRelays bounds the relays that a file lists.
-	maxRelays = 256
 	// defaultStreams is six times a relay's share of 2,600 nodes over 15.
 	defaultStreams = 1024
 	maxStreams     = 1 << 16
@@ -54,7 +51,7 @@
 	}
 	for _, file := range []*string{
 		&d.Cluster.Files.Certificate, &d.Cluster.Files.Key, &d.Cluster.Files.Authorities, &d.Cluster.Folder,
-		&d.Files.Certificate, &d.Files.Key, &d.Files.Authorities, &d.Relay.Folder,
+		&d.Files.Certificate, &d.Files.Key, &d.Files.Authorities, &d.Own.Folder,
 	} {
 		if *file != "" && !filepath.IsAbs(*file) {
 			*file = filepath.Join(filepath.Dir(path), *file)
@@ -84,22 +81,17 @@
 		return
 	}
 	const addr = "an address and port such as 127.0.0.1:7850"
-	some := func(s string) bool { return s != "" }
-	d.Relay = Relay{
+	d.Own = OwnRelay{
 		Listen:  t.text("listen", "", addr, isAddr),
 		Status:  t.text("status", "", addr, isAddr),
-		Folder:  t.text("folder", "", "the path of a folder", some),
+		Folder:  t.text("folder", "", "the path of a folder", func(s string) bool { return s != "" }),
 		Streams: t.count("streams", defaultStreams, 1, maxStreams),
 	}
-	d.Files = mtls.Files{
-		Certificate: t.text("certificate", "", "the name of a file in PEM", some),
-		Key:         t.text("key", "", "the name of a file in PEM", some),
-		Authorities: t.text("authorities", "", "the name of a file in PEM", some),
-	}
+	d.Files = readFiles(t)
 	for _, key := range []string{"certificate", "key", "authorities"} {
 		t.must(key)
 	}
-	if d.Relay.Listen == "" {
+	if d.Own.Listen == "" {
 		for _, key := range []string{"status", "folder", "streams"} {
 			if t.m[key] != nil {
 				t.fail(key, "stands without listen: it is a relay's own")
@@ -108,10 +100,10 @@
 	}
 	names := make(map[string]bool)
 	for at := range t.tables("relay") {
-		one := RelayAt{
-			Name: at.word("name", ""), Zone: at.text("zone", "", "the name of a zone", isWord), Region: at.text("region", "", "the name of a region", isWord),
-			Address: at.text("address", "", addr, isAddr), Status: at.text("status", "", addr, isAddr),
-		}
+		place := func(key string) string { return at.text(key, "", "the name of a place", isWord) }
+		one := StatusRelay{Status: at.text("status", "", addr, isAddr)}
+		one.Address = at.text("address", "", addr, isAddr)
+		one.Name, one.Zone, one.Region = at.text("name", one.Address, "a name", isWord), place("zone"), place("region")
 		at.must("address")
 		if names[one.Name] {
 			at.fail("name", "%q is used twice: want another name for each relay", one.Name)
--- a/internal/config/relay_test.go
+++ b/internal/config/relay_test.go
@@ -45,11 +45,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := Relay{Listen: "127.0.0.1:7850", Status: "127.0.0.1:7851", Folder: filepath.Join(filepath.Dir(path), "copy"), Streams: defaultStreams}
-	if d.Name != "m1" || d.Relay != want || d.Files.Certificate != filepath.Join(filepath.Dir(path), "n.pem") || d.Files.Authorities != "/nodes-ca.pem" || !d.Cluster.On() {
+	want := OwnRelay{Listen: "127.0.0.1:7850", Status: "127.0.0.1:7851", Folder: filepath.Join(filepath.Dir(path), "copy"), Streams: defaultStreams}
+	if d.Name != "m1" || d.Own != want || d.Files.Certificate != filepath.Join(filepath.Dir(path), "n.pem") || d.Files.Authorities != "/nodes-ca.pem" || !d.Cluster.On() {
 		t.Errorf("got %+v", d)
 	}
-	if at := (RelayAt{"m1", "z1", "r1", "127.0.0.1:7850", "127.0.0.1:7851"}); len(d.Relays) != 1 || d.Relays[0] != at {
+	if at := (StatusRelay{Relay{"m1", "127.0.0.1:7850", "z1", "r1"}, "127.0.0.1:7851"}); len(d.Relays) != 1 || d.Relays[0] != at {
 		t.Errorf("got %+v", d.Relays)
 	}
 	for _, c := range []struct{ was, is, want string }{
