Try a node that serves by what operators propose, and say how its file looks

A process of jasperpin serve with [config] follows two relays: ready with the first version, through a put and a rollback, and level in jasperpin config status.

--- a/cmd/jasperpin/config_test.go
+++ b/cmd/jasperpin/config_test.go
@@ -17,6 +17,7 @@
 	"jasperpin/internal/cluster"
 	"jasperpin/internal/config"
 	"jasperpin/internal/confsync"
+	"jasperpin/internal/door"
 	"jasperpin/internal/mtls"
 	"jasperpin/internal/peers/conf"
 	"jasperpin/internal/revise"
@@ -368,6 +369,52 @@
 	}
 }
 
+// TestNodeByRelays has a node serve by what operators propose: it is ready with the first version, and status
+// tells that it is level.
+func TestNodeByRelays(t *testing.T) {
+	t.Parallel()
+	s := newConfigSite(t)
+	at, f := check.Unused(t), s.files("node")
+	text := fmt.Sprintf("[node]\nname = \"edge-1\"\nlisten = [\"127.0.0.1:0\"]\ncontrol = %q\n[config]\nfolder = \"edge-1\"\ncertificate = %q\nkey = %q\nauthorities = %q\n", at, f.Certificate, f.Key, f.Authorities)
+	for _, r := range s.relays {
+		text += fmt.Sprintf("[[config.relay]]\nname = %q\naddress = %q\n", r.Name, r.Addr)
+	}
+	p := check.Must[*stand.Process](t)(serving(s.dir, "edge-1", s.write("edge-1.toml", text)))
+	defer p.Kill()
+	has := func(line string) {
+		t.Helper()
+		check.Eventually(t, line, func() bool {
+			lines, err := door.Call(t.Context(), at, "telemetry")
+			return err == nil && slices.Contains(lines, line)
+		})
+	}
+	has("config_version=0")
+	if _, err := door.Call(t.Context(), at, "readyz"); err == nil {
+		t.Error("the node is ready, and has no configuration")
+	}
+	s.agrees(1, "propose", s.write("first.toml", services(1, 1)))
+	has("config_version=1")
+	s.agrees(2, "put", "pool/q", s.write("q.pool", "attempts = 2\nservers = [\"127.0.0.1:1\"]\n[[class]]\nname = \"look\"\nrepeat = \"safe\"\n"))
+	has("config_version=2")
+	s.agrees(3, "rollback", "1")
+	has("config_version=3")
+	if _, err := door.Call(t.Context(), at, "readyz"); err != nil {
+		t.Error(err)
+	}
+	s.wait("status tells that the node is level", func(d *distribution) bool {
+		n := 0
+		for _, r := range d.Relays {
+			if r.Told != nil && r.Told.Version == 3 {
+				n += r.Told.Level
+			}
+		}
+		return n == 1
+	})
+	if err := p.End(); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestReport sums up a relay's nodes, the worst of them first.
 func TestReport(t *testing.T) {
 	t.Parallel()
