Lay guaranteed parts out anew without sorting and naming all pools

Cause: a pool that comes or goes moves the guaranteed part of all others, four times over, each time with the names sorted for an error that is rare.

--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -44,12 +44,15 @@
 // guarantee that others have borrowed of is whole again once they have.
 func (b *Budget) Configure(total int, guarantees map[string]int) error {
 	sum := 0
-	for _, name := range slices.Sorted(maps.Keys(guarantees)) {
-		g := guarantees[name]
-		if g < 0 {
-			return fmt.Errorf("%w: guarantee of %q is %d, want 0 or more", ErrBudget, name, g)
+	var below []string
+	for name, g := range guarantees {
+		if sum += g; g < 0 {
+			below = append(below, name)
 		}
-		sum += g
+	}
+	if len(below) > 0 {
+		name := slices.Min(below)
+		return fmt.Errorf("%w: guarantee of %q is %d, want 0 or more", ErrBudget, name, guarantees[name])
 	}
 	if total < 0 || sum > total {
 		return fmt.Errorf("%w: guarantees of %d exceed the %d there are", ErrBudget, sum, total)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -103,10 +103,10 @@
 	return v
 }
 
-// all are the names, in order, and what has them.
-func (m byName[T]) all() iter.Seq2[string, T] {
-	return func(yield func(string, T) bool) {
-		m.tree.Root().Walk(func(name []byte, v T) bool { return !yield(string(name), v) })
+// all are what has a name, in the order of names.
+func (m byName[T]) all() iter.Seq[T] {
+	return func(yield func(T) bool) {
+		m.tree.Root().Walk(func(_ []byte, v T) bool { return !yield(v) })
 	}
 }
 
@@ -321,9 +321,9 @@
 		named[cfg.Pools[i].Name] = true
 		d.Pools = append(d.Pools, &cfg.Pools[i])
 	}
-	for name := range was.pools.all() {
-		if !named[name] {
-			d.GonePools = append(d.GonePools, name)
+	for p := range was.pools.all() {
+		if !named[p.Name] {
+			d.GonePools = append(d.GonePools, p.Name)
 		}
 	}
 	clear(named)
@@ -331,9 +331,9 @@
 		named[cfg.Services[i].Name] = true
 		d.Services = append(d.Services, &cfg.Services[i])
 	}
-	for name := range was.services.all() {
-		if !named[name] {
-			d.GoneServices = append(d.GoneServices, name)
+	for svc := range was.services.all() {
+		if !named[svc.Name] {
+			d.GoneServices = append(d.GoneServices, svc.Name)
 		}
 	}
 	return s.change(d, terms{cfg.Limits, cfg.Seed, cfg.Keys, true})
@@ -461,8 +461,8 @@
 				return
 			}
 		}
-		for name, p := range was.pools.all() {
-			if !other[name] && !yield(p.own.cfg) {
+		for p := range was.pools.all() {
+			if !other[p.Name] && !yield(p.own.cfg) {
 				return
 			}
 		}
@@ -522,8 +522,8 @@
 		for c := range pools {
 			g[c.Name] = c.Guarantee(total, share)
 		}
-		for name := range s.now.Load().pools.all() {
-			g[name] += 0 // what drains still connects, but is guaranteed nothing
+		for p := range s.now.Load().pools.all() {
+			g[p.Name] += 0 // what drains still connects, but is guaranteed nothing
 		}
 		for o := range s.old {
 			g[o.name] += 0
@@ -587,7 +587,7 @@
 
 // each does something to all pools, those that drain too. The lock is held.
 func (s *Set) each(do func(*core.Pool)) {
-	for _, p := range s.now.Load().pools.all() {
+	for p := range s.now.Load().pools.all() {
 		do(p.Pool.Pool)
 	}
 	for o := range s.old {
@@ -611,7 +611,7 @@
 func (s *Set) Longest() (longest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range s.now.Load().pools.all() {
+	for p := range s.now.Load().pools.all() {
 		for _, c := range p.own.cfg.Settings.Classes {
 			longest = max(longest, c.Deadline)
 		}
@@ -631,8 +631,8 @@
 // Pools are the pools in force, by name.
 func (s *Set) Pools() iter.Seq2[string, *Pool] {
 	return func(yield func(string, *Pool) bool) {
-		for name, p := range s.now.Load().pools.all() {
-			if !yield(name, p.Pool) {
+		for p := range s.now.Load().pools.all() {
+			if !yield(p.Name, p.Pool) {
 				return
 			}
 		}
