--- a/internal/node/remote_test.go
+++ b/internal/node/remote_test.go
@@ -196,6 +196,10 @@
 	folder := n.node.cfg.Remote.Folder
 	n.reloadedWhole(s.text("n0", folder, "cores = 2.0"))
 	all("orders", one)
+	n.writeText(nodeText + svc("own", "") + pool("own", "", two.Addr))
+	n.reload()
+	check.Eventually(t, "a file with services is refused", func() bool { return strings.Contains(n.logged.String(), "[config] comes or goes") })
+	all("orders", one)
 
 	s.shut()
 	n.term()
