Read and write frames behind their length in one place for planners and configuration

A frame that is cut between its length and its payload is an unexpected end where it was a plain one, which a reader could have taken for a whole stream's.

--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -3,13 +3,12 @@
 import (
 	"bufio"
 	"context"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
+	"jasperpin/internal/frames"
 	"jasperpin/internal/group"
 	"jasperpin/internal/peers/conf"
 )
@@ -129,8 +128,7 @@
 	var buf []byte
 	for p := (conf.Piece{}); !p.Last; {
 		p = s.Piece(p)
-		buf = conf.AppendPiece(append(buf[:0], 0, 0, 0, 0), p)
-		binary.BigEndian.PutUint32(buf, uint32(len(buf)-4))
+		buf = frames.End(conf.AppendPiece(frames.New(buf), p))
 		if _, err := w.Write(buf); err != nil {
 			return
 		}
@@ -212,21 +210,10 @@
 	r, build := bufio.NewReader(resp.Body), conf.NewBuilder()
 	var buf []byte
 	for {
-		var head [4]byte
-		if _, err := io.ReadFull(r, head[:]); err != nil {
+		if buf, err = frames.Read(r, buf, conf.MaxPiece); err != nil {
 			return nil, fmt.Errorf("a snapshot of %s: %w", addr, err)
 		}
-		n := binary.BigEndian.Uint32(head[:])
-		if n > conf.MaxPiece {
-			return nil, fmt.Errorf("a snapshot of %s: a piece of %d bytes, %d are the most", addr, n, conf.MaxPiece)
-		}
-		if cap(buf) < int(n) {
-			buf = make([]byte, n)
-		}
-		if _, err := io.ReadFull(r, buf[:n]); err != nil {
-			return nil, fmt.Errorf("a snapshot of %s: %w", addr, err)
-		}
-		p, err := conf.DecodePiece(buf[:n])
+		p, err := conf.DecodePiece(buf)
 		if err != nil {
 			return nil, fmt.Errorf("a snapshot of %s: %w", addr, err)
 		}
--- a/internal/confsync/folder.go
+++ b/internal/confsync/folder.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"time"
 
+	"jasperpin/internal/frames"
 	"jasperpin/internal/peers/conf"
 )
 
@@ -90,7 +91,7 @@
 	build := conf.NewBuilder()
 	var buf []byte
 	for {
-		if buf, err = readFrame(r, buf, conf.MaxBare); err != nil {
+		if buf, err = read(r, buf, conf.MaxBare); err != nil {
 			return nil, fmt.Errorf("%w: %s: %w", errCopy, path, err)
 		}
 		p, err := conf.DecodePiece(buf)
@@ -215,7 +216,7 @@
 	_, err = w.WriteString(copyHead)
 	for p := (conf.Piece{}); !p.Last && err == nil; {
 		p = s.Piece(p)
-		_, err = w.Write(endFrame(conf.AppendPiece(newFrame(), p)))
+		_, err = w.Write(frames.End(conf.AppendPiece(frames.New(nil), p)))
 	}
 	if err == nil {
 		err = w.Flush()
--- a/internal/confsync/frame.go
+++ b/internal/confsync/frame.go
@@ -4,8 +4,6 @@
 package confsync
 
 import (
-	"bufio"
-	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +11,7 @@
 	"net"
 	"time"
 
+	"jasperpin/internal/frames"
 	"jasperpin/internal/peers/conf"
 )
 
@@ -53,21 +52,12 @@
 )
 
 const (
-	headLen = 4
 	// maxSaid bounds what a node says, in bytes.
 	maxSaid = 2 << 10
 	// keepBuffer is the largest buffer that stays for the next frame.
 	keepBuffer = 16 << 10
 )
 
-// newFrame begins a frame, whose payload is appended, and endFrame fills in its length.
-func newFrame() []byte { return make([]byte, headLen, 64) }
-
-func endFrame(b []byte) []byte {
-	binary.BigEndian.PutUint32(b, uint32(len(b)-headLen))
-	return b
-}
-
 // send writes frames, and fails where the other end doesn't take them in
 // writeWithin.
 func send(c net.Conn, frames []byte) error {
@@ -78,23 +68,13 @@
 	return nil
 }
 
-// readFrame reads one frame's payload into buf, or where that has no room into a new one, of no more than most.
-func readFrame(r io.Reader, buf []byte, most int) ([]byte, error) {
-	var head [headLen]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, fmt.Errorf("reading a frame: %w", err)
-	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n == 0 || n > uint32(most) {
-		return nil, fmt.Errorf("%w: it has %d bytes, 1 to %d are wanted", errFrame, n, most)
-	}
-	if cap(buf) < int(n) {
-		buf = make([]byte, n)
+// read reads one frame's payload, which says what it is.
+func read(r io.Reader, buf []byte, most int) ([]byte, error) {
+	payload, err := frames.Read(r, buf, most)
+	if err == nil && len(payload) == 0 {
+		err = fmt.Errorf("%w: it is empty", errFrame)
 	}
-	if _, err := io.ReadFull(r, buf[:n]); err != nil {
-		return nil, fmt.Errorf("reading a frame: %w", err)
-	}
-	return buf[:n], nil
+	return payload, err
 }
 
 // hello is a node's first word.
@@ -120,7 +100,7 @@
 	if len(text) >= maxSaid {
 		return nil, fmt.Errorf("a word to a relay: it has %d bytes, fewer than %d are wanted", len(text), maxSaid)
 	}
-	return endFrame(append(append(newFrame(), what), text...)), nil
+	return frames.End(append(append(frames.New(nil), what), text...)), nil
 }
 
 // parseWord reads what a relay says.
@@ -130,16 +110,3 @@
 	}
 	return conf.DecodeWord(payload)
 }
-
-// buffered gives the payload of the next frame, if all of it is in the buffer already.
-func buffered(r *bufio.Reader) ([]byte, bool) {
-	b, _ := r.Peek(r.Buffered()) // as many are there
-	if len(b) < headLen {
-		return nil, false
-	}
-	n := binary.BigEndian.Uint32(b)
-	if n == 0 || n > uint32(len(b)-headLen) {
-		return nil, false
-	}
-	return b[headLen : headLen+int(n)], true
-}
--- a/internal/confsync/relay.go
+++ b/internal/confsync/relay.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"jasperpin/internal/cluster"
+	"jasperpin/internal/frames"
 	"jasperpin/internal/mtls"
 	"jasperpin/internal/peers/conf"
 )
@@ -72,7 +73,7 @@
 	listeners []net.Listener
 	streams   map[*stream]struct{}
 	cursors   conf.Streams
-	frames    [keepFrames]encoded
+	newest    [keepFrames]encoded
 }
 
 // encoded is a change as a frame.
@@ -204,9 +205,9 @@
 
 // frame gives a change as it is sent. Called under the lock.
 func (r *Relay) frame(c conf.Change) []byte {
-	e := &r.frames[c.Version%keepFrames]
+	e := &r.newest[c.Version%keepFrames]
 	if e.version != c.Version {
-		*e = encoded{c.Version, endFrame(conf.AppendWord(newFrame(), conf.Changes{c}))}
+		*e = encoded{c.Version, frames.End(conf.AppendWord(frames.New(nil), conf.Changes{c}))}
 	}
 	return e.frame
 }
@@ -290,7 +291,7 @@
 	st, err := r.greet(c, br)
 	if err != nil {
 		if c.ConnectionState().HandshakeComplete {
-			_ = send(c, endFrame(append(append(newFrame(), sayRefusal), err.Error()...)))
+			_ = send(c, frames.End(append(append(frames.New(nil), sayRefusal), err.Error()...)))
 		}
 		r.opt.Log.Debug("a node's stream was refused", "from", raw.RemoteAddr().String(), "err", err)
 		return
@@ -317,7 +318,7 @@
 
 // greet reads a node's hello, and gives it a place.
 func (r *Relay) greet(c net.Conn, br *bufio.Reader) (*stream, error) {
-	text, err := readFrame(br, nil, maxSaid)
+	text, err := read(br, nil, maxSaid)
 	if err != nil {
 		return nil, err
 	}
@@ -343,7 +344,7 @@
 	var buf []byte
 	for {
 		_ = st.conn.SetReadDeadline(time.Now().Add(quietFor))
-		payload, err := readFrame(br, buf, maxSaid)
+		payload, err := read(br, buf, maxSaid)
 		if err != nil {
 			return err
 		}
@@ -435,14 +436,14 @@
 				err = put(frame)
 			}
 		case conf.Piece:
-			err = put(endFrame(conf.AppendWord(newFrame(), w)))
+			err = put(frames.End(conf.AppendWord(frames.New(nil), w)))
 			if w.Last { // another's turn
 				r.mu.Lock()
 				r.tell()
 				r.mu.Unlock()
 			}
 		default:
-			err = put(endFrame(conf.AppendWord(newFrame(), w)))
+			err = put(frames.End(conf.AppendWord(frames.New(nil), w)))
 		}
 		if err != nil {
 			return err
--- a/internal/confsync/source.go
+++ b/internal/confsync/source.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"jasperpin/internal/frames"
 	"jasperpin/internal/mtls"
 	"jasperpin/internal/peers/conf"
 )
@@ -187,7 +188,7 @@
 		s.wait.Go(x.run)
 	case conf.Resume:
 		s.chosen = a.Stream
-		s.say(endFrame(conf.AppendResume(newFrame(), a)))
+		s.say(frames.End(conf.AppendResume(frames.New(nil), a)))
 		s.tell(true)
 	case conf.Leave:
 		s.note(a.Peer, a.Why, nil)
@@ -296,7 +297,7 @@
 	br := bufio.NewReaderSize(conn, 4<<10)
 	var buf []byte
 	for {
-		payload, err := readFrame(br, buf, conf.MaxWord)
+		payload, err := read(br, buf, conf.MaxWord)
 		if err != nil {
 			return err
 		}
@@ -337,7 +338,7 @@
 // more adds the changes that are in the buffer already: the copy on the disk is then written once.
 func more(br *bufio.Reader, all conf.Changes) conf.Changes {
 	for len(all) < conf.MaxLog {
-		next, ok := buffered(br)
+		next, ok := frames.Buffered(br)
 		if !ok {
 			break
 		}
@@ -347,7 +348,7 @@
 			break // it is read when its turn comes
 		}
 		all = append(all, c...)
-		_, _ = br.Discard(headLen + len(next))
+		_, _ = br.Discard(frames.Head + len(next))
 	}
 	return all
 }
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"jasperpin/internal/cluster"
+	"jasperpin/internal/frames"
 	"jasperpin/internal/mtls"
 	"jasperpin/internal/peers/conf"
 	"jasperpin/internal/standin"
@@ -343,7 +344,7 @@
 				all.Go(func() {
 					defer close(resumed)
 					for {
-						text, err := readFrame(c, nil, maxSaid)
+						text, err := read(c, nil, maxSaid)
 						if err != nil {
 							return
 						}
@@ -368,7 +369,7 @@
 
 func say(c net.Conn, words ...conf.Word) error {
 	for _, w := range words {
-		if err := send(c, endFrame(conf.AppendWord(newFrame(), w))); err != nil {
+		if err := send(c, frames.End(conf.AppendWord(frames.New(nil), w))); err != nil {
 			return err
 		}
 	}
@@ -418,13 +419,13 @@
 			return say(c, conf.Changes{first})
 		}},
 		{"makes no sense", conf.Lost, func(c net.Conn, resumed <-chan conf.Resume) error {
-			return send(c, endFrame(append(newFrame(), "nonsense"...)))
+			return send(c, frames.End(append(frames.New(nil), "nonsense"...)))
 		}},
 		{"says too much", conf.Lost, func(c net.Conn, resumed <-chan conf.Resume) error {
 			return send(c, []byte{0xff, 0xff, 0xff, 0xff, 1})
 		}},
 		{"refuses", conf.Lost, func(c net.Conn, resumed <-chan conf.Resume) error {
-			return send(c, endFrame(append(newFrame(), "xno"...)))
+			return send(c, frames.End(append(frames.New(nil), "xno"...)))
 		}},
 		{"is old", conf.Behind, func(c net.Conn, resumed <-chan conf.Resume) error {
 			return say(c, conf.Offer{Version: 0, Digest: conf.New().Digest(), Age: time.Hour})
@@ -471,7 +472,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := send(c, append(hi, endFrame(conf.AppendResume(newFrame(), conf.Resume{}))...)); err != nil {
+		if err := send(c, append(hi, frames.End(conf.AppendResume(frames.New(nil), conf.Resume{}))...)); err != nil {
 			t.Fatal(err)
 		}
 		slow = append(slow, c)
@@ -748,14 +749,14 @@
 		t.Fatal(err)
 	}
 	for name, text := range map[string][]byte{
-		"another protocol": old, "no hello": endFrame(append(newFrame(), '?')), "too much": {0xff, 0xff, 0xff, 0xff, 'h'}, "nothing": {0, 0, 0, 0},
+		"another protocol": old, "no hello": frames.End(append(frames.New(nil), '?')), "too much": {0xff, 0xff, 0xff, 0xff, 'h'}, "nothing": {0, 0, 0, 0},
 	} {
 		c := g.dial(a.Addr)
 		if err := send(c, text); err != nil {
 			t.Fatal(err)
 		}
 		_ = c.SetReadDeadline(time.Now().Add(check.Soon))
-		if said, err := readFrame(c, nil, maxSaid); err != nil || said[0] != sayRefusal {
+		if said, err := read(c, nil, maxSaid); err != nil || said[0] != sayRefusal {
 			t.Errorf("%s: %q %v", name, said, err)
 		}
 	}
--- a/internal/planlink/client.go
+++ b/internal/planlink/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"jasperpin/decide"
+	"jasperpin/internal/frames"
 	"jasperpin/internal/plan"
 )
 
@@ -256,7 +257,7 @@
 	defer context.AfterFunc(l.ctx, func() { conn.Close() })()
 	_ = conn.SetDeadline(time.Now().Add(greetWithin))
 	h := plan.Hello{Version: plan.Version, Name: l.c.opt.Name, Pool: l.c.opt.Pool, Classes: l.c.opt.Classes}
-	if err := send(conn, h.Append(frame(nil))); err != nil {
+	if err := send(conn, h.Append(frames.New(nil))); err != nil {
 		conn.Close()
 		return nil, nil, err
 	}
--- a/internal/planlink/link.go
+++ b/internal/planlink/link.go
@@ -5,14 +5,13 @@
 
 import (
 	"bufio"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"time"
 
+	"jasperpin/internal/frames"
 	"jasperpin/internal/plan"
 )
 
@@ -44,36 +43,19 @@
 	errNamed  = errors.New("another forwarder has connected under this name: give each node of the tier its own")
 )
 
-// A frame is its payload's length, in four bytes, and the payload.
-const headLen = 4
-
 // readFrame reads one frame into buf, which it grows within most.
 func readFrame(r *bufio.Reader, buf []byte, most int) ([]byte, error) {
-	var head [headLen]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, fmt.Errorf("reading a frame: %w", err)
-	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n > uint32(most) {
-		return nil, fmt.Errorf("%w: a frame of %d bytes, %d are the most", plan.ErrFrame, n, most)
-	}
-	if cap(buf) < int(n) {
-		buf = make([]byte, n)
+	b, err := frames.Read(r, buf, most)
+	if errors.Is(err, frames.ErrLong) {
+		return nil, fmt.Errorf("%w: %w", plan.ErrFrame, err)
 	}
-	if _, err := io.ReadFull(r, buf[:n]); err != nil {
-		return nil, fmt.Errorf("reading a frame: %w", err)
-	}
-	return buf[:n], nil
+	return b, err
 }
 
-// frame begins a frame, whose payload is appended to what it returns.
-func frame(buf []byte) []byte { return append(buf[:0], make([]byte, headLen)...) }
-
-// send writes a frame begun by frame.
+// send writes a frame begun by frames.New.
 func send(c net.Conn, b []byte) error {
-	binary.BigEndian.PutUint32(b, uint32(len(b)-headLen))
 	_ = c.SetWriteDeadline(time.Now().Add(writeWithin))
-	if _, err := c.Write(b); err != nil {
+	if _, err := c.Write(frames.End(b)); err != nil {
 		return fmt.Errorf("sending a frame: %w", err)
 	}
 	return nil
@@ -93,7 +75,7 @@
 
 // newOutbox makes an empty one, in which words that can wait do so for a time.
 func newOutbox(lazy time.Duration) *outbox {
-	return &outbox{buf: frame(nil), some: make(chan struct{}, 1), lazy: lazy}
+	return &outbox{buf: frames.New(nil), some: make(chan struct{}, 1), lazy: lazy}
 }
 
 // longestMessage is room for any message.
@@ -102,10 +84,10 @@
 func (o *outbox) add(m plan.Message) {
 	urgent := m.Kind == plan.Ask || m.Kind == plan.Plan || m.Kind == plan.Back
 	o.mu.Lock()
-	first := len(o.buf) == headLen
+	first := len(o.buf) == frames.Head
 	switch {
 	case o.failed != nil:
-	case len(o.buf)+longestMessage > headLen+plan.MaxFrame:
+	case len(o.buf)+longestMessage > frames.Head+plan.MaxFrame:
 		o.failed, urgent = errFull, true
 	default:
 		o.buf = m.Append(o.buf)
@@ -138,7 +120,7 @@
 // closes the connection then.
 func (o *outbox) run(c net.Conn) {
 	defer c.Close()
-	spare := frame(nil)
+	spare := frames.New(nil)
 	for range o.some {
 		o.linger()
 		o.mu.Lock()
@@ -146,10 +128,10 @@
 		o.buf, o.urgent = spare, false
 		o.sent += int64(len(b))
 		o.mu.Unlock()
-		if err != nil || len(b) > headLen && send(c, b) != nil {
+		if err != nil || len(b) > frames.Head && send(c, b) != nil {
 			return
 		}
-		spare = frame(b)
+		spare = frames.New(b)
 	}
 }
 
@@ -159,7 +141,7 @@
 	defer t.Stop()
 	for {
 		o.mu.Lock()
-		now := o.urgent || o.failed != nil || len(o.buf) == headLen
+		now := o.urgent || o.failed != nil || len(o.buf) == frames.Head
 		o.mu.Unlock()
 		if now {
 			return
--- a/internal/planlink/link_test.go
+++ b/internal/planlink/link_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"jasperpin/decide"
+	"jasperpin/internal/frames"
 	"jasperpin/internal/plan"
 )
 
@@ -81,7 +82,7 @@
 		for range plan.MaxFrame {
 			o.add(plan.Message{Kind: plan.Ask, Question: plan.Question{Key: 1 << 63}})
 		}
-		if len(o.buf) > headLen+plan.MaxFrame || !errors.Is(o.cause(nil), errFull) {
+		if len(o.buf) > frames.Head+plan.MaxFrame || !errors.Is(o.cause(nil), errFull) {
 			t.Errorf("%d bytes are held: %v", len(o.buf), o.cause(nil))
 		}
 		<-done // the write that was under way is given up, too
@@ -108,10 +109,10 @@
 				return
 			}
 			n := int(binary.BigEndian.Uint32(text))
-			if len(b) != n || n > most || !bytes.Equal(b, text[headLen:headLen+n]) {
+			if len(b) != n || n > most || !bytes.Equal(b, text[frames.Head:frames.Head+n]) {
 				t.Fatalf("read %x of %x", b, text)
 			}
-			text, buf = text[headLen+n:], b
+			text, buf = text[frames.Head+n:], b
 		}
 	})
 }
--- a/internal/planlink/server.go
+++ b/internal/planlink/server.go
@@ -13,6 +13,7 @@
 
 	"jasperpin/decide"
 	"jasperpin/internal/core"
+	"jasperpin/internal/frames"
 	"jasperpin/internal/plan"
 )
 
@@ -137,13 +138,13 @@
 	if err != nil {
 		// A stranger's handshake fails before it could be told anything.
 		if c.ConnectionState().HandshakeComplete {
-			_ = send(c, append(frame(nil), err.Error()...))
+			_ = send(c, append(frames.New(nil), err.Error()...))
 		}
 		s.log.Warn("forwarder refused", "from", raw.RemoteAddr().String(), "err", err)
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
-	if err := send(c, frame(nil)); err != nil {
+	if err := send(c, frames.New(nil)); err != nil {
 		return
 	}
 	heard, said, err := d.serve(c, br, name)
@@ -304,7 +305,7 @@
 		if buf, err = readFrame(br, buf, plan.MaxFrame); err != nil {
 			break
 		}
-		heard += int64(headLen + len(buf))
+		heard += int64(frames.Head + len(buf))
 		d.do(func(now time.Duration) {
 			err = plan.Decode(buf, func(m plan.Message) error {
 				if m.Kind == plan.Plan || m.Kind == plan.Back {
