--- a/internal/peers/conf/code.go
+++ b/internal/peers/conf/code.go
@@ -172,7 +172,7 @@
 	case Offer:
 		b = binary.AppendUvarint(append(b, offerWord), w.Version)
 		b = append(b, w.Digest[:]...)
-		b = binary.AppendUvarint(b, uint64(max(w.Age, 0)))
+		b = binary.AppendUvarint(b, uint64(min(max(w.Age, 0), Never)))
 		return appendBool(b, w.Busy)
 	case Changes:
 		b = binary.AppendUvarint(append(b, changesWord), uint64(len(w)))
@@ -193,7 +193,7 @@
 	d := decoder{b: b[1:]}
 	switch b[0] {
 	case offerWord:
-		o := Offer{Version: d.number(), Digest: d.digest(), Age: time.Duration(min(d.number(), uint64(Never))), Busy: d.bool()}
+		o := Offer{Version: d.number(), Digest: d.digest(), Age: d.age(), Busy: d.bool()}
 		return o, d.end()
 	case changesWord:
 		all := make(Changes, d.count(MaxLog, minChange))
@@ -230,6 +230,14 @@
 	return append(b, 0)
 }
 
+func (d *decoder) age() time.Duration {
+	n := d.number()
+	if n > uint64(Never) {
+		d.fail("an age beyond all")
+	}
+	return time.Duration(min(n, uint64(Never)))
+}
+
 func (d *decoder) bool() bool {
 	n := d.number()
 	if n > 1 {
--- a/internal/peers/conf/relay.go
+++ b/internal/peers/conf/relay.go
@@ -126,9 +126,13 @@
 // enter has the stream sent a snapshot, if its turn has come.
 func (c *Cursor) enter(s *State, now time.Duration) bool {
 	all := c.streams
+	c.pulled = now
 	if !slices.Contains(all.line, c) {
 		all.line = append(all.line, c)
 	}
+	for now-all.line[0].pulled >= SnapshotIdle { // it takes nothing, so others need not wait for it
+		all.line = all.line[1:]
+	}
 	if len(all.giving) >= MaxSnapshots {
 		for _, o := range all.giving {
 			if now-o.pulled >= SnapshotIdle || now-o.since >= SnapshotTime {
