--- a/internal/peers/conf/follower_test.go
+++ b/internal/peers/conf/follower_test.go
@@ -68,9 +68,10 @@
 	const nodes = 2600
 	labs := make([]*lab, nodes)
 	at := make(map[string]int)
+	empty := New()
 	for i := range labs {
 		z := zones[i%9]
-		labs[i] = newLab(Options{Name: fmt.Sprint("node-", i), Zone: z.Zone, Region: z.Region, Peers: relays, Seed: uint64(i)}, New())
+		labs[i] = newLab(Options{Name: fmt.Sprint("node-", i), Zone: z.Zone, Region: z.Region, Peers: relays, Seed: uint64(i)}, empty)
 		for range 5 {
 			labs[i].step(Stagger)
 		}
--- a/internal/peers/conf/model_test.go
+++ b/internal/peers/conf/model_test.go
@@ -56,7 +56,8 @@
 
 // tier is the model: one order of changes, voters that have it, relays and nodes that follow.
 type tier struct {
-	t       *rapid.T
+	t       *rapid.T // nil where nothing is drawn
+	tb      rapid.TB
 	now     time.Duration
 	voters  *State
 	past    []map[Key]string // by version
@@ -73,8 +74,9 @@
 	lies    int
 }
 
-func newTier(t *rapid.T, relays, nodes, liars int) *tier {
-	m := &tier{t: t, voters: New(), past: []map[Key]string{{}}, cut: make(map[[2]string]bool)}
+func newTier(tb rapid.TB, relays, nodes, liars int) *tier {
+	t, _ := tb.(*rapid.T)
+	m := &tier{t: t, tb: tb, voters: New(), past: []map[Key]string{{}}, cut: make(map[[2]string]bool)}
 	m.digests = []Digest{m.voters.Digest()}
 	zones := []string{"a", "b"}
 	var voters, serve []Peer
@@ -131,13 +133,13 @@
 		if err == nil {
 			s = back
 		} else if !p.damaged {
-			m.t.Fatalf("%s cannot read its copy: %v", p.name, err)
+			m.tb.Fatalf("%s cannot read its copy: %v", p.name, err)
 		}
 	}
 	good, _ := Replay(s, p.journal) // the end may have been cut by the crash
 	p.journal = p.journal[:good]
 	if s.Version() < p.version && !p.damaged {
-		m.t.Fatalf("%s had version %d in force and comes back with %d", p.name, p.version, s.Version())
+		m.tb.Fatalf("%s had version %d in force and comes back with %d", p.name, p.version, s.Version())
 	}
 	if p.damaged {
 		p.copy, p.journal = s.Snapshot().Encode(), nil
@@ -174,7 +176,7 @@
 // check holds what a party has in force to what was agreed on: one version of it, whole.
 func (m *tier) check(p *party) {
 	if p.version > m.voters.Version() || !maps.Equal(p.inForce, m.past[p.version]) {
-		m.t.Fatalf("%s has version %d in force as %v, which is %v", p.name, p.version, p.inForce, m.past[min(p.version, m.voters.Version())])
+		m.tb.Fatalf("%s has version %d in force as %v, which is %v", p.name, p.version, p.inForce, m.past[min(p.version, m.voters.Version())])
 	}
 }
 
@@ -202,7 +204,7 @@
 			if a.Why == Lies {
 				m.lies++
 				if !m.party(a.Peer).liar && !m.errs {
-					m.t.Fatalf("%s calls %s a liar", p.name, a.Peer)
+					m.tb.Fatalf("%s calls %s a liar", p.name, a.Peer)
 				}
 			}
 			if w := m.wire(p, a.Stream); w != nil {
@@ -221,7 +223,7 @@
 					return
 				}
 				if c.Version != p.version+1 {
-					m.t.Fatalf("%s goes from version %d to %d", p.name, p.version, c.Version)
+					m.tb.Fatalf("%s goes from version %d to %d", p.name, p.version, c.Version)
 				}
 				p.version, p.inForce = c.Version, maps.Clone(p.inForce)
 				for _, r := range c.Records {
@@ -233,7 +235,7 @@
 			}
 		case Installed:
 			if a.Snapshot.Version() <= p.version {
-				m.t.Fatalf("%s goes from version %d to %d", p.name, p.version, a.Snapshot.Version())
+				m.tb.Fatalf("%s goes from version %d to %d", p.name, p.version, a.Snapshot.Version())
 			}
 			p.copy = a.Snapshot.Encode() // renamed in its place, whole
 			if dies("before the journal is cut") {
@@ -321,7 +323,7 @@
 		}
 		sent, err := DecodeWord(AppendWord(nil, word))
 		if err != nil {
-			m.t.Fatal(err)
+			m.tb.Fatal(err)
 		}
 		w.words = append(w.words, sent)
 	}
@@ -451,20 +453,13 @@
 		case 0, 1:
 			m.propose()
 		case 2: // one way, or both
-			a, b, is := any("from"), any("to"), rapid.Bool().Draw(t, "cut")
-			m.split(a, b, is)
+			a, b, is, dead := any("from"), any("to"), rapid.Bool().Draw(t, "cut"), rapid.Bool().Draw(t, "dead")
+			m.split(a, b, is, dead)
 			if rapid.Bool().Draw(t, "both ways") {
-				m.split(b, a, is)
+				m.split(b, a, is, dead)
 			}
 		case 3: // a region from another
-			is := rapid.Bool().Draw(t, "regions cut")
-			for _, a := range m.all {
-				for _, b := range m.all {
-					if a.zone != b.zone {
-						m.split(a, b, is)
-					}
-				}
-			}
+			m.divide(rapid.Bool().Draw(t, "regions cut"), rapid.Bool().Draw(t, "dead"))
 		case 4:
 			m.crash(any("crash"))
 		case 5, 6:
@@ -499,12 +494,23 @@
 	}
 }
 
-// split cuts a link one way, or mends it.
-func (m *tier) split(a, b *party, is bool) {
+// split cuts a link one way, or mends it. Streams over it may be dead from then on.
+func (m *tier) split(a, b *party, is, dead bool) {
 	m.cut[[2]string{a.name, b.name}] = is
 	for _, w := range m.wires {
 		if is && (w.from == a && w.to == b || w.from == b && w.to == a) {
-			w.dead = w.dead || rapid.Bool().Draw(m.t, "dead")
+			w.dead = w.dead || dead
+		}
+	}
+}
+
+// divide cuts the regions from each other, or mends that.
+func (m *tier) divide(is, dead bool) {
+	for _, a := range m.all {
+		for _, b := range m.all {
+			if a.zone != b.zone {
+				m.split(a, b, is, dead)
+			}
 		}
 	}
 }
@@ -538,7 +544,7 @@
 		case is:
 			return m.now - from
 		case m.now-from > d:
-			m.t.Fatalf("%v after all faults ended, %s", m.now-from, who)
+			m.tb.Fatalf("%v after all faults ended, %s", m.now-from, who)
 		}
 		m.tick(Stagger, false)
 	}
@@ -577,3 +583,40 @@
 	})
 	t.Logf("level after %v at most", most)
 }
+
+// TestRegionCutOffForAnHour: what the cut-off region has is served on and its age told; it is level within 7 s of the
+// cut's end, by changes and not by a snapshot.
+func TestRegionCutOffForAnHour(t *testing.T) {
+	m := newTier(t, 4, 8, 0)
+	agree := func(n int) {
+		c := propose(t, m.voters, m.voters.Version(), put(PoolKey(fmt.Sprint(n)), `{}`))
+		m.past, m.digests = append(m.past, table(m.voters)), append(m.digests, c.Digest)
+	}
+	agree(0)
+	m.within(7 * time.Second)
+	m.divide(true, false)
+	m.crash(m.party("v1")) // the voter there has no majority, and answers nobody
+	hour := m.now + time.Hour
+	for n := 1; m.now < hour; n++ {
+		if n%350 == 0 { // a change every 35 s, as 2,500 a day are
+			agree(n)
+		}
+		m.tick(Stagger, false)
+	}
+	for _, p := range m.all {
+		if p.f == nil {
+			continue
+		}
+		age := p.f.Age(m.now - p.born)
+		if p.zone == "a" && (age > Stale || p.version != m.voters.Version()) || p.zone == "b" && (age < time.Hour-time.Second || age > time.Hour+Stale || p.version != 1) {
+			t.Errorf("%s in region %s has version %d of %d, aged %v", p.name, p.zone, p.version, m.voters.Version(), age)
+		}
+	}
+	was := m.pieces
+	m.heal()
+	took := m.within(7 * time.Second)
+	t.Logf("level %v after the hour, %d versions on", took, m.voters.Version()-1)
+	if m.pieces != was {
+		t.Errorf("%d pieces of snapshots were sent", m.pieces-was)
+	}
+}
