--- a/internal/peers/conf/follower.go
+++ b/internal/peers/conf/follower.go
@@ -29,7 +29,7 @@
 	Stale = 4 * time.Second
 	// Stall is how long a relay that has news may give none of it, and Queue how long where it says that
 	// others come before.
-	Stall = 3 * time.Second
+	Stall = 2 * time.Second
 	Queue = 30 * time.Second
 	// Shun is how long a relay that was left is asked only where no other is left, and Distrust how long one
 	// whose digest did not come out is not asked at all.
--- a/internal/peers/conf/state_test.go
+++ b/internal/peers/conf/state_test.go
@@ -219,3 +219,65 @@
 		}
 	}
 }
+
+// TestBounds: what goes beyond them is turned down, and the log forgets by bytes as by number.
+func TestBounds(t *testing.T) {
+	long := func(n int) []byte {
+		return append(append([]byte(`{"a":"`), bytes.Repeat([]byte("x"), n-8)...), `"}`...)
+	}
+	many := make([]Record, MaxChangeRecords+1)
+	for i := range many {
+		many[i] = put(PoolKey(fmt.Sprint(i)), `{}`)
+	}
+	large := make([]Record, 16)
+	for i := range large {
+		large[i] = Record{PoolKey(fmt.Sprint(i)), long(MaxValue)}
+	}
+	s := New()
+	for name, c := range map[string]Change{
+		"many records":    {Records: many},
+		"a long value":    {Records: []Record{{PoolKey("a"), long(MaxValue + 1)}}},
+		"many bytes":      {Records: large},
+		"a long key":      {Records: []Record{put(PoolKey(string(long(MaxKey))), `{}`)}},
+		"a long note":     {Records: many[:1], Note: string(long(MaxText + 1))},
+		"a base to come":  {Records: many[:1], Base: 1},
+		"a version":       {Records: many[:1], Version: 1},
+		"a digest":        {Records: many[:1], Digest: Digest{1}},
+		"a key of no use": {Records: []Record{put("server/a", `{}`)}},
+	} {
+		if _, err := s.Propose(c); !errors.Is(err, ErrMalformed) || s.Version() != 0 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for range 12 {
+		propose(t, s, s.Version(), large[:14]...)
+	}
+	if n := s.Version() - s.Floor(); n < 2 || n > 9 || s.logged > MaxLogBytes {
+		t.Errorf("%d changes with %d bytes are remembered", n, s.logged)
+	}
+	if back, err := Restore(s.Snapshot().Encode()); err != nil || back.Floor() != s.Floor() {
+		t.Errorf("restored with another log: %v", err)
+	}
+}
+
+// TestRevive: a back-up that goes on is newer than whatever came of it before, and is taken whole.
+func TestRevive(t *testing.T) {
+	s, node := some(t), some(t)
+	propose(t, node, 3, put(PoolKey("later"), `{}`)) // which the back-up has not
+	if err := s.Revive(); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := s.Since(node.Version()); ok || s.Version() <= node.Version() || s.Len() != 3 {
+		t.Fatalf("version %d of %d records", s.Version(), s.Len())
+	}
+	if _, err := s.Propose(Change{Base: 3, Records: []Record{put(PoolKey("p"), `{}`)}}); !errors.Is(err, ErrConflict) {
+		t.Fatal(err)
+	}
+	propose(t, s, s.Version(), put(PoolKey("p"), `{}`))
+	if back, err := Restore(s.Snapshot().Encode()); err != nil || back.Digest() != s.Digest() {
+		t.Fatal(err)
+	}
+	if _, err := s.Revert(2); !errors.Is(err, ErrForgotten) {
+		t.Fatal(err)
+	}
+}
