--- a/internal/config/assembly_test.go
+++ b/internal/config/assembly_test.go
@@ -426,3 +426,31 @@
 		})
 	}
 }
+
+// FuzzRecord has any record never do worse than be refused, with what is wrong told by its key, and an
+// accepted one say the same again.
+func FuzzRecord(f *testing.F) {
+	for _, r := range records(f, twoPools) {
+		f.Add(string(r.Key), string(r.Value))
+	}
+	f.Add("pool/p", `{"server":[null,1,{"address":[]}],"class":{},"share":1e400,"zones":[{}]}`)
+	f.Add("service/u/tenant/%2A", "{}{}")
+	f.Add("service/u/route/look", "null")
+	f.Fuzz(func(t *testing.T, key, value string) {
+		b := newBed(t, twoPools)
+		r := rec(conf.Key(key), value)
+		checked := b.Check(conf.Change{Records: []conf.Record{r}})
+		ms := b.put(r)
+		if (checked == nil) != (len(ms) == 0) && !strings.Contains(fmt.Sprint(checked), "route is missing") {
+			t.Errorf("checked: %v; put: %v", checked, ms)
+		}
+		for _, m := range ms {
+			if m.File != key || m.Line != 0 || m.Text == "" {
+				t.Errorf("mistake %+v", m)
+			}
+		}
+		if ms, err := b.Update(conf.Change{Records: []conf.Record{r}}, func(Delta) error { return errors.New("it differs from itself") }); err != nil {
+			t.Errorf("again: %v, %v", ms, err)
+		}
+	})
+}
