--- a/internal/peers/conf/follower.go
+++ b/internal/peers/conf/follower.go
@@ -35,7 +35,7 @@
 	// whose digest did not come out is not asked at all.
 	Shun     = 10 * time.Second
 	Distrust = 30 * time.Second
-	// Home is after which time, from half of it on, a nearer relay is tried again, so that one that was away
+	// Home is after which time, from three quarters of it on, a nearer relay is tried again, so that one that was away
 	// gets its followers back little by little.
 	Home = 10 * time.Minute
 	// Never is the age of what is not known to have been the newest at any time.
