--- a/internal/peers/conf/size_test.go
+++ b/internal/peers/conf/size_test.go
@@ -117,3 +117,37 @@
 		}
 	}
 }
+
+// TestCostIsTheChanges counts the work of a change of one record, at a hundredth and a tenth of the size: it draws one leaf
+// and one branch, and allocates the same.
+func TestCostIsTheChanges(t *testing.T) {
+	var allocs []float64
+	for _, part := range []int{100, 10} {
+		s := large(t, part)
+		n := 0
+		one := func() Record {
+			n++
+			return put(PoolKey(fmt.Sprintf("service-%04d", n%10)), fmt.Sprintf(`{"n":%d}`, n))
+		}
+		leaves, branches := s.tree.leaves, s.tree.branches
+		propose(t, s, s.Version(), one())
+		drawn := 0
+		for i := range leaves {
+			if leaves[i] != s.tree.leaves[i] {
+				drawn++
+			}
+		}
+		for i := range branches {
+			if branches[i] != s.tree.branches[i] {
+				drawn++
+			}
+		}
+		if drawn != 2 {
+			t.Errorf("%d leaves and branches changed at %d records", drawn, s.Len())
+		}
+		allocs = append(allocs, testing.AllocsPerRun(100, func() { propose(t, s, s.Version(), one()) }))
+	}
+	if allocs[1] > allocs[0]+3 {
+		t.Errorf("%v allocations at a hundredth and a tenth of the size", allocs)
+	}
+}
--- a/internal/peers/conf/state_test.go
+++ b/internal/peers/conf/state_test.go
@@ -249,6 +249,14 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
+	s.bytes = MaxBytes - 10 // as if other records were there
+	if _, err := s.Propose(Change{Records: many[:1]}); err != nil {
+		t.Errorf("what there is room for: %v", err)
+	}
+	if _, err := s.Propose(Change{Base: 1, Records: many[1:2]}); !errors.Is(err, ErrFull) || s.Version() != 1 {
+		t.Errorf("beyond all bytes: %v", err)
+	}
+	s.bytes = 0
 	for range 12 {
 		propose(t, s, s.Version(), large[:14]...)
 	}
