Send a node whose history most relays deny the whole state, also from a young log

Such a node asks for all anew, by the digest of nothing, and takes pieces alone; a log that still begins at the first change answered with changes, so the node never got level: the new test failed within its 30 s.

--- a/internal/confsync/relay.go
+++ b/internal/confsync/relay.go
@@ -64,6 +64,7 @@
 
 	start   time.Time
 	shaking chan struct{} // a place for each that has not said hello
+	wholes  chan struct{} // and for each that is sent all anew
 
 	mu        sync.Mutex
 	state     *conf.State
@@ -91,7 +92,7 @@
 	opt.Streams = cmp.Or(opt.Streams, DefaultStreams)
 	r := &Relay{
 		opt: opt, tls: t, state: conf.New(), changed: make(chan struct{}), streams: make(map[*stream]struct{}),
-		start: time.Now(), shaking: make(chan struct{}, maxShaking),
+		start: time.Now(), shaking: make(chan struct{}, maxShaking), wholes: make(chan struct{}, conf.MaxSnapshots),
 	}
 	if opt.Folder != "" {
 		r.copy, r.state = openFolder(opt.Folder, opt.Log)
@@ -270,6 +271,7 @@
 
 	// Under the relay's lock.
 	cursor *conf.Cursor
+	whole  bool // it has another history, and asked for all anew
 	told   Told
 }
 
@@ -363,7 +365,11 @@
 			return err
 		}
 		st.r.mu.Lock()
-		st.cursor.Resume(resume.Version, resume.Log)
+		// The digest of nothing: what the node has is denied by most relays. Changes, which a young log
+		// has from the first on, would not help it.
+		if st.whole = resume.Digest == (conf.Digest{}); !st.whole {
+			st.cursor.Resume(resume.Version, resume.Log)
+		}
 		st.r.mu.Unlock()
 		select {
 		case st.asked <- struct{}{}:
@@ -382,6 +388,9 @@
 		r.mu.Lock()
 		changed := r.changed
 		r.mu.Unlock()
+		if err := st.anew(); err != nil {
+			return err
+		}
 		if err := st.all(); err != nil {
 			return err
 		}
@@ -396,6 +405,41 @@
 	}
 }
 
+// anew sends the whole state to a node that has another history, once there is room among those to whom it is
+// being sent.
+func (st *stream) anew() error {
+	r := st.r
+	r.mu.Lock()
+	if !st.whole || r.state.Version() == 0 {
+		r.mu.Unlock()
+		return nil
+	}
+	select {
+	case r.wholes <- struct{}{}:
+	default:
+		r.mu.Unlock()
+		return nil
+	}
+	defer func() { <-r.wholes }()
+	s := r.state.Snapshot().Bare()
+	r.mu.Unlock()
+	until := time.Now().Add(conf.SnapshotTime)
+	for p := (conf.Piece{}); !p.Last; {
+		if time.Now().After(until) {
+			return fmt.Errorf("a node did not take a snapshot in %v", conf.SnapshotTime)
+		}
+		p = s.Piece(p)
+		if err := send(st.conn, frames.End(conf.AppendWord(frames.New(nil), p))); err != nil {
+			return err
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st.whole = false
+	st.cursor.Resume(s.Version(), false)
+	return nil
+}
+
 // all sends words until there is none for now, several small frames in one write.
 func (st *stream) all() error {
 	r := st.r
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -680,6 +680,33 @@
 	}
 }
 
+// TestAnotherHistory starts a node from the copy of a group that is gone: the relays of the new one all deny what
+// it has, and it takes theirs whole.
+func TestAnotherHistory(t *testing.T) {
+	t.Parallel()
+	g := newRig(t)
+	dir := t.TempDir()
+	folder := func(o *SourceOptions) { o.Folder = dir }
+	was, is := newVoters(), newVoters()
+	for i := range 5 {
+		if i < 3 {
+			was.propose(t, "old", fmt.Sprintf(`{"at":%d}`, i))
+		}
+		is.propose(t, "new", fmt.Sprintf(`{"at":%d}`, i))
+	}
+	_, old := g.relay(was)
+	n := g.node("node", []RelayAt{old}, folder)
+	level(t, "the node has the old one", was, n)
+	n.Close()
+	_, a := g.relay(is)
+	_, b := g.relay(is)
+	n = g.node("node", []RelayAt{a, b}, folder)
+	level(t, "the node has the new one", is, n)
+	if installs, changes := n.counts(); installs != 2 || changes != 0 {
+		t.Errorf("it was given %d states and %d changes, want its copy and the new one whole", installs, changes)
+	}
+}
+
 // TestFolderNotWritable has a node go on without a copy, and say so.
 func TestFolderNotWritable(t *testing.T) {
 	g := newRig(t)
