Have one process of a node write its copy of the configuration, as in an upgrade

The folder is locked by the process that writes; the other reads it and takes over within a minute of its end. TestFolderOfTwo fails without the lock: version 0 of 5 and a copy that is told as damaged.

--- a/internal/confsync/folder.go
+++ b/internal/confsync/folder.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"jasperpin/internal/frames"
@@ -19,6 +20,7 @@
 	snapshotFile = "configuration.snapshot"
 	changesFile  = "configuration.changes"
 	damagedFile  = "configuration.damaged"
+	lockFile     = "configuration.lock"
 	// copyHead is the snapshot's first line.
 	copyHead = "jasperpin configuration 1\n"
 	// compactAfter is how many bytes of changes there are before a new snapshot takes their place.
@@ -27,13 +29,17 @@
 	keepAgain = time.Minute
 )
 
-// errCopy says that a copy is cut or damaged.
-var errCopy = errors.New("the copy is damaged")
+var (
+	errCopy = errors.New("the copy is damaged") // or cut
+	// errHeld is so while a new version of the program runs beside the one before.
+	errHeld = errors.New("another process keeps it")
+)
 
 // folder keeps a copy on the disk. One goroutine uses it.
 type folder struct {
 	dir     string
 	log     *slog.Logger
+	lock    *os.File // held by the one process that writes; nil while another does
 	changes *os.File // nil where the folder failed
 	size    int64    // of the changes
 	failed  error    // why the copy is not kept
@@ -48,9 +54,14 @@
 		f.fail(err)
 		return f, conf.New()
 	}
-	left, _ := filepath.Glob(filepath.Join(dir, snapshotFile+".*")) // by one that died while it wrote
-	for _, path := range left {
-		_ = os.Remove(path)
+	if err := f.hold(); err != nil {
+		f.fail(err)
+	}
+	if f.failed == nil {
+		left, _ := filepath.Glob(filepath.Join(dir, snapshotFile+".*")) // by one that died while it wrote
+		for _, path := range left {
+			_ = os.Remove(path)
+		}
 	}
 	s, err := readSnapshot(filepath.Join(dir, snapshotFile))
 	if errors.Is(err, os.ErrNotExist) {
@@ -59,9 +70,11 @@
 	if err != nil {
 		log.Error("the copy of the configuration cannot be used", "folder", dir, "err", err)
 		s = conf.New()
-		// Put aside, so that changes from the first on can be kept, and somebody may look at it.
-		if err := os.Rename(filepath.Join(dir, snapshotFile), filepath.Join(dir, damagedFile)); err != nil {
-			f.fail(err)
+		if f.failed == nil {
+			// Put aside, so that changes from the first on can be kept, and somebody may look at it.
+			if err := os.Rename(filepath.Join(dir, snapshotFile), filepath.Join(dir, damagedFile)); err != nil {
+				f.fail(err)
+			}
 		}
 	}
 	good, err := readChanges(filepath.Join(dir, changesFile), s)
@@ -76,6 +89,26 @@
 	return f, s
 }
 
+// hold takes the folder for this process, until it ends or closes it.
+func (f *folder) hold() error {
+	if f.lock != nil {
+		return nil
+	}
+	file, err := os.OpenFile(filepath.Join(f.dir, lockFile), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return err
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		file.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return errHeld
+		}
+		return err
+	}
+	f.lock = file
+	return nil
+}
+
 // readSnapshot reads a snapshot whole: its digest comes out.
 func readSnapshot(path string) (*conf.State, error) {
 	file, err := os.Open(path)
@@ -157,16 +190,26 @@
 		f.log.Error("the configuration is not kept on the disk", "folder", f.dir, "err", err)
 	}
 	f.failed, f.tried = err, time.Now()
-	f.close()
+	f.shut()
 }
 
-func (f *folder) close() {
+// shut takes no more changes.
+func (f *folder) shut() {
 	if f.changes != nil {
 		_ = f.changes.Close()
 		f.changes = nil
 	}
 }
 
+// close leaves the folder to others.
+func (f *folder) close() {
+	f.shut()
+	if f.lock != nil {
+		_ = f.lock.Close()
+		f.lock = nil
+	}
+}
+
 // add keeps a change, durably where sync says so. The state that it made is at hand for where a
 // snapshot is due.
 func (f *folder) add(c conf.Change, sync bool, state func() conf.Snapshot) {
@@ -190,9 +233,12 @@
 
 // install puts a snapshot in the place of all that was kept.
 func (f *folder) install(s conf.Snapshot) {
-	err := f.write(s)
+	err := f.hold()
+	if err == nil {
+		err = f.write(s)
+	}
 	if err == nil {
-		f.close()
+		f.shut()
 		err = f.open(0)
 	}
 	if err != nil {
--- a/internal/confsync/folder_test.go
+++ b/internal/confsync/folder_test.go
@@ -170,3 +170,33 @@
 		t.Errorf("%v: %s", f.failed, text.String())
 	}
 }
+
+// TestFolderOfTwo has two processes of a node open one folder, as in an upgrade: the later one has what is
+// kept there, and leaves it alone until the other has gone.
+func TestFolderOfTwo(t *testing.T) {
+	dir := t.TempDir()
+	_, log := logged(t)
+	was, _ := openFolder(dir, log)
+	s := conf.New()
+	bare := func() conf.Snapshot { return s.Snapshot().Bare() }
+	for _, c := range made(t, s, 3) {
+		was.add(c, true, bare)
+	}
+	text, log := logged(t)
+	next, held := openFolder(dir, log)
+	defer next.close()
+	if held.Digest() != s.Digest() || !strings.Contains(text.String(), errHeld.Error()) {
+		t.Fatalf("the later one has version %d of %d, and says %q", held.Version(), s.Version(), text)
+	}
+	next.install(bare()) // which takes all changes away
+	for _, c := range made(t, s, 2) {
+		was.add(c, true, bare)
+	}
+	was.close()
+	if got, told := kept(t, dir); got.Digest() != s.Digest() || told != "" {
+		t.Errorf("kept at version %d of %d: %q", got.Version(), s.Version(), told)
+	}
+	if next.install(bare()); next.failed != nil {
+		t.Errorf("once the other has gone: %v", next.failed)
+	}
+}
