Let a pool be deleted after the services that led to it

A service that was deleted with its routes was forgotten before its routes left their pools (Assembly.commit): its pools then counted them as users for ever, and every later deletion of such a pool was refused at all nodes, and by the check of a proposal that needs several changes. The service now goes last.

TestPoolAfterItsServices failed before; 20 runs under the race detector pass.

--- a/internal/config/assembly.go
+++ b/internal/config/assembly.go
@@ -654,8 +654,7 @@
 		case conf.Service:
 			was := a.services[r.name]
 			switch {
-			case r.gone():
-				delete(a.services, r.name)
+			case r.gone(): // its routes leave their pools below, and then it goes
 			case was != nil:
 				was.head = r.head
 			default:
@@ -671,6 +670,11 @@
 			a.setRoute(r)
 		}
 	}
+	for _, k := range p.keys {
+		if r := p.in[k]; r.kind == conf.Service && r.gone() {
+			delete(a.services, r.name)
+		}
+	}
 	for k := range p.named {
 		a.settle(k)
 	}
--- a/internal/config/assembly_test.go
+++ b/internal/config/assembly_test.go
@@ -388,3 +388,21 @@
 		})
 	}
 }
+
+// TestPoolAfterItsServices deletes services with their routes, and in a later change the pools that they led to.
+func TestPoolAfterItsServices(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, small)
+	var rest, pools []conf.Record
+	for _, r := range records(t, small) {
+		gone := conf.Record{Key: r.Key}
+		if kind, _, _, _ := r.Key.Split(); kind == conf.Pool {
+			pools = append(pools, gone)
+		} else {
+			rest = append(rest, gone)
+		}
+	}
+	if ms := append(b.put(rest...), b.put(pools...)...); len(ms) > 0 || len(b.Assembly.pools) > 0 {
+		t.Errorf("%d pools are left, though no route leads to them: %v", len(b.Assembly.pools), ms)
+	}
+}
--- a/internal/revise/revise_test.go
+++ b/internal/revise/revise_test.go
@@ -85,8 +85,8 @@
 	return all
 }
 
-// TestLargeFile has a file of many more records than a change holds agreed on from nothing, and grown:
-// every change is within its bounds and holds together by itself.
+// TestLargeFile has a file of many more records than a change holds agreed on from nothing, grown and
+// shrunk: every change is within its bounds and holds together by itself.
 func TestLargeFile(t *testing.T) {
 	t.Parallel()
 	write := func(part int) []conf.Record {
@@ -97,7 +97,7 @@
 		return records(t, b.String())
 	}
 	s := conf.New()
-	for _, want := range [][]conf.Record{write(40), write(20)} {
+	for _, want := range [][]conf.Record{write(40), write(20), write(60)} {
 		edits := Difference(s, want)
 		parts := Parts(edits)
 		if len(edits) > conf.MaxChangeRecords && len(parts) < 2 {
