Have the door's figures of a node's configuration be numbers

config_relay was a name, and config_age_ms -1 where nothing was known: jasperpin ctl figures and ctl watch read numbers alone (door.ReadFigures) and failed at every node with [config]. config_level says by 1 that a relay that is level has nothing newer, and the age is left out while it is not known. ctl watch shows no rates of these.

--- a/cmd/jasperpin/ctl.go
+++ b/cmd/jasperpin/ctl.go
@@ -190,7 +190,8 @@
 }
 
 // gauges are the figures that go up and down, and have no rate.
-var gauges = map[string]bool{"svc.open_requests": true, "svc.registry_entries": true, "svc.out_of_rotation": true}
+var gauges = map[string]bool{"svc.open_requests": true, "svc.registry_entries": true, "svc.out_of_rotation": true,
+	"config_version": true, "config_level": true, "config_age_ms": true, "config_refused": true}
 
 // show prints the figures as a table. A figure that has fallen is of a new process.
 func show(out io.Writer, all []door.Figure, was map[string]uint64, since time.Duration) {
--- a/internal/node/remote.go
+++ b/internal/node/remote.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"errors"
 	"fmt"
 	"sync"
@@ -168,17 +167,21 @@
 	return errNoVersion
 }
 
-// figures writes how things stand.
+// figures writes how things stand: whether the node is level with a relay that is level itself, and how long ago
+// what it has was certainly the newest, where that is known. All are numbers, as the door's readers want them.
 func (r *remote) figures(w *bytes.Buffer) {
 	if r == nil {
 		return
 	}
 	is := r.source.Status()
-	age := int64(-1)
+	level := 0
+	if is.Level {
+		level = 1
+	}
+	fmt.Fprintf(w, "config_version=%d\nconfig_refused=%d\nconfig_level=%d\n", r.version.Load(), r.refused.Load(), level)
 	if is.Age >= 0 {
-		age = is.Age.Milliseconds()
+		fmt.Fprintf(w, "config_age_ms=%d\n", is.Age.Milliseconds())
 	}
-	fmt.Fprintf(w, "config_version=%d\nconfig_age_ms=%d\nconfig_refused=%d\nconfig_relay=%s\n", r.version.Load(), age, r.refused.Load(), cmp.Or(is.Relay, "none"))
 }
 
 // end takes no more versions; close ends what follows them too.
