proof config: 57 nodes die while changes go on

They are hollow nodes in a process of their own, which is stopped: streams stay, and nothing is heard on them any more. Those that stay have each change within the bound.

--- a/cmd/proof/child.go
+++ b/cmd/proof/child.go
@@ -46,7 +46,7 @@
 		return n.Run(ctx, reload)
 	case "proxy":
 		return plainProxy(ctx, args)
-	case "voter", "relay":
+	case "voter", "relay", "nodes":
 		return configChild(ctx, kind, args)
 	}
 	return fmt.Errorf("no child %q", kind)
--- a/cmd/proof/config.go
+++ b/cmd/proof/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -36,9 +37,10 @@
 	configADay    = 2500.0                 // changes
 	configBatch   = 500                    // records of one change, at first
 	configStarts  = 100                    // nodes that start at once: all share this process's cores
+	configDie     = 57                     // nodes that die at once, beside those that stay: as many as fail on a day
 )
 
-// configChild plays a voter or a relay, whose files and addresses are its arguments.
+// configChild plays a voter, a relay or many hollow nodes, whose files and addresses are its arguments.
 func configChild(ctx context.Context, kind string, args []string) error {
 	files := mtls.Files{Certificate: args[0], Key: args[1], Authorities: args[2]}
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
@@ -52,6 +54,9 @@
 		<-ctx.Done()
 		return nil
 	}
+	if kind == "nodes" {
+		return configNodes(ctx, files, args[3])
+	}
 	c, err := cluster.NewClient(strings.Split(args[3], ","), files)
 	if err != nil {
 		return err
@@ -71,6 +76,35 @@
 	return r.Serve(ln)
 }
 
+// configNodes has configDie hollow nodes follow relays, and says so once all are level.
+func configNodes(ctx context.Context, files mtls.Files, relays string) error {
+	var at []confsync.RelayAt
+	if err := json.Unmarshal([]byte(relays), &at); err != nil {
+		return fmt.Errorf("the relays: %w", err)
+	}
+	for i := range configDie {
+		zone, region := place(i)
+		s, err := confsync.NewSource(confsync.SourceOptions{
+			Name: fmt.Sprintf("mortal%02d", i), Zone: zone, Region: region, Relays: at, Files: files, Seed: uint64(i),
+			Log:     slog.New(slog.DiscardHandler),
+			Install: func(conf.Snapshot) error { return nil }, Change: func(conf.Change) error { return nil },
+		})
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+		for !s.Status().Level {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	fmt.Println(configDie)
+	<-ctx.Done()
+	return nil
+}
+
 // hollow is a node's side of the configuration, and nothing else of a node.
 type hollow struct {
 	*confsync.Source
@@ -89,6 +123,7 @@
 	client *cluster.Client
 	last   uint64 // version
 	nodes  []*hollow
+	mortal *stand.Process // of nodes that are not measured, and die
 
 	mu       sync.Mutex
 	proposed map[uint64]time.Time
@@ -170,6 +205,9 @@
 	if g.client != nil {
 		g.client.Close()
 	}
+	if g.mortal != nil {
+		g.mortal.Kill()
+	}
 	for _, p := range g.relays {
 		p.Kill()
 	}
@@ -186,17 +224,8 @@
 	opt := confsync.SourceOptions{
 		Name: fmt.Sprintf("node%04d", i), Zone: zone, Region: region, Relays: g.at, Files: g.files, Seed: uint64(i),
 		Log:     slog.New(slog.DiscardHandler),
-		Install: func(s conf.Snapshot) error { n.version.Store(s.Version()); return nil },
-		Change: func(c conf.Change) error {
-			now := time.Now()
-			n.version.Store(c.Version)
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			if t, ok := g.proposed[c.Version]; ok && g.took != nil && n.began.Before(t) {
-				_ = g.took.RecordValue(now.Sub(t).Microseconds()) // no longer than its end
-			}
-			return nil
-		},
+		Install: func(s conf.Snapshot) error { g.reached(n, s.Version()); return nil },
+		Change:  func(c conf.Change) error { g.reached(n, c.Version); return nil },
 	}
 	if copied {
 		opt.Folder = filepath.Join(g.dir, opt.Name)
@@ -213,6 +242,19 @@
 	return nil
 }
 
+// reached notes that a node has all versions until one in force.
+func (g *configRig) reached(n *hollow, version uint64) {
+	now := time.Now()
+	g.mu.Lock()
+	for v := n.version.Load() + 1; v <= version; v++ {
+		if t, ok := g.proposed[v]; ok && g.took != nil && n.began.Before(t) {
+			_ = g.took.RecordValue(now.Sub(t).Microseconds()) // no longer than its end
+		}
+	}
+	g.mu.Unlock()
+	n.version.Store(version)
+}
+
 // propose has a change agreed on, and waits for that alone.
 func (g *configRig) propose(ctx context.Context, records ...conf.Record) error {
 	asking, cancel := context.WithTimeout(ctx, settleWithin)
@@ -400,8 +442,8 @@
 	f.add("relay_kb_stream", "%.1f", float64(full-empty)/1024/float64(max(served, 1)))
 	f.add("relay_rest_cpu_pct", "%.2f", 100*(now-relayCPU).Seconds()/configRest.Seconds())
 
-	nothing := func() error { return nil }
-	show := func(what string, h *hdrhistogram.Histogram) error {
+	// show tells what came of a trial, in which some nodes stayed from its first change to its last.
+	show := func(what string, stayed int, h *hdrhistogram.Histogram) error {
 		s := func(us int64) float64 { return float64(us) / 1e6 }
 		fmt.Fprintf(out, "%s: %d times in force, p50 %.3f s, p99 %.3f s, at the most %.3f s; streams left so far: %s\n",
 			what, h.TotalCount(), s(h.ValueAtQuantile(50)), s(h.ValueAtQuantile(99)), s(h.Max()), g.left())
@@ -411,10 +453,13 @@
 		if worst := time.Duration(h.Max()) * time.Microsecond; worst > configBound {
 			return fmt.Errorf("%w: %s: a change was in force everywhere after %v, want %v", errBound, what, worst, configBound)
 		}
+		if want := int64(stayed * *changes); h.TotalCount() < want {
+			return fmt.Errorf("%w: %s: changes were in force %d times, want %d at least", errBound, what, h.TotalCount(), want)
+		}
 		return nil
 	}
 	was, began = g.cost(), time.Now()
-	h, err := g.changes(ctx, *changes, nothing)
+	h, err := g.changes(ctx, *changes, func() error { return nil })
 	if err != nil {
 		return f, err
 	}
@@ -424,7 +469,7 @@
 		return max(0, all/float64(*nodes)-rest*span) / float64(*changes)
 	}
 	changeCPU, changeBytes := per(float64((is.cpu-was.cpu).Microseconds()), restCPU), per(float64(is.bytes-was.bytes), restBytes)
-	broken := show("calm", h)
+	broken := show("calm", *nodes, h)
 	fmt.Fprintf(out, "a change costs a node %.0f bytes and %.0f µs; at %.0f a day, from this slope: %.1f bytes/s, %.4f%% of a core\n",
 		changeBytes, changeCPU, configADay, restBytes+changeBytes*configADay/86400, (restCPU+changeCPU*configADay/86400)/1e4)
 	f.add("change_bytes", "%.0f", changeBytes)
@@ -432,38 +477,59 @@
 	f.add("day_bytes_s", "%.1f", restBytes+changeBytes*configADay/86400)
 	f.add("day_cpu_pct", "%.4f", (restCPU+changeCPU*configADay/86400)/1e4)
 
-	h, err = g.changes(ctx, *changes, func() error { g.relays[0].Kill(); return nil })
-	if err != nil {
-		return f, errors.Join(broken, err)
+	for _, trial := range []struct {
+		what   string
+		stayed int
+		beside func() error
+	}{
+		{"relay_killed", *nodes, func() error { g.relays[0].Kill(); return nil }},
+		{"restarted_5pct", *nodes - restarted, func() error { return g.restart(restarted) }},
+		{"leader_killed", *nodes, func() error { return g.killLeader(ctx) }},
+		{"nodes_died", *nodes, g.die},
+	} {
+		if trial.what == "nodes_died" {
+			if err := g.bear(); err != nil {
+				return f, errors.Join(broken, err)
+			}
+		}
+		if h, err = g.changes(ctx, *changes, trial.beside); err != nil {
+			return f, errors.Join(broken, err)
+		}
+		broken = errors.Join(broken, show(trial.what, trial.stayed, h))
 	}
-	broken = errors.Join(broken, show("relay_killed", h))
+	return f, broken
+}
 
-	h, err = g.changes(ctx, *changes, func() error {
-		for i := range restarted {
-			g.nodes[i].Close()
+// restart restarts the first nodes, by their copies.
+func (g *configRig) restart(nodes int) error {
+	for i := range nodes {
+		g.nodes[i].Close()
+	}
+	for i := range nodes {
+		if err := g.node(i, true); err != nil {
+			return err
 		}
-		for i := range restarted {
-			if err := g.node(i, true); err != nil {
-				return err
-			}
-			if v := g.nodes[i].version.Load(); v == 0 {
-				return fmt.Errorf("%w: a node that was restarted has nothing of its copy", errBound)
-			}
+		if v := g.nodes[i].version.Load(); v == 0 {
+			return fmt.Errorf("%w: a node that was restarted has nothing of its copy", errBound)
 		}
-		return nil
-	})
-	if err != nil {
-		return f, errors.Join(broken, err)
 	}
-	broken = errors.Join(broken, show("restarted_5pct", h))
+	return nil
+}
 
-	h, err = g.changes(ctx, *changes, func() error { return g.killLeader(ctx) })
+// bear starts the nodes that are to die.
+func (g *configRig) bear() error {
+	at, err := json.Marshal(g.at)
 	if err != nil {
-		return f, errors.Join(broken, err)
+		return fmt.Errorf("the relays: %w", err)
 	}
-	return f, errors.Join(broken, show("leader_killed", h))
+	g.mortal, err = g.child("nodes", "node", string(at))
+	return err
 }
 
+// die stops those nodes: their streams stay, and nothing is heard on them any more, as of a machine
+// that is off.
+func (g *configRig) die() error { return g.mortal.Signal(syscall.SIGSTOP) }
+
 // killLeader kills the voter that leads.
 func (g *configRig) killLeader(ctx context.Context) error {
 	for addr, p := range g.voters {
