proof config: a zone lost with its voter, relays and nodes, and back

Nodes and machines stand in the 9 zones and 4 regions of docs/CAPACITY.md. Once all that was killed before is back and level, a zone's voter, relays and nodes are killed at once while changes go on; all others have each change within the bound. Then they come back, the nodes without a copy, and each node, relay and voter is level. Relays have addresses of their own, so that they come back there.

--- a/cmd/proof/config.go
+++ b/cmd/proof/config.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,16 +30,21 @@
 )
 
 const (
-	configZones   = 9 // over 4 regions
-	configRegions = 4
-	configPace    = 200 * time.Millisecond // between two changes
-	configRest    = 10 * time.Second       // for bytes, memory and processor time
-	configWithin  = time.Minute            // for all nodes to be level
-	configBound   = 7 * time.Second        // from a proposal until it is in force at every node
-	configADay    = 2500.0                 // changes
-	configBatch   = 500                    // records of one change, at first
-	configStarts  = 100                    // nodes that start at once: all share this process's cores
-	configDie     = 57                     // nodes that die at once, beside those that stay: as many as fail on a day
+	configPace   = 200 * time.Millisecond // between two changes
+	configRest   = 10 * time.Second       // for bytes, memory and processor time
+	configWithin = time.Minute            // for all nodes to be level
+	configBound  = 7 * time.Second        // from a proposal until it is in force at every node
+	configADay   = 2500.0                 // changes
+	configBatch  = 500                    // records of one change, at first
+	configStarts = 100                    // nodes that start at once: all share this process's cores
+	configDie    = 57                     // nodes that die at once, beside those that stay: as many as fail on a day
+)
+
+// configZones has for each zone its region; configMachines has for each machine its zone, as
+// docs/CAPACITY.md lays them out. All are relays, the first of them voters too.
+var (
+	configZones    = []int{1, 1, 1, 2, 2, 3, 3, 4, 4}
+	configMachines = []int{0, 3, 5, 7, 1, 4, 6, 8, 2, 0, 3, 5, 7, 4, 6}
 )
 
 // configChild plays a voter, a relay or many hollow nodes, whose files and addresses are its arguments.
@@ -67,7 +74,7 @@
 		return err
 	}
 	defer r.Close()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", args[4])
 	if err != nil {
 		return fmt.Errorf("a relay's port: %w", err)
 	}
@@ -83,7 +90,7 @@
 		return fmt.Errorf("the relays: %w", err)
 	}
 	for i := range configDie {
-		zone, region := place(i)
+		zone, region := place(i % len(configZones))
 		s, err := confsync.NewSource(confsync.SourceOptions{
 			Name: fmt.Sprintf("mortal%02d", i), Zone: zone, Region: region, Relays: at, Files: files, Seed: uint64(i),
 			Log:     slog.New(slog.DiscardHandler),
@@ -110,6 +117,20 @@
 	*confsync.Source
 	began   time.Time
 	version atomic.Uint64
+	down    bool // killed, and not back yet
+}
+
+// machine is a voter or a relay, and how it is started.
+type machine struct {
+	*stand.Process
+	zone  int
+	start func() (*stand.Process, error)
+	down  bool
+}
+
+func (m *machine) kill() {
+	m.Kill()
+	m.down = true
 }
 
 // configRig is a group, relays before it, each a process, and hollow nodes in this one.
@@ -117,8 +138,8 @@
 	dir    string
 	auth   *standin.Authority
 	files  mtls.Files // of the nodes
-	voters map[string]*stand.Process
-	relays []*stand.Process
+	voters map[string]*machine
+	relays []*machine
 	at     []confsync.RelayAt
 	client *cluster.Client
 	last   uint64 // version
@@ -135,21 +156,31 @@
 	return mtls.Files{Certificate: cert, Key: key, Authorities: g.auth.File}, err
 }
 
-func (g *configRig) child(kind, name string, args ...string) (*stand.Process, error) {
+// child gives a child with a certificate for a name, to be started.
+func (g *configRig) child(kind, name string, args ...string) (func() (*stand.Process, error), error) {
 	f, err := g.issue(name)
-	if err != nil {
+	return func() (*stand.Process, error) {
+		return start(g.dir, kind, append([]string{f.Certificate, f.Key, f.Authorities}, args...)...)
+	}, err
+}
+
+// machine starts a voter or a relay in the place of the machine of its number.
+func (g *configRig) machine(i int, kind, name string, args ...string) (*machine, error) {
+	m := &machine{zone: configMachines[i]}
+	var err error
+	if m.start, err = g.child(kind, name, args...); err != nil {
 		return nil, err
 	}
-	return start(g.dir, kind, append([]string{f.Certificate, f.Key, f.Authorities}, args...)...)
+	m.Process, err = m.start()
+	return m, err
 }
 
-func place(i int) (zone, region string) {
-	z := i % configZones
-	return fmt.Sprint("z", z), fmt.Sprint("r", z%configRegions)
+func place(zone int) (name, region string) {
+	return fmt.Sprint("z", zone), fmt.Sprint("r", configZones[zone])
 }
 
 func newConfigRig(ctx context.Context, voters, relays int) (g *configRig, err error) {
-	g = &configRig{voters: make(map[string]*stand.Process), proposed: make(map[uint64]time.Time)}
+	g = &configRig{voters: make(map[string]*machine), proposed: make(map[uint64]time.Time)}
 	if g.dir, err = os.MkdirTemp("", "jasperpin-proof"); err != nil {
 		return g, fmt.Errorf("a place for files: %w", err)
 	}
@@ -166,23 +197,30 @@
 		addrs[fmt.Sprint("v", i)] = a
 		all = append(all, a)
 	}
-	for name, a := range addrs {
+	for i, a := range all {
+		name := fmt.Sprint("v", i)
 		dir := filepath.Join(g.dir, name)
 		if err := cluster.Begin(dir, name, addrs); err != nil {
 			return g, err
 		}
-		if g.voters[a], err = g.child("voter", cluster.VoterName, a, dir); err != nil {
+		v, err := g.machine(i, "voter", cluster.VoterName, a, dir)
+		if err != nil {
 			return g, err
 		}
+		g.voters[a] = v
 	}
 	for i := range relays {
-		p, err := g.child("relay", confsync.RelayName, strings.Join(all, ","))
+		a, err := standin.Unused() // of its own, so that it comes back there
 		if err != nil {
 			return g, err
 		}
-		zone, region := place(i)
-		g.relays = append(g.relays, p)
-		g.at = append(g.at, confsync.RelayAt{Peer: conf.Peer{Name: fmt.Sprint("relay", i), Zone: zone, Region: region}, Addr: p.Line})
+		m, err := g.machine(i, "relay", confsync.RelayName, strings.Join(all, ","), a)
+		if err != nil {
+			return g, err
+		}
+		zone, region := place(m.zone)
+		g.relays = append(g.relays, m)
+		g.at = append(g.at, confsync.RelayAt{Peer: conf.Peer{Name: fmt.Sprint("relay", i), Zone: zone, Region: region}, Addr: a})
 	}
 	if g.files, err = g.issue("node"); err != nil {
 		return g, err
@@ -219,7 +257,7 @@
 
 // node starts a hollow node, with a copy on the disk where it is to be restarted.
 func (g *configRig) node(i int, copied bool) error {
-	zone, region := place(i)
+	zone, region := place(i % len(configZones))
 	n := &hollow{began: time.Now()}
 	opt := confsync.SourceOptions{
 		Name: fmt.Sprintf("node%04d", i), Zone: zone, Region: region, Relays: g.at, Files: g.files, Seed: uint64(i),
@@ -276,7 +314,7 @@
 	for time.Since(began) < configWithin && ctx.Err() == nil {
 		behind := 0
 		for _, n := range g.nodes {
-			if n.version.Load() != g.last {
+			if !n.down && n.version.Load() != g.last {
 				behind++
 			}
 		}
@@ -287,7 +325,7 @@
 	}
 	behind, why := 0, ""
 	for _, n := range g.nodes {
-		if n.version.Load() != g.last {
+		if !n.down && n.version.Load() != g.last {
 			behind++
 			why = n.Status().Why
 		}
@@ -367,6 +405,9 @@
 	if err := set.Parse(args); err != nil {
 		return nil, err
 	}
+	if *relays > len(configMachines) || *voters > *relays {
+		return nil, fmt.Errorf("%d relays and %d voters: want %d relays at the most, and no more voters than relays", *relays, *voters, len(configMachines))
+	}
 	g, err := newConfigRig(ctx, *voters, *relays)
 	defer g.close()
 	if err != nil {
@@ -477,18 +518,27 @@
 	f.add("day_bytes_s", "%.1f", restBytes+changeBytes*configADay/86400)
 	f.add("day_cpu_pct", "%.4f", (restCPU+changeCPU*configADay/86400)/1e4)
 
+	lost := configMachines[0] // it has two machines of fifteen, and one of them votes
 	for _, trial := range []struct {
 		what   string
 		stayed int
 		beside func() error
 	}{
-		{"relay_killed", *nodes, func() error { g.relays[0].Kill(); return nil }},
+		{"relay_killed", *nodes, func() error { g.relays[0].kill(); return nil }},
 		{"restarted_5pct", *nodes - restarted, func() error { return g.restart(restarted) }},
 		{"leader_killed", *nodes, func() error { return g.killLeader(ctx) }},
 		{"nodes_died", *nodes, g.die},
+		{"zone_lost", *nodes - g.inZone(lost), func() error {
+			m, err := g.leader(ctx)
+			if err == nil {
+				fmt.Fprintf(out, "a zone is lost; the voter that leads is in it: %t\n", m.zone == lost)
+				g.kill(lost)
+			}
+			return err
+		}},
 	} {
-		if trial.what == "nodes_died" {
-			if err := g.bear(); err != nil {
+		if trial.what == "nodes_died" { // with all machines
+			if err := errors.Join(g.back(ctx), g.bear()); err != nil {
 				return f, errors.Join(broken, err)
 			}
 		}
@@ -497,9 +547,121 @@
 		}
 		broken = errors.Join(broken, show(trial.what, trial.stayed, h))
 	}
+
+	began = time.Now()
+	if err := g.back(ctx); err != nil {
+		return f, errors.Join(broken, err)
+	}
+	span = time.Since(began).Seconds()
+	fmt.Fprintf(out, "the zone's %d nodes, without a copy, and its machines are back and level after %.2f s, starts of processes included\n", g.inZone(lost), span)
+	f.add("zone_back_s", "%.2f", span)
 	return f, broken
 }
 
+// inZone counts the nodes of a zone.
+func (g *configRig) inZone(zone int) (n int) {
+	for i := range g.nodes {
+		if i%len(configZones) == zone {
+			n++
+		}
+	}
+	return n
+}
+
+// kill kills a zone's voter, relays and nodes at once.
+func (g *configRig) kill(zone int) {
+	var all sync.WaitGroup
+	for _, m := range g.machines() {
+		if m.zone == zone {
+			all.Go(m.kill)
+		}
+	}
+	for i, n := range g.nodes {
+		if i%len(configZones) == zone {
+			n.down = true
+			all.Go(n.Close)
+		}
+	}
+	all.Wait()
+}
+
+func (g *configRig) machines() []*machine {
+	return slices.AppendSeq(slices.Clone(g.relays), maps.Values(g.voters))
+}
+
+// back starts what was killed, and waits until it is level.
+func (g *configRig) back(ctx context.Context) error {
+	var relays []confsync.RelayAt
+	for i, m := range g.relays {
+		if m.down {
+			relays = append(relays, g.at[i])
+		}
+	}
+	for _, m := range g.machines() {
+		if !m.down {
+			continue
+		}
+		p, err := m.start()
+		if err != nil {
+			return err
+		}
+		m.Process, m.down = p, false
+	}
+	for i, n := range g.nodes {
+		if n.down {
+			if err := g.node(i, false); err != nil {
+				return err
+			}
+		}
+	}
+	if _, err := g.level(ctx); err != nil {
+		return err
+	}
+	for _, at := range relays {
+		if err := g.shows(ctx, at); err != nil {
+			return err
+		}
+	}
+	return g.agreed(ctx)
+}
+
+// within waits for something, as long as all may take to be level.
+func within(ctx context.Context, what string, is func() bool) error {
+	for began := time.Now(); time.Since(began) < configWithin && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		if is() {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: %s is not level within %v", errBound, what, configWithin)
+}
+
+// shows waits until a relay has the last version for a node that knows no other.
+func (g *configRig) shows(ctx context.Context, at confsync.RelayAt) error {
+	s, err := confsync.NewSource(confsync.SourceOptions{
+		Name: "probe", Relays: []confsync.RelayAt{at}, Files: g.files, Log: slog.New(slog.DiscardHandler),
+		Install: func(conf.Snapshot) error { return nil }, Change: func(conf.Change) error { return nil },
+	})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	return within(ctx, at.Name, func() bool { is := s.Status(); return is.Level && is.Version == g.last })
+}
+
+// agreed waits until each voter has carried out what the others have.
+func (g *configRig) agreed(ctx context.Context) error {
+	var most uint64
+	return within(ctx, "a voter", func() bool {
+		all := true
+		for at := range g.voters {
+			s, err := g.client.Status(ctx, at)
+			all = all && err == nil && s.Known >= most
+			most = max(most, s.Known)
+		}
+		return all
+	})
+}
+
 // restart restarts the first nodes, by their copies.
 func (g *configRig) restart(nodes int) error {
 	for i := range nodes {
@@ -522,7 +684,11 @@
 	if err != nil {
 		return fmt.Errorf("the relays: %w", err)
 	}
-	g.mortal, err = g.child("nodes", "node", string(at))
+	begin, err := g.child("nodes", "node", string(at))
+	if err != nil {
+		return err
+	}
+	g.mortal, err = begin()
 	return err
 }
 
@@ -530,13 +696,21 @@
 // that is off.
 func (g *configRig) die() error { return g.mortal.Signal(syscall.SIGSTOP) }
 
-// killLeader kills the voter that leads.
-func (g *configRig) killLeader(ctx context.Context) error {
-	for addr, p := range g.voters {
+// leader is the voter that leads.
+func (g *configRig) leader(ctx context.Context) (*machine, error) {
+	for addr, m := range g.voters {
 		if s, err := g.client.Status(ctx, addr); err == nil && s.Leads {
-			p.Kill()
-			return nil
+			return m, nil
 		}
 	}
-	return errors.New("no voter leads the others")
+	return nil, errors.New("no voter leads the others")
+}
+
+// killLeader kills the voter that leads.
+func (g *configRig) killLeader(ctx context.Context) error {
+	m, err := g.leader(ctx)
+	if err == nil {
+		m.kill()
+	}
+	return err
 }
