proof config: real nodes among the hollow ones, their doors in the same measure

With -real, processes of the program run by operators' files with [config] and a copy; a change counts once their doors tell its version. Those of the lost zone are killed and come back by their copies; a record refused breaks the bound. Records are sound pools now, so that a node can put them in force.

--- a/cmd/proof/config.go
+++ b/cmd/proof/config.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 
 	"jasperpin/internal/cluster"
 	"jasperpin/internal/confsync"
+	"jasperpin/internal/door"
 	"jasperpin/internal/mtls"
 	"jasperpin/internal/peers/conf"
 	"jasperpin/internal/standin"
@@ -37,6 +39,7 @@
 	configADay   = 2500.0                 // changes
 	configBatch  = 500                    // records of one change, at first
 	configStarts = 100                    // nodes that start at once: all share this process's cores
+	configAsk    = 10 * time.Millisecond  // between two calls at a real node's door, at the least
 	configDie    = 57                     // nodes that die at once, beside those that stay: as many as fail on a day
 )
 
@@ -112,14 +115,29 @@
 	return nil
 }
 
-// hollow is a node's side of the configuration, and nothing else of a node.
-type hollow struct {
-	*confsync.Source
+// follows is what a node has in force, and since when it runs.
+type follows struct {
 	began   time.Time
 	version atomic.Uint64
 	down    bool // killed, and not back yet
 }
 
+// hollow is a node's side of the configuration, and nothing else of a node.
+type hollow struct {
+	*confsync.Source
+	follows
+}
+
+// realNode is a process of the program, by an operator's file, whose door is asked.
+type realNode struct {
+	*stand.Process
+	follows
+	file, door string
+	refused    atomic.Uint64 // records, as the door tells
+	asked      chan struct{} // closed as the door is asked no more
+	stop       context.CancelFunc
+}
+
 // machine is a voter or a relay, and how it is started.
 type machine struct {
 	*stand.Process
@@ -144,11 +162,13 @@
 	client *cluster.Client
 	last   uint64 // version
 	nodes  []*hollow
+	reals  []*realNode
 	mortal *stand.Process // of nodes that are not measured, and die
 
 	mu       sync.Mutex
 	proposed map[uint64]time.Time
 	took     *hdrhistogram.Histogram // from the proposal until it is in force, in µs
+	atReals  time.Duration           // the longest until the door of a real node told of it
 }
 
 func (g *configRig) issue(name string) (mtls.Files, error) {
@@ -239,6 +259,9 @@
 	for _, n := range g.nodes {
 		all.Go(n.Close)
 	}
+	for _, n := range g.reals {
+		all.Go(n.kill)
+	}
 	all.Wait()
 	if g.client != nil {
 		g.client.Close()
@@ -258,12 +281,12 @@
 // node starts a hollow node, with a copy on the disk where it is to be restarted.
 func (g *configRig) node(i int, copied bool) error {
 	zone, region := place(i % len(configZones))
-	n := &hollow{began: time.Now()}
+	n := &hollow{follows: follows{began: time.Now()}}
 	opt := confsync.SourceOptions{
 		Name: fmt.Sprintf("node%04d", i), Zone: zone, Region: region, Relays: g.at, Files: g.files, Seed: uint64(i),
 		Log:     slog.New(slog.DiscardHandler),
-		Install: func(s conf.Snapshot) error { g.reached(n, s.Version()); return nil },
-		Change:  func(c conf.Change) error { g.reached(n, c.Version); return nil },
+		Install: func(s conf.Snapshot) error { g.reached(&n.follows, s.Version()); return nil },
+		Change:  func(c conf.Change) error { g.reached(&n.follows, c.Version); return nil },
 	}
 	if copied {
 		opt.Folder = filepath.Join(g.dir, opt.Name)
@@ -280,17 +303,94 @@
 	return nil
 }
 
-// reached notes that a node has all versions until one in force.
-func (g *configRig) reached(n *hollow, version uint64) {
+// reached notes that a node has all versions until one in force, and gives the longest that one took.
+func (g *configRig) reached(n *follows, version uint64) (longest time.Duration) {
 	now := time.Now()
 	g.mu.Lock()
 	for v := n.version.Load() + 1; v <= version; v++ {
 		if t, ok := g.proposed[v]; ok && g.took != nil && n.began.Before(t) {
+			longest = max(longest, now.Sub(t))
 			_ = g.took.RecordValue(now.Sub(t).Microseconds()) // no longer than its end
 		}
 	}
 	g.mu.Unlock()
 	n.version.Store(version)
+	return longest
+}
+
+// real writes the file of a real node, and starts it.
+func (g *configRig) real(i int) error {
+	zone, region := place(i % len(configZones))
+	name := fmt.Sprintf("real%02d", i)
+	at := filepath.Join(g.dir, name)
+	n := &realNode{file: at + ".toml", door: "unix:" + at + ".door"}
+	text := fmt.Sprintf("[node]\nname = %q\nlisten = [\"127.0.0.1:0\"]\ncontrol = %q\n[config]\nzone = %q\nregion = %q\nfolder = %q\ncertificate = %q\nkey = %q\nauthorities = %q\n",
+		name, n.door, zone, region, at, g.files.Certificate, g.files.Key, g.files.Authorities)
+	for _, r := range g.at {
+		text += fmt.Sprintf("[[config.relay]]\nname = %q\naddress = %q\nzone = %q\nregion = %q\n", r.Name, r.Addr, r.Zone, r.Region)
+	}
+	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("the node's file: %w", err)
+	}
+	g.reals = append(g.reals, n)
+	return g.begin(n)
+}
+
+// begin starts a real node, and asks its door from there on.
+func (g *configRig) begin(n *realNode) (err error) {
+	n.began, n.down = time.Now(), false
+	n.version.Store(0)
+	if n.Process, err = start(g.dir, "node", n.file); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.asked, n.stop = make(chan struct{}), stop
+	go func() {
+		defer close(n.asked)
+		for ctx.Err() == nil {
+			began := time.Now()
+			g.ask(ctx, n)
+			select { // so that asking is little of what the node does
+			case <-time.After(max(configAsk, 10*time.Since(began))):
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return nil
+}
+
+// ask asks a real node's door once.
+func (g *configRig) ask(ctx context.Context, n *realNode) {
+	lines, err := door.Call(ctx, n.door, "telemetry")
+	if err != nil {
+		return // it comes up, or goes
+	}
+	for _, line := range lines {
+		name, value, _ := strings.Cut(line, "=")
+		if name != "config_version" && name != "config_refused" {
+			continue
+		}
+		v, err := strconv.ParseUint(value, 10, 64)
+		switch {
+		case err != nil:
+		case name == "config_refused":
+			n.refused.Store(v)
+		case v > n.version.Load():
+			longest := g.reached(&n.follows, v)
+			g.mu.Lock()
+			g.atReals = max(g.atReals, longest)
+			g.mu.Unlock()
+		}
+	}
+}
+
+// kill ends a real node without a word to it.
+func (n *realNode) kill() {
+	if n.Process != nil {
+		n.Kill()
+		n.stop()
+		<-n.asked
+	}
 }
 
 // propose has a change agreed on, and waits for that alone.
@@ -308,29 +408,36 @@
 	return err
 }
 
+// behind counts the nodes that have not the last version in force, and says why of one.
+func (g *configRig) behind() (n int, why string) {
+	for _, h := range g.nodes {
+		if !h.down && h.version.Load() != g.last {
+			n++
+			why = h.Status().Why
+		}
+	}
+	for _, r := range g.reals {
+		if !r.down && r.version.Load() != g.last {
+			n++
+			why = r.file
+		}
+	}
+	return n, why
+}
+
 // level waits until all nodes have the last version in force, and says how long that took.
 func (g *configRig) level(ctx context.Context) (time.Duration, error) {
 	began := time.Now()
-	for time.Since(began) < configWithin && ctx.Err() == nil {
-		behind := 0
-		for _, n := range g.nodes {
-			if !n.down && n.version.Load() != g.last {
-				behind++
-			}
-		}
-		if behind == 0 {
+	for {
+		n, why := g.behind()
+		switch {
+		case n == 0:
 			return time.Since(began), nil
+		case time.Since(began) > configWithin || ctx.Err() != nil:
+			return 0, fmt.Errorf("%w: %d nodes are behind version %d after %v: %s", errBound, n, g.last, time.Since(began), why)
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	behind, why := 0, ""
-	for _, n := range g.nodes {
-		if !n.down && n.version.Load() != g.last {
-			behind++
-			why = n.Status().Why
-		}
-	}
-	return 0, fmt.Errorf("%w: %d nodes are behind version %d after %v: %s", errBound, behind, g.last, configWithin, why)
 }
 
 // changes proposes some, one each configPace, does something beside them, and gives the times until each was in
@@ -338,7 +445,7 @@
 func (g *configRig) changes(ctx context.Context, n int, beside func() error) (*hdrhistogram.Histogram, error) {
 	h := hdrhistogram.New(1, (2 * configWithin).Microseconds(), 3)
 	g.mu.Lock()
-	g.took = h
+	g.took, g.atReals = h, 0
 	g.mu.Unlock()
 	failed := make(chan error, 1)
 	pace := time.NewTicker(configPace)
@@ -347,7 +454,7 @@
 		if i == n/4 {
 			go func() { failed <- beside() }()
 		}
-		if err := g.propose(ctx, conf.Record{Key: conf.PoolKey(fmt.Sprint("pool", i%20)), Value: configValue(i + 1)}); err != nil {
+		if err := g.propose(ctx, conf.Record{Key: conf.PoolKey(fmt.Sprint("pool-", i%20)), Value: configValue(i + 1)}); err != nil {
 			return h, err
 		}
 		<-pace.C
@@ -362,9 +469,9 @@
 	return h, err
 }
 
-// configValue is as large as a pool's table in the operator's file may be.
+// configValue is a pool's table, with some servers that a change moves.
 func configValue(i int) []byte {
-	return fmt.Appendf(nil, `{"classes":["look","find","order"],"discovery":"disco.internal:8500/%d","note":%q}`, i, strings.Repeat("x", 200))
+	return fmt.Appendf(nil, `{"class":[{"name":"look","repeat":"safe"}],"server":[{"address":"127.1.%d.1:9000","name":"a"},{"address":"127.1.%[1]d.2:9000","name":"b"},{"address":"127.1.%[1]d.3:9000","name":"c"}]}`, i%250)
 }
 
 // left says why streams were left so far, over all nodes.
@@ -401,6 +508,7 @@
 	relays := set.Int("relays", 5, "relays, a process each")
 	voters := set.Int("voters", 3, "voters, a process each: 1, 3 or 5")
 	changes := set.Int("changes", 40, "changes of each trial")
+	reals := set.Int("real", 0, "processes of the program beside them, by operators' files")
 	records := set.Int("records", 500, "records of the configuration")
 	if err := set.Parse(args); err != nil {
 		return nil, err
@@ -416,7 +524,7 @@
 	for at := 0; at < *records; at += configBatch {
 		var batch []conf.Record
 		for i := at; i < min(at+configBatch, *records); i++ {
-			batch = append(batch, conf.Record{Key: conf.PoolKey(fmt.Sprint("pool", i)), Value: configValue(0)})
+			batch = append(batch, conf.Record{Key: conf.PoolKey(fmt.Sprint("pool-", i)), Value: configValue(0)})
 		}
 		if err := g.propose(ctx, batch...); err != nil {
 			return nil, err
@@ -438,7 +546,15 @@
 			}
 		}
 	}
-	fmt.Fprintf(out, "%d nodes, started %d at a time, %d relays, %d voters, %d records: all level after %.2f s\n", *nodes, configStarts, *relays, *voters, *records, time.Since(began).Seconds())
+	for i := range *reals {
+		if err := g.real(i); err != nil {
+			return nil, err
+		}
+	}
+	if _, err := g.level(ctx); err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(out, "%d nodes, started %d at a time, %d relays, %d voters, %d records, %d real nodes: all level after %.2f s\n", *nodes, configStarts, *relays, *voters, *records, *reals, time.Since(began).Seconds())
 	f.add("begun_s", "%.2f", time.Since(began).Seconds())
 
 	time.Sleep(2 * time.Second) // what the start left
@@ -491,10 +607,14 @@
 		f.add(what+"_p50_s", "%.3f", s(h.ValueAtQuantile(50)))
 		f.add(what+"_p99_s", "%.3f", s(h.ValueAtQuantile(99)))
 		f.add(what+"_max_s", "%.3f", s(h.Max()))
+		if *reals > 0 {
+			fmt.Fprintf(out, "  of these, until a real node's door told of it: %.3f s at the most\n", g.atReals.Seconds())
+			f.add(what+"_real_max_s", "%.3f", g.atReals.Seconds())
+		}
 		if worst := time.Duration(h.Max()) * time.Microsecond; worst > configBound {
 			return fmt.Errorf("%w: %s: a change was in force everywhere after %v, want %v", errBound, what, worst, configBound)
 		}
-		if want := int64(stayed * *changes); h.TotalCount() < want {
+		if want := int64((stayed + *reals) * *changes); h.TotalCount() < want {
 			return fmt.Errorf("%w: %s: changes were in force %d times, want %d at least", errBound, what, h.TotalCount(), want)
 		}
 		return nil
@@ -528,7 +648,7 @@
 		{"restarted_5pct", *nodes - restarted, func() error { return g.restart(restarted) }},
 		{"leader_killed", *nodes, func() error { return g.killLeader(ctx) }},
 		{"nodes_died", *nodes, g.die},
-		{"zone_lost", *nodes - g.inZone(lost), func() error {
+		{"zone_lost", *nodes - inZone(lost, *nodes) - inZone(lost, *reals), func() error {
 			m, err := g.leader(ctx)
 			if err == nil {
 				fmt.Fprintf(out, "a zone is lost; the voter that leads is in it: %t\n", m.zone == lost)
@@ -553,21 +673,19 @@
 		return f, errors.Join(broken, err)
 	}
 	span = time.Since(began).Seconds()
-	fmt.Fprintf(out, "the zone's %d nodes, without a copy, and its machines are back and level after %.2f s, starts of processes included\n", g.inZone(lost), span)
+	fmt.Fprintf(out, "the zone's %d nodes, without a copy, %d real ones, with theirs, and its machines are back and level after %.2f s, starts of processes included\n", inZone(lost, *nodes), inZone(lost, *reals), span)
 	f.add("zone_back_s", "%.2f", span)
-	return f, broken
-}
-
-// inZone counts the nodes of a zone.
-func (g *configRig) inZone(zone int) (n int) {
-	for i := range g.nodes {
-		if i%len(configZones) == zone {
-			n++
+	for _, n := range g.reals {
+		if refused := n.refused.Load(); refused > 0 {
+			broken = errors.Join(broken, fmt.Errorf("%w: %s: %d records are refused", errBound, n.file, refused))
 		}
 	}
-	return n
+	return f, broken
 }
 
+// inZone is how many of some nodes are in a zone.
+func inZone(zone, of int) int { return (of + len(configZones) - 1 - zone) / len(configZones) }
+
 // kill kills a zone's voter, relays and nodes at once.
 func (g *configRig) kill(zone int) {
 	var all sync.WaitGroup
@@ -582,6 +700,12 @@
 			all.Go(n.Close)
 		}
 	}
+	for i, n := range g.reals {
+		if i%len(configZones) == zone {
+			n.down = true
+			all.Go(n.kill)
+		}
+	}
 	all.Wait()
 }
 
@@ -614,6 +738,13 @@
 			}
 		}
 	}
+	for _, n := range g.reals {
+		if n.down {
+			if err := g.begin(n); err != nil {
+				return err
+			}
+		}
+	}
 	if _, err := g.level(ctx); err != nil {
 		return err
 	}
