--- a/cmd/proof/config.go
+++ b/cmd/proof/config.go
@@ -734,10 +734,13 @@
 		f.add(what+"_agreed_max_s", "%.3f", g.commit.Seconds())
 		f.add(what+"_hollow_max_s", "%.3f", g.atHollow.Seconds())
 		f.add(what+"_held_s", "%.3f", g.held.Seconds())
+		g.mu.Lock() // doors are asked all the time
+		between := g.between
+		g.mu.Unlock()
 		if *reals > 0 {
-			fmt.Fprintf(out, "  until a real node's door told of it %.3f s at the most; it was asked each %.3f s at the most\n", g.atReals.Seconds(), g.between.Seconds())
+			fmt.Fprintf(out, "  until a real node's door told of it %.3f s at the most; it was asked each %.3f s at the most\n", g.atReals.Seconds(), between.Seconds())
 			f.add(what+"_real_max_s", "%.3f", g.atReals.Seconds())
-			f.add(what+"_real_asked_s", "%.3f", g.between.Seconds())
+			f.add(what+"_real_asked_s", "%.3f", between.Seconds())
 		}
 		if worst := time.Duration(h.Max()) * time.Microsecond; worst > configBound {
 			return fmt.Errorf("%w: %s: a change was in force everywhere after %v, want %v", errBound, what, worst, configBound)
@@ -789,6 +792,7 @@
 	if err := trial("nodes_died", *nodes, g.die); err != nil {
 		return f, errors.Join(broken, err)
 	}
+	g.mortal.Kill() // a stopped process has all others of its group end, should their shell go
 	leads, err := g.leader(ctx)
 	if err != nil {
 		return f, errors.Join(broken, err)
