--- a/test.sh
+++ b/test.sh
@@ -9,7 +9,14 @@
 fi
 go vet ./...
 go tool staticcheck ./...
-go test -race ./...
+# Tests that are known to fail are printed, with their cause and issue, and passed over: just these.
+known=
+if [ -s KNOWN-RED.txt ]; then
+	echo "known to fail, and not run:"
+	cat KNOWN-RED.txt
+	known=$(cut -d: -f1 KNOWN-RED.txt | paste -sd '|' -)
+fi
+go test -race ${known:+-skip "^($known)\$"} ./...
 # Built as it is deployed: the platform wants the node linked dynamically against libc.
 sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)"
 if ! LC_ALL=C readelf --program-headers bin/jasperpin | grep -q 'program interpreter'; then
