Ask one place whether a result proves that an attempt did not run

core.Pool.end listed the three results that decide knows already (Result.neverRan), for what it tells of a run whose client has gone: a fourth added to one list would have been missing in the other. The module's is exported and asked by both; no behaviour changes.

--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -157,7 +157,7 @@
 		return
 	}
 	a := &r.attempts[o.Attempt]
-	a.out, a.mayRun = false, !o.Result.neverRan()
+	a.out, a.mayRun = false, !o.Result.NeverRan()
 	a.srv.out--
 	b.poolOf(a.srv).out--
 	b.observe(r, a, o)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -141,7 +141,7 @@
 							if outcome < 0 {
 								a.out, a.mayRun = true, true
 							} else {
-								a.mayRun = !results[outcome].neverRan()
+								a.mayRun = !results[outcome].NeverRan()
 								ran = a.mayRun
 							}
 							r := &request{attempts: []attempt{a}}
@@ -331,7 +331,7 @@
 
 func (w *world) end(id RequestID, h *held, i int, res Result) {
 	a := &h.attempts[i]
-	a.out, a.maybe = false, !res.neverRan()
+	a.out, a.maybe = false, !res.NeverRan()
 	settled := h.answered || res == OK
 	if res == OK {
 		h.answered = true
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -34,8 +34,8 @@
 	NoConnection, Reset, Cancelled, Moot Result = 4, 5, 6, 7
 )
 
-// neverRan reports whether a result proves that the attempt did not run.
-func (r Result) neverRan() bool { return r == Full || r == NoConnection || r == Moot }
+// NeverRan reports whether a result proves that the attempt did not run.
+func (r Result) NeverRan() bool { return r == Full || r == NoConnection || r == Moot }
 
 // Class describes one class of requests. An answer within Aim has its full
 // worth; Aim grows by AimFactor times the request's own work.
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -472,7 +472,7 @@
 		if (r.left || a.idle) && !a.begun {
 			result = decide.Moot // its client's going says nothing of the server
 		}
-		a.mayRun = result != decide.Full && result != decide.NoConnection && result != decide.Moot
+		a.mayRun = !result.NeverRan()
 		if result == decide.OK && !r.settled {
 			r.settled = true
 			r.final <- Final{Status: Served, Answer: ans}
