Tell what holds a pool up: the longest hold, late timers, lists in force, late writes

The incident's logs do not say how long the pool's lock was held and for what, how many servers a list named and in how many pieces it was told, how late timers ran, nor that an attempt went out after its request's end. The module counts the servers that its steps look at (Looked). No decision changes; tests of decide, core and discovery pass.

--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -68,8 +68,15 @@
 	admission
 	budget float64 // retry budget, in attempts
 	sent   meter   // attempts per second
+
+	// looked counts the servers that any step has looked at: the work that could grow with their number.
+	looked uint64
 }
 
+// Looked is how many servers have been looked at so far, over all events. What one event costs by it
+// must not grow with the servers that are listed, but for ticks, sweeps and whole lists.
+func (b *Balancer) Looked() uint64 { return b.looked }
+
 // New starts a node that knows no server yet.
 func New(set Settings, seed uint64, now time.Duration, out Effects) *Balancer {
 	b := &Balancer{
--- a/decide/members.go
+++ b/decide/members.go
@@ -73,6 +73,7 @@
 	}
 	if kind != ListDelta {
 		for id, s := range b.byID { // in any order: dropping one affects no other
+			b.looked += uint64(len(list))
 			if !slices.ContainsFunc(list, func(e Server) bool { return e.ID == id }) {
 				b.drop(s)
 			}
@@ -91,6 +92,7 @@
 }
 
 func (b *Balancer) apply(e Server) {
+	b.looked++
 	s := b.byID[e.ID]
 	if e.Condition == Gone {
 		if s != nil {
@@ -131,6 +133,7 @@
 	if b.silence >= zoneSilent || near && b.set.Ask && !b.subscribed {
 		doubt = b.local.list
 	}
+	b.looked += uint64(len(doubt))
 	for _, o := range doubt {
 		o.awayAt, o.sureAt = b.now, 0
 		b.chill(o)
@@ -169,6 +172,7 @@
 
 // rebuild sorts out what the picker draws from.
 func (b *Balancer) rebuild() {
+	b.looked += uint64(len(b.byID))
 	b.ready = slices.SortedFunc(maps.Values(b.byID), func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
 	b.ready = slices.DeleteFunc(b.ready, func(s *server) bool { return s.Condition != Ready })
 	b.local.list, b.remote.list, b.totalScale = b.local.list[:0], b.remote.list[:0], 0
--- a/decide/outlier.go
+++ b/decide/outlier.go
@@ -81,6 +81,7 @@
 
 // count counts the servers ready for which something holds.
 func (b *Balancer) count(holds func(*server) bool) (n int) {
+	b.looked += uint64(len(b.ready))
 	for _, s := range b.ready {
 		if holds(s) {
 			n++
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -67,6 +67,7 @@
 	perServer := b.sent.at(b.now) * float64(b.set.Nodes) / float64(max(1, len(b.ready)))
 	b.linkCost = b.set.HandshakeCost + b.set.OpenCost/100*perServer*b.set.KeepAlive.Seconds()
 	b.sureScale = 0
+	b.looked += uint64(len(b.ready))
 	for _, p := range [...]*pool{&b.local, &b.remote} {
 		p.cum, p.slow, p.warm = p.cum[:0], 0, 0
 		sum := 0.0
@@ -140,6 +141,7 @@
 	bestCost := math.Inf(1)
 	few := float64(b.local.out+b.remote.out) / max(b.totalScale, 1e-9) // the design's idle test: few own calls, against their mean
 	try := func(s *server, warm bool) {
+		b.looked++
 		if s == nil || s == best || b.now < s.downUntil || float64(s.out) > idleMargin+few*s.Scale || !b.usable(r, s) {
 			return
 		}
@@ -173,6 +175,7 @@
 	// From a random start: nodes must not all fall upon the same server.
 	from := b.rng.IntN(max(1, len(b.ready)))
 	for i := range b.ready {
+		b.looked++
 		s := b.ready[(from+i)%len(b.ready)]
 		if (best == nil || s.out < best.out) && b.usable(r, s) {
 			best = s
@@ -186,6 +189,7 @@
 func (b *Balancer) keyed(r *request, try func(*server, bool)) {
 	n := keyServers + int(2*float64(b.keys[r.Key])/float64(max(b.keySum, 200))*float64(len(b.local.list)))
 	for i := range uint64(min(n, len(b.local.list), keyMost)) {
+		b.looked += uint64(len(b.local.list))
 		home, most := b.local.list[0], 0.0
 		for _, s := range b.local.list {
 			u := float64(rand.NewPCG(uint64(s.ID)|i<<32, r.Key).Uint64()>>11)/(1<<53) + 1e-18
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -34,7 +34,7 @@
 // end tells the module an attempt's outcome. The first that is served settles
 // its request and goes to the client.
 func (p *Pool) end(a *attempt, result decide.Result, ans *Answer) {
-	p.do(func(now time.Duration) {
+	p.do(eventOutcome, func(now time.Duration) {
 		r := a.req
 		if a.ended {
 			p.later(ans.drop)
@@ -113,7 +113,7 @@
 		client = a.req.Here()
 	}
 	p := a.pool
-	p.do(func(now time.Duration) {
+	p.do(eventBegin, func(now time.Duration) {
 		switch client {
 		case HasLeft:
 			p.gone(now, a.req)
@@ -216,7 +216,7 @@
 	if a.req.Rest == nil {
 		return
 	}
-	p.do(func(now time.Duration) {
+	p.do(eventWritten, func(now time.Duration) {
 		r := a.req
 		r.due = p.within(now + r.Wait)
 		if left := p.b.Due(now, r.id, r.due); left > 0 {
@@ -231,6 +231,9 @@
 	if by := a.start.WriteBy; !by.IsZero() && now.After(by) {
 		p.set.Broken.Broken(invariant.RepeatedLate, a.req.Name, "attempt", a.n, "late", now.Sub(by))
 	}
+	if late := now.Sub(a.start.GiveUpAt) - toldMargin; a.req.Rest == nil && late > invariant.WriteSlack {
+		p.set.Broken.Broken(invariant.WrittenLate, a.req.Name, "attempt", a.n, "late", late)
+	}
 	if left := a.start.GiveUpAt.Sub(now); a.req.Rest == nil && told > left+invariant.DeadlineSlack {
 		p.set.Broken.Broken(invariant.DeadlineTold, a.req.Name, "attempt", a.n, "told", told, "left", left)
 	}
--- a/internal/core/memory.go
+++ b/internal/core/memory.go
@@ -21,7 +21,7 @@
 // Memory gives what the pool knows.
 func (p *Pool) Memory() Memory {
 	m := Memory{Ages: make(map[string]time.Duration)}
-	p.do(func(now time.Duration) {
+	p.do(eventState, func(now time.Duration) {
 		for _, s := range p.servers {
 			m.Hosts = append(m.Hosts, s.Host)
 			if s.since > 0 {
@@ -46,7 +46,7 @@
 // Names is news of the names in use here, for the node's other processes: all of them
 // where whole is wanted or nothing has been told, else what has changed since.
 func (p *Pool) Names(whole bool) (n names.News) {
-	p.do(func(time.Duration) {
+	p.do(eventState, func(time.Duration) {
 		if whole {
 			n = p.names.All()
 		} else {
@@ -57,17 +57,19 @@
 }
 
 // Mute ends the news: there is nobody to hear them.
-func (p *Pool) Mute() { p.do(func(time.Duration) { p.names.Mute() }) }
+func (p *Pool) Mute() { p.do(eventState, func(time.Duration) { p.names.Mute() }) }
 
 // Hear takes news of the names in use in another process, whose requests are as open as
 // those here.
 func (p *Pool) Hear(from names.Side, n names.News) (err error) {
-	p.do(func(time.Duration) { err = p.names.Hear(from, n) })
+	p.do(eventState, func(time.Duration) { err = p.names.Hear(from, n) })
 	return err
 }
 
 // Forget frees another process's names, as it has ended.
-func (p *Pool) Forget(side names.Side) { p.do(func(time.Duration) { p.names.Forget(side) }) }
+func (p *Pool) Forget(side names.Side) {
+	p.do(eventState, func(time.Duration) { p.names.Forget(side) })
+}
 
 // recall gives the module what was known before, once it has its list: classes and
 // servers are found again by their names.
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -109,6 +109,7 @@
 	retired bool
 	closed  bool
 	empty   chan struct{} // closed once retired and nothing is held
+	delays  Delays
 }
 
 // NewPool makes a pool that knows no server yet.
@@ -125,9 +126,9 @@
 		servers: make(map[string]*server), byID: make(map[decide.ServerID]*server),
 		rota: rota.New(),
 	}
-	p.do(func(now time.Duration) { p.b = decide.New(set.Decide, set.Seed, now, effects{p}) })
+	p.do(eventState, func(now time.Duration) { p.b = decide.New(set.Decide, set.Seed, now, effects{p}) })
 	if set.Memory != nil {
-		p.do(func(now time.Duration) {
+		p.do(eventState, func(now time.Duration) {
 			p.rota.Recall(now, set.Memory.Rota)
 			p.recallBirths(now)
 		})
@@ -153,11 +154,13 @@
 }
 
 // do feeds the Balancer one event and carries out what it decided.
-func (p *Pool) do(event func(now time.Duration)) {
+func (p *Pool) do(kind event, event func(now time.Duration)) {
 	p.mu.Lock()
-	now := p.since(time.Now())
+	began := time.Now()
+	now := p.since(began)
 	p.lapse(now)
 	event(now)
+	p.held(kind, time.Since(began))
 	todo := p.todo
 	p.todo = nil
 	p.mu.Unlock()
@@ -175,7 +178,7 @@
 func (p *Pool) Arrive(q *Request) (*Exchange, error) {
 	r := &Exchange{Request: q, final: make(chan Final, 1)}
 	var err error
-	p.do(func(time.Duration) {
+	p.do(eventArrival, func(time.Duration) {
 		switch {
 		case p.retired:
 			err = ErrRetired
@@ -216,7 +219,7 @@
 
 // guided takes the guide's answer: the server to send a request to, or 0.
 func (p *Pool) guided(id decide.RequestID, server decide.ServerID) {
-	p.do(func(now time.Duration) {
+	p.do(eventGuide, func(now time.Duration) {
 		r := p.reqs[id]
 		if r == nil || !r.asking {
 			return
@@ -237,7 +240,7 @@
 // Gone ends a request whose client waits for it no more. It says false of one that others may
 // wait for, and that goes on.
 func (p *Pool) Gone(r *Exchange) (ended bool) {
-	p.do(func(now time.Duration) { ended = p.gone(now, r) })
+	p.do(eventClient, func(now time.Duration) { ended = p.gone(now, r) })
 	return ended
 }
 
@@ -323,7 +326,7 @@
 
 // Retire takes nothing more. What is held ends as it would have; Empty tells when.
 func (p *Pool) Retire() {
-	p.do(func(time.Duration) {
+	p.do(eventState, func(time.Duration) {
 		if !p.retired {
 			p.retired = true
 			if len(p.reqs) == 0 {
@@ -338,7 +341,7 @@
 
 // Close ends a pool that is not used any more.
 func (p *Pool) Close() {
-	p.do(func(time.Duration) { p.retired, p.closed = true, true })
+	p.do(eventState, func(time.Duration) { p.retired, p.closed = true, true })
 	if p.set.Guide != nil {
 		p.set.Guide.Close()
 	}
@@ -362,7 +365,7 @@
 // DrainBy moves all later deadlines forward, those of requests that are open as well: the
 // process ends by then.
 func (p *Pool) DrainBy(t time.Time) {
-	p.do(func(now time.Duration) {
+	p.do(eventState, func(now time.Duration) {
 		p.endBy = p.since(t)
 		for id, r := range p.reqs {
 			if r.due > p.endBy {
@@ -382,7 +385,7 @@
 
 // Stand takes the node's place in its fleet, which may change at any time.
 func (p *Pool) Stand(s Standing) {
-	p.do(func(time.Duration) {
+	p.do(eventState, func(time.Duration) {
 		p.b.Stand(s.Number, s.Of, s.Withheld)
 		p.stand = s
 	})
@@ -421,8 +424,10 @@
 
 func (p effects) Wake(token uint64, at time.Duration) {
 	time.AfterFunc(at-p.since(time.Now()), func() {
-		p.do(func(now time.Duration) {
+		late := p.since(time.Now()) - at
+		p.do(eventTimer, func(now time.Duration) {
 			if !p.closed { // a timer of the module sets the next one, for ever
+				p.late(late)
 				p.b.Timer(now, token)
 			}
 		})
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -16,7 +16,8 @@
 
 // Listed takes news of the servers.
 func (p *Pool) Listed(kind decide.ListKind, hosts []Host) {
-	p.do(func(now time.Duration) {
+	p.do(eventList, func(now time.Duration) {
+		p.delays.Named = max(p.delays.Named, len(hosts))
 		news := make([]decide.Server, 0, len(hosts))
 		named := make(map[string]bool, len(hosts))
 		for _, h := range hosts {
@@ -85,7 +86,7 @@
 // Exclude has nothing more sent to a server from now on, whatever discovery lists,
 // until Include. Its error is ErrUnknown or one of rota's.
 func (p *Pool) Exclude(name string) (err error) {
-	p.do(func(now time.Duration) {
+	p.do(eventStaff, func(now time.Duration) {
 		s := p.servers[name]
 		if s == nil && !p.rota.Out(name) {
 			err = ErrUnknown
@@ -101,7 +102,7 @@
 
 // Include lets a server serve again, and is right for one that does already.
 func (p *Pool) Include(name string) (err error) {
-	p.do(func(now time.Duration) {
+	p.do(eventStaff, func(now time.Duration) {
 		switch listed := p.servers[name] != nil; {
 		case p.rota.Include(name, now):
 			p.relist(now)
@@ -115,7 +116,7 @@
 // Servers counts the servers listed, and those of them that are avoided: by hand, or
 // because the module has ejected them.
 func (p *Pool) Servers() (listed, out int) {
-	p.do(func(time.Duration) {
+	p.do(eventState, func(time.Duration) {
 		listed = len(p.servers)
 		for name, s := range p.servers {
 			if p.rota.Out(name) || p.b.Ejected(s.id) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -370,10 +370,12 @@
 	// the middle has told all that came whole. They are changes until the end
 	// shows that the list is whole.
 	var fresh []core.Host
+	began, tells := time.Now(), 0
 	r := readerFunc(func(p []byte) (int, error) {
 		if len(fresh) > 0 {
 			w.tell(decide.ListDelta, fresh)
 			fresh = nil
+			tells++
 		}
 		stall.Reset(bodyStall)
 		return resp.Body.Read(p)
@@ -390,6 +392,7 @@
 	default:
 		w.tell(decide.ListDelta, fresh)
 	}
+	w.log.Log(ctx, levelOf(&l), "a list is in force", "version", l.Seq, "before", seq, "whole", l.whole, "named", len(l.Hosts), "tells", tells+1, "took", time.Since(began))
 	if l.Seq < seq && !l.whole {
 		l.Seq = 0 // it began its count anew: what it knows is asked for as a whole
 	}
@@ -397,6 +400,14 @@
 	return nil
 }
 
+// levelOf is the level at which a list is logged: whole ones are rare, and cost the most.
+func levelOf(l *List) slog.Level {
+	if l.whole {
+		return slog.LevelInfo
+	}
+	return slog.LevelDebug
+}
+
 type readerFunc func([]byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"jasperpin/internal/acceptor"
 	"jasperpin/internal/invariant"
@@ -89,8 +90,16 @@
 	return n
 }
 
-// Servers are the figures about the list of servers.
-type Servers struct{ Listed, Out int }
+// Servers are the figures about the lists of servers, and what the pools that have them were held up by.
+type Servers struct {
+	Listed, Out int
+	// LongestHold is the longest that a pool's lock was held, LatestTimer by how much a timer ran
+	// late. They are written from delayTold on.
+	LongestHold, LatestTimer time.Duration
+}
+
+// delayTold is the shortest delay that is written.
+const delayTold = 10 * time.Millisecond
 
 // Write writes all figures, one a line.
 func (b *Board) Write(w io.Writer, s Servers) error {
@@ -113,6 +122,14 @@
 	}
 	_, err := fmt.Fprintf(w, "svc.open_requests=%d\nsvc.registry_entries=%d\nsvc.out_of_rotation=%d\nsvc.cfg_accepted=%d\nsvc.cfg_invalid=%d\n",
 		b.Open.Load(), s.Listed, s.Out, b.Accepted.Load(), b.Invalid.Load())
+	for _, d := range []struct {
+		name string
+		span time.Duration
+	}{{"longest_hold_ms", s.LongestHold}, {"latest_timer_ms", s.LatestTimer}} {
+		if d.span >= delayTold && err == nil {
+			_, err = fmt.Fprintf(w, "node.%s=%d\n", d.name, d.span.Milliseconds())
+		}
+	}
 	if h := b.keys.Load(); h != nil && err == nil {
 		entries, bytes := (*h).Held()
 		r := &b.Repeats
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -25,6 +25,9 @@
 	RepeatedLate
 	// DeadlineTold is a server told of more time than its client had left, by over DeadlineSlack.
 	DeadlineTold
+	// WrittenLate is an attempt of which the last byte went out more than WriteSlack after its
+	// request's end.
+	WrittenLate
 	// AnsweredLate is a final answer more than AnswerSlack after its client's time.
 	AnsweredLate
 	rules
@@ -34,11 +37,12 @@
 const (
 	LeaveSlack    = 100 * time.Millisecond
 	DeadlineSlack = 150 * time.Millisecond
+	WriteSlack    = 50 * time.Millisecond
 	AnswerSlack   = 500 * time.Millisecond
 )
 
 var names = [rules]string{
-	"begun_for_nobody", "repeated_unsafe", "repeated_late", "deadline_told", "answered_late",
+	"begun_for_nobody", "repeated_unsafe", "repeated_late", "deadline_told", "written_late", "answered_late",
 }
 
 func (r Rule) String() string {
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -84,6 +84,8 @@
 			listed, out := p.Servers()
 			s.Listed += listed
 			s.Out += out
+			d := p.Delays()
+			s.LongestHold, s.LatestTimer = max(s.LongestHold, d.Hold), max(s.LatestTimer, d.Timer)
 		}
 	}
 	if err := o.figures.Write(w, s); err != nil {
