--- /dev/null
+++ b/decide/work_test.go
@@ -0,0 +1,127 @@
+package decide
+
+import (
+	"testing"
+	"time"
+)
+
+// Sizes between which the work of an event is compared: a usual list, and one of sixteen times the servers.
+const (
+	fewServers  = 200
+	manyServers = 3200
+)
+
+// mostGrowth is by how much an event's work may grow from the few servers to the many.
+const mostGrowth = 1.5
+
+// workOf gives how many servers an event looks at on the average, over many times, with a list of a size.
+func workOf(n int, set Settings, prepare func(*Balancer), event func(b *Balancer, i int)) float64 {
+	const times = 200
+	b, _ := start(set, n)
+	if prepare != nil {
+		prepare(b)
+	}
+	before := b.Looked()
+	for i := range times {
+		b.now += time.Millisecond
+		event(b, i)
+	}
+	return float64(b.Looked()-before) / times
+}
+
+// each does something to every server but one in so many.
+func each(but int, do func(b *Balancer, s *server)) func(*Balancer) {
+	return func(b *Balancer) {
+		for i, s := range b.ready {
+			if i%but != 0 {
+				do(b, s)
+			}
+		}
+	}
+}
+
+// TestWorkDoesNotGrowWithServers has each event that comes often cost the same with sixteen times the
+// servers, whatever state they are in: in the incident of thousands of servers work in proportion to
+// all of them was done for each piece of news, each request with a key and each failed connection.
+func TestWorkDoesNotGrowWithServers(t *testing.T) {
+	serve := func(b *Balancer, i int) {
+		id := RequestID(i + 1)
+		b.Arrive(b.now, Request{ID: id, Class: 0, Key: uint64(i%3 + 1), Due: b.now + second})
+		b.Finished(b.now, Outcome{ID: id, Result: OK, Settled: true})
+	}
+	failing := func(b *Balancer, i int) {
+		id := RequestID(i + 1)
+		b.Arrive(b.now, Request{ID: id, Class: 0, Due: b.now + second})
+		b.Finished(b.now, Outcome{ID: id, Result: NoConnection})
+		b.ClientGone(b.now, id)
+	}
+	change := func(b *Balancer, i int) {
+		e := b.ready[i%len(b.ready)].Server
+		e.Since = b.now
+		b.Listed(b.now, ListDelta, []Server{e})
+	}
+	keys, asks := testSettings(), testSettings()
+	keys.WarmKeys, asks.Ask = true, true
+	for name, c := range map[string]struct {
+		set     Settings
+		prepare func(*Balancer)
+		event   func(b *Balancer, i int)
+	}{
+		"a request":                    {testSettings(), nil, serve},
+		"a request with a key":         {keys, nil, serve},
+		"a request, all are cold":      {testSettings(), each(manyServers, func(b *Balancer, s *server) { s.Since, s.tokens = b.now, -1e9 }), serve},
+		"a request, most are at rest":  {testSettings(), each(100, func(b *Balancer, s *server) { s.restUntil = b.now + time.Hour }), serve},
+		"a request, most are down":     {testSettings(), each(100, func(b *Balancer, s *server) { s.downUntil = b.now + time.Hour }), serve},
+		"a request, many are ejected":  {testSettings(), each(4, func(b *Balancer, s *server) { b.eject(s, "test") }), serve},
+		"a failed connection":          {testSettings(), nil, failing},
+		"a failed connection, no list": {asks, nil, failing},
+		"a failed connection, a zone in doubt": {testSettings(), nil, func(b *Balancer, i int) {
+			b.silence = zoneSilent
+			b.away(b.local.list[i%len(b.local.list)], silent)
+		}},
+		"an ejection": {testSettings(), nil, func(b *Balancer, i int) {
+			b.okMeter.add(b.now, 100)
+			s := b.ready[i%(len(b.ready)/10)]
+			b.record(s, true)
+		}},
+		"a change of one server": {testSettings(), nil, change},
+	} {
+		t.Run(name, func(t *testing.T) {
+			few := workOf(fewServers, c.set, c.prepare, c.event)
+			many := workOf(manyServers, c.set, c.prepare, c.event)
+			if many > mostGrowth*max(few, 1) {
+				t.Errorf("it looks at %.1f servers of %d, and at %.1f of %d", few, fewServers, many, manyServers)
+			}
+		})
+	}
+}
+
+// TestWholeListCostsWhatItNames has a whole list, the same or another, cost no more for each server that
+// it names with sixteen times the servers.
+func TestWholeListCostsWhatItNames(t *testing.T) {
+	const most = 1.3
+	cost := func(n int, shift ServerID) float64 {
+		b, _ := start(testSettings(), n)
+		list := servers(n)
+		for i := range list {
+			list[i].ID += shift
+		}
+		before := b.Looked()
+		b.Listed(b.now, ListFull, list)
+		return float64(b.Looked()-before) / float64(n)
+	}
+	for name, part := range map[string]int{"the same": 0, "half are others": 2, "all are others": 1} {
+		t.Run(name, func(t *testing.T) {
+			shift := func(n int) ServerID {
+				if part == 0 {
+					return 0
+				}
+				return ServerID(n / part)
+			}
+			few, many := cost(fewServers, shift(fewServers)), cost(manyServers, shift(manyServers))
+			if many > most*few {
+				t.Errorf("for each server it looks at %.1f with %d of them, and at %.1f with %d", few, fewServers, many, manyServers)
+			}
+		})
+	}
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -35,17 +35,28 @@
 type Discovery struct {
 	Addr  string
 	Calls atomic.Int64
+	Bytes atomic.Int64 // of lists that it has written
 
 	srv  *http.Server
 	mu   sync.Mutex
 	news chan struct{} // closed at the next change
 	seq  uint64
 	list []Entry
+	past []change // the newest changes, each the version after the one before
 	down bool
 	slow time.Duration
 	slot time.Time // when the call after the last has its turn
 }
 
+// change is what one version tells that the one before did not.
+type change struct {
+	seq   uint64
+	hosts []Entry
+}
+
+// mostPast bounds the changes that are kept: who asks from an older version is told the whole list.
+const mostPast = 64
+
 // NewDiscovery starts a discovery whose first version is 5.
 func NewDiscovery(list ...Entry) (*Discovery, error) {
 	ln, err := listen("")
@@ -65,12 +76,62 @@
 func (d *Discovery) Set(list ...Entry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.list = list
+	d.list, d.past = list, nil
+	d.renew()
+}
+
+// renew begins a new version. Called under the lock.
+func (d *Discovery) renew() {
 	d.seq++
 	close(d.news)
 	d.news = make(chan struct{})
 }
 
+// Change tells of some entries, as a change of the list to whoever has the version before: those that
+// are terminated leave it, the others replace theirs or are new.
+func (d *Discovery) Change(hosts ...Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	named := make(map[string]Entry, len(hosts))
+	for _, e := range hosts {
+		named[e.Host] = e
+	}
+	var list []Entry // a new one: calls that go on write the old
+	for _, e := range d.list {
+		if is, ok := named[e.Host]; ok {
+			e = is
+			delete(named, e.Host)
+		}
+		if e.Health != "terminated" {
+			list = append(list, e)
+		}
+	}
+	for _, e := range hosts {
+		if _, ok := named[e.Host]; ok && e.Health != "terminated" {
+			list = append(list, e)
+		}
+	}
+	d.list = list
+	d.renew()
+	d.past = append(d.past, change{d.seq, hosts})
+	if len(d.past) > mostPast {
+		d.past = d.past[1:]
+	}
+}
+
+// since is what has changed after a version, where that is known. Called under the lock.
+func (d *Discovery) since(after uint64) (hosts []Entry, known bool) {
+	for _, c := range d.past {
+		if c.seq == after+1 {
+			known = true
+		}
+		if known {
+			hosts = append(hosts, c.hosts...)
+		}
+	}
+	return hosts, known
+}
+
 // Down has it answer every call with 503, or serve again.
 func (d *Discovery) Down(on bool) {
 	d.mu.Lock()
@@ -130,6 +191,9 @@
 		down, news := d.down, d.news
 		fresh := after != d.seq
 		reply := map[string]any{"seq": d.seq, "whole": fresh, "hosts": d.list}
+		if hosts, known := d.since(after); known {
+			reply["whole"], reply["hosts"] = false, hosts
+		}
 		d.mu.Unlock()
 		switch {
 		case down:
@@ -139,7 +203,13 @@
 			if !fresh {
 				reply["hosts"] = []Entry{}
 			}
-			_ = json.NewEncoder(w).Encode(reply)
+			text, err := json.Marshal(reply)
+			if err != nil {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			n, _ := w.Write(text)
+			d.Bytes.Add(int64(n))
 			return
 		}
 		select {
