Have the module's events cost the same at any number of servers

Cause: each piece of news sorted and weighed all servers again and a whole list compared each server with each; a connection that failed weighed all, and a zone in doubt touched each of its servers; a request with a key hashed all servers of the zone, up to 16 times; one for which no server drawn would do looked at all; an ejection counted all.

Change: one structure owns the servers that may be sent to (roster.go): a tree of weights to draw by, sums that are kept up, a place for each server. A zone's doubt is noted once, and each server learns of it when it is looked at. Keys choose by rendezvous over halves of the servers (affinity.go): no word between nodes, the same choice everywhere. The search behind the draws looks at 128 at most; of a hot key's servers four are drawn. Sizes are believed within bounds, as sums that are kept up must not meet infinity.

TestColdServerGetsItsShareOnly ticks now, as a node does: weights are brought up to date by ticks and no longer by all servers at each piece of news. What it wants is as before.

--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -131,6 +131,7 @@
 func (b *Balancer) observe(r *request, a *attempt, o Outcome) {
 	s := a.srv
 	took := b.now - a.sentAt
+	b.learnDoubts(s)
 	if o.Result == OK || o.Result == Failed || o.Result == Full {
 		s.sureAt = cmp.Or(s.sureAt, b.now+listLate)
 		s.lastAnswer = b.now
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -56,6 +56,7 @@
 // Balancer decides for one node.
 type Balancer struct {
 	set  Settings
+	seed uint64
 	out  Effects
 	rng  *rand.Rand
 	now  time.Duration
@@ -80,7 +81,7 @@
 // New starts a node that knows no server yet.
 func New(set Settings, seed uint64, now time.Duration, out Effects) *Balancer {
 	b := &Balancer{
-		set: set, out: out, rng: rand.New(rand.NewPCG(seed, 0)), now: now,
+		set: set, seed: seed, out: out, rng: rand.New(rand.NewPCG(seed, 0)), now: now,
 		reqs: make(map[RequestID]*request), byID: make(map[ServerID]*server),
 		classes: make([]classStat, len(set.Classes)), budget: retryBurst,
 		admission: admission{crowd: crowdFull, mix: make([]float64, len(set.Classes)+1), rank: make([]int, len(set.Classes)+1), keys: make(map[uint64]int)},
--- a/decide/cases_test.go
+++ b/decide/cases_test.go
@@ -164,7 +164,9 @@
 	b, tape := start(set, 9)
 	id := RequestID(0)
 	serve := func() {
-		id++
+		if id++; id%20 == 0 { // as often as in service
+			b.Timer(b.now, tokenTick)
+		}
 		b.Arrive(b.now, Request{ID: id, Due: b.now + second})
 		b.Finished(b.now, Outcome{ID: id, Result: OK, Settled: true})
 	}
--- a/decide/members.go
+++ b/decide/members.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -24,6 +24,9 @@
 	// silent is longer than a refusal takes; zoneSilent such in a row say that the zone is away.
 	silent     = 100 * time.Millisecond
 	zoneSilent = 3
+	// leastScale and mostScale bound the sizes that are believed, against a usual server's.
+	leastScale = 1e-3
+	mostScale  = 1e6
 	// proofSlower is the least by which cold servers are slower, where the settings say less.
 	proofSlower = 2
 )
@@ -42,19 +45,19 @@
 	sureAt     time.Duration // by then the list has told of a start before its answer; 0 for none yet
 	tokens     float64       // slow-start budget, in average requests
 	tokensAt   time.Duration
+	doubts     uint64 // of the whole zone, that it has learned of
+	place      place
+	counted    counted
 }
 
 // members is the list and what is drawn from it.
 type members struct {
-	ready               []*server // may be sent to, by id
-	local, remote       pool
-	totalScale          float64
-	linkCost, sureScale float64 // the latter of servers not ejected nor doubted, as far as warm
-	silence             int     // connections that the own zone left silent, since it answered
-	subscribed, asking  bool
-	provenBy            time.Duration // until then the own zone may have begun anew, as the list is old
-	sample              *server       // the one of its servers that is tried meanwhile
-	samples, failures   int           // so many so far; calls to discovery that failed in a row
+	roster
+	silence            int // connections that the own zone left silent, since it answered
+	subscribed, asking bool
+	provenBy           time.Duration // until then the own zone may have begun anew, as the list is old
+	sample             *server       // the one of its servers that is tried meanwhile
+	samples, failures  int           // so many so far; calls to discovery that failed in a row
 }
 
 // Listed takes discovery's news about the servers.
@@ -72,20 +75,44 @@
 		b.asking, b.subscribed, b.failures = false, true, 0
 	}
 	if kind != ListDelta {
-		for id, s := range b.byID { // in any order: dropping one affects no other
-			b.looked += uint64(len(list))
-			if !slices.ContainsFunc(list, func(e Server) bool { return e.ID == id }) {
-				b.drop(s)
-			}
-		}
+		b.dropUnlisted(list)
+		list = slices.SortedFunc(slices.Values(list), byServerID) // nodes that begin draw samples by this order
 	}
+	b.Update(now, list)
+}
+
+// Update takes what is known of some servers, which is no word of discovery's. It costs what it names.
+func (b *Balancer) Update(now time.Duration, list []Server) {
+	b.now = max(b.now, now)
 	for _, e := range list {
 		b.apply(e)
 	}
-	b.rebuild()
+	b.price()
+}
+
+func byServerID(x, y Server) int { return cmp.Compare(x.ID, y.ID) }
+
+// dropUnlisted forgets the servers that a whole list leaves out.
+func (b *Balancer) dropUnlisted(list []Server) {
+	listed := make(map[ServerID]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
+	}
+	b.looked += uint64(len(list) + len(b.byID))
+	var gone []*server
+	for id, s := range b.byID {
+		if !listed[id] {
+			gone = append(gone, s)
+		}
+	}
+	slices.SortFunc(gone, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) }) // not as the map has them
+	for _, s := range gone {
+		b.drop(s)
+	}
 }
 
 func (b *Balancer) drop(s *server) {
+	b.leave(s)
 	s.health = health{}
 	s.Condition = Gone // attempts still out hold the pointer
 	delete(b.byID, s.ID)
@@ -93,30 +120,46 @@
 
 func (b *Balancer) apply(e Server) {
 	b.looked++
+	e.Scale = scaleOf(e.Scale)
 	s := b.byID[e.ID]
-	if e.Condition == Gone {
+	switch {
+	case e.Condition == Gone:
 		if s != nil {
 			b.drop(s)
 		}
 		return
-	}
-	if s == nil {
+	case s == nil:
 		s = &server{Server: Server{Since: -1}} // no process so far
 		b.byID[e.ID] = s
+	case s.Server == e:
+		return
+	default:
+		b.leave(s)
+		if e.Zone != s.Zone {
+			s.doubts = b.zoneDoubts // what it missed was of another zone
+		}
 	}
 	if e.Since != s.Since { // a new process owes nothing to an old one's record
-		*s = server{stretch: 1, out: s.out}
+		*s = server{stretch: 1, out: s.out, doubts: b.zoneDoubts}
 		b.chill(s)
 	}
-	if !(e.Scale > 0) {
-		e.Scale = 1
-	}
 	s.Server = e
-	if s.Condition != Ready {
+	if s.Condition == Ready {
+		b.join(s)
+	} else {
 		s.health = health{}
 	}
 }
 
+// scaleOf is a server's size as it counts: 1 where none is told, and within bounds, as sums over all are
+// kept up by what comes and goes.
+func scaleOf(told float64) float64 {
+	if !(told > 0) {
+		return 1
+	}
+	return min(max(told, leastScale), mostScale)
+}
+
 // chill begins a cold server's budget. A random first share keeps nodes told at once from
 // sending at once.
 func (b *Balancer) chill(s *server) { s.tokens, s.tokensAt = -b.rng.Float64(), b.now }
@@ -129,16 +172,36 @@
 		b.silence++
 	}
 	// Without a watch no restart is told of, and one is enough.
-	doubt := []*server{s}
 	if b.silence >= zoneSilent || near && b.set.Ask && !b.subscribed {
-		doubt = b.local.list
+		b.doubtZone()
+		return
 	}
-	b.looked += uint64(len(doubt))
-	for _, o := range doubt {
-		o.awayAt, o.sureAt = b.now, 0
-		b.chill(o)
+	b.looked++
+	b.learnDoubts(s)
+	s.awayAt, s.sureAt = b.now, 0
+	b.chill(s)
+	b.weigh(s)
+}
+
+// doubtZone notes that all servers of the own zone may have begun anew. Each learns of it when it is
+// looked at next, by learnDoubts; the sums over all of them change at once, and the weights to draw by
+// at the next tick.
+func (b *Balancer) doubtZone() {
+	b.zoneDoubts++
+	b.zoneDoubtAt = b.now
+	b.doubtSums()
+}
+
+// learnDoubts brings a server of the own zone up to date with the doubts of the whole zone. The first
+// share of its budget is random, but the same whenever it is asked for.
+func (b *Balancer) learnDoubts(s *server) {
+	if s.doubts == b.zoneDoubts || s.Zone != b.set.Zone {
+		return
 	}
-	b.reweigh()
+	s.doubts = b.zoneDoubts
+	s.awayAt, s.sureAt = b.zoneDoubtAt, 0
+	first := rand.New(rand.NewPCG(b.seed^uint64(s.ID), b.zoneDoubts)).Float64()
+	s.tokens, s.tokensAt = -first, b.zoneDoubtAt
 }
 
 // prove takes a call's latency for its work, as far as told, while the own zone is unproven. That it is
@@ -159,31 +222,10 @@
 
 // doubted says whether a server may have begun anew: not once it answers and the list had time.
 func (b *Balancer) doubted(s *server) bool {
+	b.learnDoubts(s)
 	return s.awayAt > 0 && (s.sureAt == 0 || b.now < s.sureAt)
 }
 
-// poolOf is the pool of a server's zone.
-func (b *Balancer) poolOf(s *server) *pool {
-	if s.Zone == b.set.Zone {
-		return &b.local
-	}
-	return &b.remote
-}
-
-// rebuild sorts out what the picker draws from.
-func (b *Balancer) rebuild() {
-	b.looked += uint64(len(b.byID))
-	b.ready = slices.SortedFunc(maps.Values(b.byID), func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
-	b.ready = slices.DeleteFunc(b.ready, func(s *server) bool { return s.Condition != Ready })
-	b.local.list, b.remote.list, b.totalScale = b.local.list[:0], b.remote.list[:0], 0
-	for _, s := range b.ready {
-		b.totalScale += s.Scale
-		p := b.poolOf(s)
-		p.list = append(p.list, s)
-	}
-	b.reweigh()
-}
-
 // warmth is the part of its capacity that a server has at the least.
 func (b *Balancer) warmth(s *server) float64 {
 	since := s.Since
@@ -195,7 +237,7 @@
 		return 1
 	}
 	share := float64(max(age, 0)) / float64(b.set.WarmWithin)
-	start := min(max(b.set.StartShare, 0), 1)
+	start := b.leastWarmth()
 	return start + (1-start)*share
 }
 
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -122,6 +122,7 @@
 		s.probation = k.Probation
 		s.restUntil = b.now + min(max(k.Rest, 0), baseEjection)
 		if k.Doubted {
+			b.learnDoubts(s)
 			s.awayAt, s.sureAt = b.now-max(0, k.Away), 0
 			if k.Sure > 0 {
 				s.sureAt = b.now + min(k.Sure, listLate)
@@ -132,7 +133,8 @@
 			s.tokens, s.tokensAt = within(k.Tokens, -maxRate, 1, s.tokens), b.now
 		}
 		if k.Ejected && !s.ejected && b.mayEject() {
-			s.ejected, s.ejectedAt = true, b.now-max(0, k.EjectedFor)
+			b.setEjected(s, true)
+			s.ejectedAt = b.now - max(0, k.EjectedFor)
 			s.multiplier = max(1, s.multiplier)
 		}
 	}
--- a/decide/outlier.go
+++ b/decide/outlier.go
@@ -92,12 +92,13 @@
 
 // mayEject applies the cap: one server may always go.
 func (b *Balancer) mayEject() bool {
-	n := b.count(func(s *server) bool { return s.ejected })
+	n := b.ejectedCount
 	return n == 0 || float64(n+1) <= maxEjectionShare*float64(len(b.ready))
 }
 
 func (b *Balancer) eject(s *server, why string) {
-	s.ejected, s.ejectedAt = true, b.now
+	b.setEjected(s, true)
+	s.ejectedAt = b.now
 	s.multiplier++
 	b.out.Log(fmt.Sprintf("eject server %d: %s (x%d)", s.ID, why, s.multiplier))
 }
@@ -132,7 +133,8 @@
 		if !s.ejected {
 			s.multiplier = max(0, s.multiplier-1)
 		} else if b.now > s.ejectedAt+min(baseEjection*time.Duration(s.multiplier), maxEjection) {
-			s.ejected, s.probation, s.run = false, true, 0
+			b.setEjected(s, false)
+			s.probation, s.run = true, 0
 			s.active = bucket{}
 			b.out.Log(fmt.Sprintf("return server %d", s.ID))
 		}
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -2,9 +2,7 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -31,67 +29,18 @@
 	warmGain   = 0.85
 	keyServers = 2 // and keyMost the most
 	keyMost    = 16
+	keyDraws   = 4 // of a hot key's servers, that are looked at
+	// searchMost bounds how many servers are looked at one after another: so many tell what the rest is
+	// like. Where one in thirty would do, one in sixty such searches finds none.
+	searchMost = 128
 	keyWindow  = 1000 // requests over which a key's share is taken
 )
 
-// pool is a list of servers with weights to draw by.
-type pool struct {
-	list []*server
-	cum  []float64
-	slow float64 // mean stretch
-	out  int     // own attempts outstanding
-
-	calls, logs float64 // while the own zone is unproven, and their latencies' logarithms over the expected
-
-	answers meter   // of the own zone, a second
-	warm    float64 // the size of its servers not ejected, as far as warm
-}
-
-func (p *pool) draw(g *rand.Rand) *server {
-	n := len(p.cum)
-	if n == 0 || !(p.cum[n-1] > 0) {
-		return nil
-	}
-	x := g.Float64() * p.cum[n-1]
-	return p.list[min(sort.SearchFloat64s(p.cum, x), n-1)]
-}
-
 // linked says whether a connection to a server is idle and so open still, as far as is known.
 func (b *Balancer) linked(s *server) bool {
 	return s.out == 0 && s.lastAnswer > 0 && b.now-s.lastAnswer < b.set.KeepAlive
 }
 
-// reweigh sets the servers' weights, size over stretch and little while cold,
-// and what a new connection costs, in requests: handshake and time held open.
-func (b *Balancer) reweigh() {
-	perServer := b.sent.at(b.now) * float64(b.set.Nodes) / float64(max(1, len(b.ready)))
-	b.linkCost = b.set.HandshakeCost + b.set.OpenCost/100*perServer*b.set.KeepAlive.Seconds()
-	b.sureScale = 0
-	b.looked += uint64(len(b.ready))
-	for _, p := range [...]*pool{&b.local, &b.remote} {
-		p.cum, p.slow, p.warm = p.cum[:0], 0, 0
-		sum := 0.0
-		for _, s := range p.list {
-			stretch := s.stretchAt(b.now)
-			p.slow += stretch / float64(len(p.list))
-			if !s.ejected {
-				warmth := b.warmth(s)
-				w := s.Scale * warmth
-				p.warm += w
-				if !b.doubted(s) {
-					b.sureScale += w
-				}
-				w /= stretch
-				if s.out == 0 && warmth == 1 && !b.linked(s) {
-					w /= unlinked
-				}
-				sum += w
-			}
-			p.cum = append(p.cum, sum)
-		}
-	}
-}
-
 // saw takes a new latency ratio into a server's stretch.
 func (s *server) saw(ratio float64, now time.Duration) {
 	old := s.stretchAt(now)
@@ -113,7 +62,7 @@
 // answer comes too late, and the prices of crossing zones and of connecting.
 func (b *Balancer) cost(r *request, s *server, expect float64, warm bool) float64 {
 	m := s.stretchAt(b.now) + ownLoad*float64(s.out)*b.totalScale/(s.Scale*float64(len(b.ready)))
-	crowded := b.window > 0 && b.remote.slow > 0 && b.local.slow > crowdedBy*b.remote.slow
+	crowded := b.window > 0 && b.remote.slow() > 0 && b.local.slow() > crowdedBy*b.remote.slow()
 	if warm && crowded { // the wait for others is not saved
 		m -= warmGain * min(m, 1)
 	} else if warm {
@@ -172,31 +121,38 @@
 	if best != nil {
 		return best
 	}
-	// From a random start: nodes must not all fall upon the same server.
+	return b.search(r)
+}
+
+// search looks for a server that a request may go to where those drawn did not do: from a random start,
+// as nodes must not all fall upon the same, the one that holds fewest of this node's calls.
+func (b *Balancer) search(r *request) (best *server) {
 	from := b.rng.IntN(max(1, len(b.ready)))
-	for i := range b.ready {
+	for i := range min(len(b.ready), searchMost) {
 		b.looked++
 		s := b.ready[(from+i)%len(b.ready)]
 		if (best == nil || s.out < best.out) && b.usable(r, s) {
 			best = s
 		}
+		if best != nil && best.out == 0 {
+			break
+		}
 	}
 	return best
 }
 
-// keyed offers the servers that a key is kept on: those of the node's zone that win it by hash,
-// which every node computes alike; more for a hot key, and cold ones too, within their budgets.
+// keyed offers the servers that a key is kept on: those of the node's zone that affinity
+// chooses, which every node computes alike; more for a hot key, of which some
+// are drawn, and cold ones too, within their budgets.
 func (b *Balancer) keyed(r *request, try func(*server, bool)) {
 	n := keyServers + int(2*float64(b.keys[r.Key])/float64(max(b.keySum, 200))*float64(len(b.local.list)))
-	for i := range uint64(min(n, len(b.local.list), keyMost)) {
-		b.looked += uint64(len(b.local.list))
-		home, most := b.local.list[0], 0.0
-		for _, s := range b.local.list {
-			u := float64(rand.NewPCG(uint64(s.ID)|i<<32, r.Key).Uint64()>>11)/(1<<53) + 1e-18
-			if v := s.Scale / -math.Log(u); v > most {
-				home, most = s, v
-			}
+	n = min(n, len(b.local.list), keyMost)
+	for i := range min(n, keyDraws) {
+		if n > keyDraws {
+			i = b.rng.IntN(n)
 		}
+		home, looked := b.homes.choose(r.Key, uint64(i))
+		b.looked += looked
 		try(home, true)
 	}
 }
