Take lists a few servers at a time, and look again right before each write

Change: core.Pool.Listed handles 32 servers in one hold and gives the thread up as often; what a whole list leaves out goes first, then drains and ends, then the rest; a server told as it was costs a comparison; what a list tells twice counts as told last. Taking one server out by hand shows the module that one, and figures count without looking at all. core.Sending.Valid is asked right before each write of the system, with no lock and the clock last: an attempt whose request has ended, whose client has left or whose server drains, has gone or begun anew since goes out no more, and not whole where a part had.

--- a/decide/memory.go
+++ b/decide/memory.go
@@ -146,3 +146,6 @@
 	s := b.byID[id]
 	return s != nil && s.ejected
 }
+
+// EjectedCount is how many servers are out as outliers.
+func (b *Balancer) EjectedCount() int { return b.ejectedCount }
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -15,7 +15,7 @@
 	n        int
 	req      *Exchange
 	srv      *server
-	born     float64       // the server's BornMS when it was chosen
+	stay     uint64        // the server's when it was chosen
 	begun    bool          // its first byte may be written from now on
 	begunAt  time.Time     // when that was decided
 	withheld string        // why it was not; nothing where it was
@@ -46,8 +46,8 @@
 			result = decide.Moot // its client's going says nothing of the server
 		}
 		a.mayRun, a.result, a.took = !result.NeverRan(), result, time.Since(a.sentAt)
-		if result == decide.OK && !r.settled {
-			r.settled = true
+		if result == decide.OK && !r.settled.Load() {
+			r.settled.Store(true)
 			r.final <- Final{Status: Served, Answer: ans}
 			p.withdraw(r)
 		} else {
@@ -56,7 +56,7 @@
 		if p.set.Guide != nil { // before the module may send the next, or end all
 			p.set.Guide.Ended(r.id, a.n, result)
 		}
-		p.b.Finished(now, decide.Outcome{ID: r.id, Attempt: a.n, Result: result, Settled: r.settled})
+		p.b.Finished(now, decide.Outcome{ID: r.id, Attempt: a.n, Result: result, Settled: r.settled.Load()})
 		p.release(r)
 	})
 	a.giveUp(nil)
@@ -75,7 +75,7 @@
 	now := time.Now()
 	a := &attempt{pool: p.Pool, n: len(r.attempts), req: r, srv: p.byID[to], sentAt: now, start: Start{GiveUpAt: now.Add(wait)}}
 	if a.srv != nil {
-		a.born = a.srv.BornMS
+		a.stay = a.srv.stay.Load()
 	}
 	a.ctx, a.giveUp = context.WithCancelCause(context.Background())
 	a.timer = time.AfterFunc(max(wait, 0), func() { a.giveUp(ErrTimedOut) })
@@ -96,7 +96,7 @@
 // attempt has one attempt carried out.
 func (p *Pool) attempt(a *attempt) {
 	p.mu.Lock()
-	addr, over := a.srv.Addr, a.req.settled
+	addr, over := a.srv.Addr, a.req.settled.Load()
 	p.mu.Unlock()
 	result, ans := decide.Moot, (*Answer)(nil)
 	if !over {
@@ -143,11 +143,11 @@
 func (p *Pool) mayBegin(now time.Duration, a *attempt) (why string) {
 	r := a.req
 	switch {
-	case r.settled:
+	case r.settled.Load():
 		return withheldEnded
 	case a.ctx.Err() != nil:
 		return withheldGivenUp
-	case !p.fit(a):
+	case !a.fit():
 		return withheldAbsent
 	case !p.mayRepeat(a):
 		p.set.Broken.Broken(invariant.RepeatedUnsafe, r.Name, "attempt", a.n)
@@ -200,9 +200,19 @@
 func (a *attempt) mayHaveRun() bool { return a.mayRun || a.begun && !a.ended }
 
 // fit says whether an attempt's server still is as it was when it was chosen.
-func (p *Pool) fit(a *attempt) bool {
-	s := a.srv
-	return p.byID[s.id] == s && s.BornMS == a.born && p.shown(s).Condition == decide.Ready
+func (a *attempt) fit() bool { return a.srv.stay.Load() == a.stay }
+
+// Valid says whether what Begin has allowed still holds. It takes no lock, as whoever asks is about to
+// write: a wait for one would make the answer old. The clock is looked at last.
+func (a *attempt) Valid() bool {
+	if a.req.settled.Load() || a.ctx.Err() != nil || !a.fit() {
+		return false
+	}
+	now := time.Now()
+	if by := a.start.WriteBy; !by.IsZero() && !now.Before(by) {
+		return false
+	}
+	return a.req.Rest != nil || now.Before(a.start.GiveUpAt)
 }
 
 // Wrote takes note that an attempt's last byte has gone. The clocks of a request that
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jasperpin/decide"
@@ -80,12 +81,12 @@
 	id       decide.RequestID
 	due      time.Duration
 	attempts []*attempt
-	out      int        // attempts without an outcome
-	settled  bool       // answered, or its client is gone: nothing more is owed
-	left     bool       // its client is gone, and nobody else waits
-	leftAt   time.Time  // since when
-	asking   bool       // the guide has yet to say where it should go
-	final    chan Final // holds one
+	out      int         // attempts without an outcome
+	settled  atomic.Bool // answered, or its client is gone: nothing more is owed; set under the lock
+	left     bool        // its client is gone, and nobody else waits
+	leftAt   time.Time   // since when
+	asking   bool        // the guide has yet to say where it should go
+	final    chan Final  // holds one
 }
 
 // Pool owns a Balancer. Every event enters through do, under one lock, and the
@@ -94,6 +95,8 @@
 	set   Settings
 	start time.Time
 
+	listing sync.Mutex // held while a list is taken, ahead of mu
+
 	mu      sync.Mutex
 	b       *decide.Balancer
 	todo    []func()
@@ -253,7 +256,8 @@
 	if r.goesOn() {
 		return false
 	}
-	r.settled, r.left, r.leftAt = true, true, time.Now()
+	r.settled.Store(true)
+	r.left, r.leftAt = true, time.Now()
 	fin := Final{Status: Left}
 	if slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayRun }) {
 		fin.Status = Failed // whoever asks for its end is to know
@@ -273,14 +277,14 @@
 // dismiss answers a request of which nobody can say whether its client still waits, and begins
 // nothing more for it: a refusal where none of it may have run.
 func (p *Pool) dismiss(now time.Duration, r *Exchange) {
-	if r.settled || r.goesOn() {
+	if r.settled.Load() || r.goesOn() {
 		return
 	}
 	fin := Final{Status: Refused}
 	if r.mayHaveRun() {
 		fin.Status = Failed
 	}
-	r.settled = true
+	r.settled.Store(true)
 	r.final <- fin
 	p.b.ClientGone(now, r.id)
 	p.withdraw(r)
@@ -298,7 +302,7 @@
 	if r.Awaited == nil || !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.begun }) {
 		return false
 	}
-	if r.settled || r.Awaited() {
+	if r.settled.Load() || r.Awaited() {
 		return true
 	}
 	out := false
@@ -350,7 +354,7 @@
 
 // release forgets a request that owes nothing and waits for nothing.
 func (p *Pool) release(r *Exchange) {
-	if r.settled && r.out == 0 && p.reqs[r.id] == r {
+	if r.settled.Load() && r.out == 0 && p.reqs[r.id] == r {
 		delete(p.reqs, r.id)
 		p.names.End(r.Name)
 		if p.set.Guide != nil {
@@ -414,8 +418,8 @@
 }
 
 func (p *Pool) settle(id decide.RequestID, fin Final) {
-	if r := p.reqs[id]; r != nil && !r.settled {
-		r.settled = true
+	if r := p.reqs[id]; r != nil && !r.settled.Load() {
+		r.settled.Store(true)
 		r.final <- fin
 		p.withdraw(r)
 		p.release(r)
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -1,6 +1,10 @@
 package core
 
 import (
+	"cmp"
+	"runtime"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"jasperpin/decide"
@@ -12,55 +16,150 @@
 	since time.Duration // when it started, as far as that is known
 	id    decide.ServerID
 	up    Server
+	// listed is false until what a list says of it has been taken.
+	listed bool
+	// stay counts the times that what was chosen of it has ended: it drains, begins anew, has gone. It is
+	// written under the pool's lock, and read without by what is about to be written to the server.
+	stay atomic.Uint64
 }
 
-// Listed takes news of the servers.
+// moveOn has nothing begin any more that was meant for the server as it was.
+func (s *server) moveOn() { s.stay.Add(1) }
+
+// gone is the news that the server has gone.
+func (s *server) gone() decide.Server { return decide.Server{ID: s.id, Condition: decide.Gone} }
+
+// listBatch is how many servers of a list are handled while requests wait for the pool's lock.
+const listBatch = 32
+
+// Listed takes news of the servers. However long a list is, the lock is held for no more than listBatch
+// of its servers at a time, and the thread given up as often. What ends or drains goes ahead of what
+// comes, and the servers that a whole list leaves out ahead of both.
+//
+// The servers known and what was told of them are written here alone, by one list at a time: what is
+// read of them here needs no lock.
 func (p *Pool) Listed(kind decide.ListKind, hosts []Host) {
+	p.listing.Lock()
+	defer p.listing.Unlock()
+	if kind == decide.ListFailed {
+		p.do(eventList, func(now time.Duration) { p.b.Listed(now, kind, nil) })
+		return
+	}
+	news := newsOf(hosts)
+	if kind != decide.ListDelta {
+		p.inParts(news.unnamed(p.servers), p.dropped)
+	}
+	p.inParts(news.ending, p.told)
+	p.inParts(news.ready, p.told)
 	p.do(eventList, func(now time.Duration) {
-		p.delays.Named = max(p.delays.Named, len(hosts))
-		news := make([]decide.Server, 0, len(hosts))
-		named := make(map[string]bool, len(hosts))
-		for _, h := range hosts {
-			named[h.Name] = true
-			s := p.servers[h.Name]
-			if h.Condition == decide.Gone && s == nil {
-				continue
-			}
-			if s == nil {
-				id := ServerID(h.Name, func(id decide.ServerID) bool { return p.byID[id] != nil })
-				s = &server{Host: h, id: id, up: p.set.Upstream.Server()}
-				p.servers[h.Name], p.byID[s.id] = s, s
-			}
-			if h.Addr == "" {
-				h.Addr = s.Addr
-			}
-			if h.Condition != decide.Ready || h.BornMS != s.BornMS || h.Addr != s.Addr {
-				// Idle connections to a process that is gone, leaving or elsewhere
-				// would only end the next attempt in a reset.
-				p.later(s.up.Leave)
-			}
-			s.Host, s.since = h, p.births.Since(now, h.Name, h.BornMS)
-			news = append(news, p.shown(s))
-		}
-		if kind == decide.ListFull || kind == decide.ListDelta {
+		if kind != decide.ListCached {
 			p.births.Confirm(now)
+			p.b.Listed(now, decide.ListDelta, nil) // the watch stands
 		}
-		p.b.Listed(now, kind, news)
-		if p.set.Memory != nil && len(news) > 0 {
+		if p.set.Memory != nil && len(p.servers) > 0 {
 			p.recall(now)
 		}
-		for name, s := range p.servers {
-			whole := kind == decide.ListFull || kind == decide.ListCached
-			if whole && !named[name] {
-				p.drop(name, s)
-			}
+	})
+}
+
+// listNews are the servers that a list names, each once, as it was told last.
+type listNews struct {
+	named         map[string]bool
+	ending, ready []Host // in the order of the list
+}
+
+func newsOf(hosts []Host) listNews {
+	last := make(map[string]int, len(hosts))
+	for i := range hosts {
+		last[hosts[i].Name] = i
+	}
+	n := listNews{named: make(map[string]bool, len(last)), ready: make([]Host, 0, len(last))}
+	for i, h := range hosts {
+		if last[h.Name] != i {
+			continue
+		}
+		n.named[h.Name] = true
+		if h.Condition == decide.Ready {
+			n.ready = append(n.ready, h)
+		} else {
+			n.ending = append(n.ending, h)
+		}
+	}
+	return n
+}
+
+// unnamed are the servers known that a list leaves out, as ones that have gone.
+func (n *listNews) unnamed(known map[string]*server) (gone []Host) {
+	for name := range known {
+		if !n.named[name] {
+			gone = append(gone, Host{Name: name, Condition: decide.Gone})
 		}
-		for i := range hosts {
-			if s := p.servers[hosts[i].Name]; s != nil && hosts[i].Condition == decide.Gone {
-				p.drop(hosts[i].Name, s)
+	}
+	slices.SortFunc(gone, func(x, y Host) int { return cmp.Compare(x.Name, y.Name) }) // not as the map has them
+	return gone
+}
+
+// inParts carries something out for servers, a few at a time.
+func (p *Pool) inParts(hosts []Host, each func(now time.Duration, hosts []Host)) {
+	for part := range slices.Chunk(hosts, listBatch) {
+		p.do(eventList, func(now time.Duration) {
+			p.delays.Named = max(p.delays.Named, len(part))
+			each(now, part)
+		})
+		runtime.Gosched() // requests that wait for the thread go first
+	}
+}
+
+// told takes what a list says of some servers. What is as it was costs a comparison.
+func (p *Pool) told(now time.Duration, hosts []Host) {
+	news := make([]decide.Server, 0, len(hosts))
+	for _, h := range hosts {
+		s := p.servers[h.Name]
+		if h.Condition == decide.Gone {
+			if s != nil {
+				news = append(news, s.gone())
+				p.drop(h.Name, s)
 			}
+			continue
 		}
-	})
+		if s == nil {
+			s = p.meet(h)
+		} else if h.Addr == "" {
+			h.Addr = s.Addr
+		}
+		if s.listed && s.Host == h {
+			continue
+		}
+		if h.Condition != decide.Ready || h.BornMS != s.BornMS || h.Addr != s.Addr {
+			// Idle connections to a process that is gone, leaving or elsewhere
+			// would only end the next attempt in a reset.
+			s.moveOn()
+			p.later(s.up.Leave)
+		}
+		s.Host, s.since, s.listed = h, p.births.Since(now, h.Name, h.BornMS), true
+		news = append(news, p.shown(s))
+	}
+	p.b.Update(now, news)
+}
+
+// dropped forgets some servers.
+func (p *Pool) dropped(now time.Duration, hosts []Host) {
+	news := make([]decide.Server, 0, len(hosts))
+	for _, h := range hosts {
+		if s := p.servers[h.Name]; s != nil {
+			news = append(news, s.gone())
+			p.drop(h.Name, s)
+		}
+	}
+	p.b.Update(now, news)
+}
+
+// meet begins to know a server.
+func (p *Pool) meet(h Host) *server {
+	id := ServerID(h.Name, func(id decide.ServerID) bool { return p.byID[id] != nil })
+	s := &server{Host: h, id: id, up: p.set.Upstream.Server()}
+	p.servers[h.Name], p.byID[s.id] = s, s
+	return s
 }
 
 // shown is a server as the module is to see it: one that staff have taken out drains,
@@ -74,13 +173,9 @@
 	return d
 }
 
-// relist shows the module all servers anew. It hears of no news from discovery.
-func (p *Pool) relist(now time.Duration) {
-	all := make([]decide.Server, 0, len(p.servers))
-	for _, s := range p.servers {
-		all = append(all, p.shown(s))
-	}
-	p.b.Listed(now, decide.ListCached, all)
+// show shows the module one server anew. It hears of no news from discovery.
+func (p *Pool) show(now time.Duration, s *server) {
+	p.b.Update(now, []decide.Server{p.shown(s)})
 }
 
 // Exclude has nothing more sent to a server from now on, whatever discovery lists,
@@ -93,8 +188,9 @@
 			return
 		}
 		if err = p.rota.Exclude(name, now); err == nil && s != nil {
+			s.moveOn()
 			p.later(s.up.Leave) // it will be restarted
-			p.relist(now)
+			p.show(now, s)
 		}
 	})
 	return err
@@ -103,10 +199,13 @@
 // Include lets a server serve again, and is right for one that does already.
 func (p *Pool) Include(name string) (err error) {
 	p.do(eventStaff, func(now time.Duration) {
-		switch listed := p.servers[name] != nil; {
+		s := p.servers[name]
+		switch {
 		case p.rota.Include(name, now):
-			p.relist(now)
-		case !listed:
+			if s != nil {
+				p.show(now, s)
+			}
+		case s == nil:
 			err = ErrUnknown
 		}
 	})
@@ -118,8 +217,9 @@
 func (p *Pool) Servers() (listed, out int) {
 	p.do(eventState, func(time.Duration) {
 		listed = len(p.servers)
-		for name, s := range p.servers {
-			if p.rota.Out(name) || p.b.Ejected(s.id) {
+		out = p.b.EjectedCount()
+		for _, name := range p.rota.Excluded() { // which the module takes for drained, and ejects none of
+			if p.servers[name] != nil {
 				out++
 			}
 		}
@@ -128,6 +228,7 @@
 }
 
 func (p *Pool) drop(name string, s *server) {
+	s.moveOn()
 	delete(p.servers, name)
 	delete(p.byID, s.id)
 	p.births.Forget(name)
--- a/internal/core/upstream.go
+++ b/internal/core/upstream.go
@@ -34,6 +34,10 @@
 	// hand and nothing written, as much may have ended in the wait for that connection. Where
 	// it says no the attempt is moot, or ended as its context says.
 	Begin() (Start, bool)
+	// Valid says whether an attempt that may begin still may. It is called at the last moment before
+	// each write, and may be at any time: between Begin and a write a node may be held up for long.
+	// Where it says no nothing more is written, and the attempt is as one that did not begin.
+	Valid() bool
 	// Wrote is called once the request's last byte is written, if it comes to that, with the
 	// time that the server was told to have.
 	Wrote(told time.Duration)
--- a/internal/httpup/begin_test.go
+++ b/internal/httpup/begin_test.go
@@ -22,6 +22,7 @@
 func (o *told) Begin() (core.Start, bool) {
 	return core.Start{WriteBy: o.until, GiveUpAt: time.Now().Add(time.Minute)}, o.ok
 }
+func (o *told) Valid() bool         { return true }
 func (o *told) Wrote(time.Duration) { o.wrote = true }
 
 // TestWriteEndsInTime has a server take no byte of a request whose last must be out by a time: the attempt
