Read a list ahead of its decoder, tell it once, and refuse early where ticks are late in a row

Cause: a whole list was told at each read of 4 KB, some 120 times for 3,200 servers, and its decoder kept the thread. Now a reader goes ahead; what is decoded is told when the decoder has to wait for 10 ms, or 40 ms after it was decoded, and else once, with the whole; the thread is given up every 32 servers. The planner's copy of a list is made in one pass (it compared each server with each as well).

A node whose ticks come late by over 0.1 s twice in a row does not get to run: what it could not answer in time is refused while its client waits (decide/admit.go). One late tick, as behind a pause, is none.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -33,6 +33,10 @@
 	levelFew   = 0.08
 	steadyGain = 0.1 // smooths the pressure that the worthiest rank feels, per tick: not by chance
 	shedMost   = 0.95
+	// behindBy is from which lateness of its ticks on a node is behind, and behindRoom how many times
+	// that a request must have left to be taken then.
+	behindBy   = 100 * time.Millisecond
+	behindRoom = 2
 	feelGain   = 1.0 / 16  // smooths the latency signal over some tens of answers
 	mixFade    = 1.0 / 512 // how fast the observed mix of traffic is renewed
 )
@@ -55,6 +59,9 @@
 	rank   []int          // of each of the mix
 	keys   map[uint64]int // fading counts of keys seen
 	keySum int
+
+	tickDue          time.Duration // when the next tick should come
+	lateTick, behind time.Duration // by how much the last was late, and the lesser of the last two
 }
 
 // shed says whether a request is refused on arrival. The share to refuse is
@@ -84,6 +91,23 @@
 	return b.window > 0 && p > 0 && b.rng.Float64() < p
 }
 
+// ticked takes note of how late a tick has come. A node that is held up once has one late tick behind
+// it and is well; one whose ticks are late in a row does not get to run as it should.
+func (a *admission) ticked(now time.Duration) {
+	late := time.Duration(0)
+	if a.tickDue > 0 {
+		late = max(0, now-a.tickDue)
+	}
+	a.behind = min(late, a.lateTick)
+	a.lateTick = late
+	a.tickDue = now + tickEvery
+}
+
+// hopeless says whether a node that is behind would answer a request too late.
+func (a *admission) hopeless(left time.Duration) bool {
+	return a.behind >= behindBy && left < behindRoom*a.behind
+}
+
 // pressure is the share of offered work to refuse for the calls now out.
 func (b *Balancer) pressure() float64 {
 	if b.window <= 0 {
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -132,7 +132,7 @@
 	if c := &b.classes[q.Class]; q.Hint > 0 {
 		c.hint += (float64(q.Hint) - c.hint) * classGain
 	}
-	if b.now < r.aimAt && b.shed(r) && q.Planned == 0 {
+	if shed := b.now < r.aimAt && b.shed(r) && q.Planned == 0; shed || b.hopeless(q.Due-b.now) {
 		b.finish(r)
 		return
 	}
@@ -191,6 +191,7 @@
 	b.now = max(b.now, now)
 	switch tok & 15 {
 	case tokenTick:
+		b.ticked(b.now)
 		b.reweigh()
 		b.adjust()
 		b.out.Wake(tokenTick, b.now+tickEvery)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	agentRetry = 200 * time.Millisecond
 	// maxList bounds an answer: a whole list takes some 150 bytes a server.
 	maxList = 16 << 20
+	// yieldEvery is after how many servers the decoder gives the thread up.
+	yieldEvery = 32
 	// maxHead bounds the head of an answer, in bytes.
 	maxHead = 32 << 10
 )
@@ -121,7 +124,7 @@
 }
 
 // decodeList reads an answer entry by entry and calls each for every one as soon
-// as it has come: what came whole before a break is true.
+// as it has come: what came whole before a break is true. It gives the thread up now and then.
 func decodeList(r io.Reader, zones Zones, each func(core.Host)) (List, error) {
 	var l List
 	dec := json.NewDecoder(r)
@@ -174,6 +177,9 @@
 		if each != nil {
 			each(h)
 		}
+		if len(l.Hosts)%yieldEvery == 0 {
+			runtime.Gosched() // a long list must not keep the thread from requests
+		}
 	}
 	return expect(dec, ']')
 }
@@ -366,33 +372,20 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("watch: status %d", resp.StatusCode)
 	}
-	// Entries are told before each wait for more, so that an answer that stops in
-	// the middle has told all that came whole. They are changes until the end
-	// shows that the list is whole.
-	var fresh []core.Host
-	began, tells := time.Now(), 0
-	r := readerFunc(func(p []byte) (int, error) {
-		if len(fresh) > 0 {
-			w.tell(decide.ListDelta, fresh)
-			fresh = nil
-			tells++
-		}
-		stall.Reset(bodyStall)
-		return resp.Body.Read(p)
-	})
-	l, err := decodeList(io.LimitReader(r, maxList), w.zones, func(h core.Host) { fresh = append(fresh, h) })
+	// Until the end shows that the list is whole its entries are changes.
+	began := time.Now()
+	a := newAnswer(ctx, resp.Body, func() { stall.Reset(bodyStall) }, func(hosts []core.Host) { w.tell(decide.ListDelta, hosts) })
+	l, err := decodeList(a, w.zones, a.add)
 	switch {
 	case err != nil:
-		if len(fresh) > 0 {
-			w.tell(decide.ListDelta, fresh)
-		}
+		a.flush()
 		return err
 	case l.whole:
 		w.tell(decide.ListFull, l.Hosts)
 	default:
-		w.tell(decide.ListDelta, fresh)
+		w.tell(decide.ListDelta, a.fresh)
 	}
-	w.log.Log(ctx, levelOf(&l), "a list is in force", "version", l.Seq, "before", seq, "whole", l.whole, "named", len(l.Hosts), "tells", tells+1, "took", time.Since(began))
+	w.log.Log(ctx, levelOf(&l), "a list is in force", "version", l.Seq, "before", seq, "whole", l.whole, "named", len(l.Hosts), "tells", a.tells+1, "took", time.Since(began))
 	if l.Seq < seq && !l.whole {
 		l.Seq = 0 // it began its count anew: what it knows is asked for as a whole
 	}
@@ -407,7 +400,3 @@
 	}
 	return slog.LevelDebug
 }
-
-type readerFunc func([]byte) (int, error)
-
-func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -163,12 +163,7 @@
 func (p *Planner) Listed(now time.Duration, kind decide.ListKind, list []decide.Server) {
 	p.event(now)
 	if kind != decide.ListFailed {
-		if kind != decide.ListDelta {
-			p.list = nil
-		}
-		for _, s := range list {
-			p.note(s)
-		}
+		p.note(list, kind != decide.ListDelta)
 		if was := p.short; p.see() != was {
 			kind, list = decide.ListFull, p.list
 		}
@@ -203,10 +198,23 @@
 	return p.short
 }
 
-func (p *Planner) note(s decide.Server) {
-	p.list = slices.DeleteFunc(p.list, func(was decide.Server) bool { return was.ID == s.ID })
-	if s.Condition != decide.Gone {
-		p.list = append(p.list, s)
+// note takes what is listed into the planner's own list, in one pass: each server once, as told last.
+func (p *Planner) note(news []decide.Server, whole bool) {
+	told := make(map[decide.ServerID]int, len(news))
+	for i, s := range news {
+		told[s.ID] = i
+	}
+	if whole {
+		p.list = nil
+	}
+	p.list = slices.DeleteFunc(p.list, func(was decide.Server) bool {
+		_, again := told[was.ID]
+		return again
+	})
+	for i, s := range news {
+		if told[s.ID] == i && s.Condition != decide.Gone {
+			p.list = append(p.list, s)
+		}
 	}
 }
 
