--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -36,12 +36,13 @@
 	"ready":        {"thirty and sixty processes restarted together, before a discovery that serves, is overrun or is down", readyRun},
 	"keys":         {"a node's idempotency keys in memory, on the disk, and through kills", keysRun},
 	"soak":         {"real processes through faults that overlap, drawn from seeds, with an oracle of its own", func(ctx context.Context, out io.Writer) (figures, error) { return soakRun(ctx, out, os.Args[2:]) }},
+	"servers":      {"a real node with a part of a core before 200, 800 and 3,200 listed servers, beside what is allowed", func(ctx context.Context, out io.Writer) (figures, error) { return serversRun(ctx, out, os.Args[2:]) }},
 	"scale":        {"how costs grow with the size of a deployment, beside what is allowed there", func(ctx context.Context, out io.Writer) (figures, error) { return scaleRun(ctx, out, os.Args[2:]) }},
 	"overhead":     {"processor time and p99 beside httputil.ReverseProxy", overhead},
 }
 
 // flagged are the scenarios that take flags.
-var flagged = map[string]bool{"scale": true, "config": true, "soak": true}
+var flagged = map[string]bool{"scale": true, "config": true, "soak": true, "servers": true}
 
 // figures are a scenario's results, in order.
 type figures []string
@@ -62,7 +63,7 @@
 		return
 	}
 	if len(os.Args) < 2 || scenarios[os.Args[1]].run == nil || len(os.Args) > 2 && !flagged[os.Args[1]] {
-		fmt.Fprintln(os.Stderr, "usage: proof SCENARIO, or proof scale, config or soak with flags: see -h")
+		fmt.Fprintln(os.Stderr, "usage: proof SCENARIO, or proof scale, config, soak or servers with flags: see -h")
 		for _, name := range slices.Sorted(maps.Keys(scenarios)) {
 			fmt.Fprintf(os.Stderr, "  %-12s %s\n", name, scenarios[name].about)
 		}
--- a/internal/manyservers/rig.go
+++ b/internal/manyservers/rig.go
@@ -83,7 +83,8 @@
 	servers   []*standin.Raw
 	release   release
 
-	mu     sync.Mutex // of what follows
+	mu     sync.Mutex      // of what follows
+	latest []standin.Entry // the list as it was last
 	node   *stand.Process
 	result Result
 	took   []time.Duration
@@ -130,7 +131,8 @@
 	}
 	r.release = release{servers: r.servers}
 	var err error
-	if r.discovery, err = standin.NewDiscovery(r.release.first(r.Servers)...); err != nil {
+	r.latest = r.release.first(r.Servers)
+	if r.discovery, err = standin.NewDiscovery(r.latest...); err != nil {
 		return err
 	}
 	if r.addr, err = standin.Unused(); err != nil {
@@ -201,7 +203,7 @@
 	return map[string]any{
 		"name": "n", "listen": r.addr, "discovery": r.discovery.Addr, "seed": "1",
 		"limits": map[string]any{"cores": r.Share, "memory_mb": 48, "sockets": descriptors},
-		"known":  map[string]any{"seq": 1, "whole": true, "hosts": []standin.Entry{}},
+		"known":  map[string]any{"seq": 1, "whole": true, "hosts": r.known()},
 		"settings": map[string]any{
 			"myNumber": 0, "nInstances": 300, "az": 0, "zones": []string{"a", "b", "c"}, "discovery": "ask",
 			"ceilings": map[string]any{"maxAttempts": 3, "secondCopies": true, "cancel": true, "dialTimeoutMs": 250, "keepaliveMs": 15000, "retryAfter": true, "maxRetryAfterMs": 2000},
@@ -209,12 +211,31 @@
 				"askWithinMs": 2000, "stopSendingWithinMs": 1000, "warmWithinMs": 5000,
 				"startCapacity": 0.3, "fallMultiple": 2.5, "overloadForMs": 1000,
 			},
-			"valueBy": "request",
-			"classes": []map[string]any{{"name": "look", "effect": "free", "objectiveMs": ms * 3 / 4, "deadlineMs": ms, "gain": 1}},
+			"costs":      map[string]any{"crossZone": 0.12, "handshake": 0.02, "connection": 0.01},
+			"familyInfo": map[string]any{"warmKeys": true},
+			"valueBy":    "request",
+			"classes":    []map[string]any{{"name": "look", "effect": "free", "objectiveMs": ms * 3 / 4, "deadlineMs": ms, "gain": 1}},
 		},
 	}
 }
 
+// known is the list that a new process is given: the one of the last news.
+func (r *rig) known() []standin.Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.latest
+}
+
+// step moves the release on, and gives what has changed and the whole list.
+func (r *rig) step() (changed, list []standin.Entry) {
+	changed = r.release.step(max(1, r.Servers/newsPart))
+	list = r.release.list()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.latest = list
+	return changed, list
+}
+
 // tellNews has discovery tell of the servers as the trial says.
 func (r *rig) tellNews(ctx context.Context) {
 	every := time.NewTicker(newsEvery)
@@ -228,10 +249,11 @@
 		switch {
 		case r.News == Calm:
 		case r.News == Changes, r.News == Mixed && n%2 == 0:
-			r.discovery.Change(r.release.step(max(1, r.Servers/newsPart))...)
+			changed, _ := r.step()
+			r.discovery.Change(changed...)
 		default:
-			r.release.step(max(1, r.Servers/newsPart))
-			r.discovery.Set(r.release.list()...)
+			_, list := r.step()
+			r.discovery.Set(list...)
 		}
 	}
 }
