--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -45,10 +45,19 @@
 		want  Rule
 		alter func(r *Record)
 	}{
-		"an answer late":            {OneAnswer, func(r *Record) { r.Requests[f].Ended = r.Requests[f].Sent.Add(1700 * ms) }},
-		"no answer":                 {OneAnswer, func(r *Record) { r.Requests[f].End = Silent }},
-		"a connection cut":          {OneAnswer, func(r *Record) { r.Requests[f].End = Cut }},
-		"a reused connection cut":   {OneAnswer, func(r *Record) { r.Requests[f].End, r.Requests[f].Reused = Cut, true }},
+		"an answer late":          {OneAnswer, func(r *Record) { r.Requests[f].Ended = r.Requests[f].Sent.Add(1700 * ms) }},
+		"no answer":               {OneAnswer, func(r *Record) { r.Requests[f].End = Silent }},
+		"a connection cut":        {OneAnswer, func(r *Record) { r.Requests[f].End = Cut }},
+		"a reused connection cut": {OneAnswer, func(r *Record) { r.Requests[f].End, r.Requests[f].Reused = Cut, true }},
+		"sent on, and its connection closed with no answer": {OneAnswer, func(r *Record) {
+			q := &r.Requests[f]
+			q.Again, q.Reused = true, true
+			r.Attempts[f].Came = q.Sent.Add(-20 * ms) // of its first sending
+		}},
+		"cut in a crowd, and sent on": {OneAnswer, func(r *Record) {
+			r.Requests[f].End = Cut
+			r.Crowds = []Span{{r.Began, r.Began.Add(time.Minute)}}
+		}},
 		"another's answer":          {RightAnswer, func(r *Record) { r.Requests[f].Wrong = true }},
 		"unsafe work twice":         {OnceUnsafe, func(r *Record) { again(r, u, 100*ms) }},
 		"keyed work late":           {OnceKeyed, func(r *Record) { again(r, k, 2500*ms); r.Attempts[3].Told = 0 }},
@@ -83,6 +92,11 @@
 			r.Requests[0].End = Cut
 			r.Processes[0].Killed = r.Requests[0].Ended
 		},
+		"shut unread in a crowd": func(r *Record) {
+			r.Requests[0].End = Cut
+			r.Crowds = []Span{{r.Began, r.Began.Add(time.Minute)}}
+			r.Attempts = r.Attempts[1:]
+		},
 		"stopped": func(r *Record) {
 			q := &r.Requests[0]
 			q.Ended = q.Sent.Add(2 * time.Second)
