--- a/decide/pick.go
+++ b/decide/pick.go
@@ -49,6 +49,9 @@
 
 // stretchAt is the stretch now: old news drifts back to the normal 1.
 func (s *server) stretchAt(now time.Duration) float64 {
+	if s.stretch == 1 {
+		return 1 // as of most of many servers: a tick asks for all
+	}
 	return max(0.1, 1+(s.stretch-1)*math.Exp(-float64(now-s.seenAt)/float64(stretchFade)))
 }
 
