--- /dev/null
+++ b/decide/affinity_test.go
@@ -0,0 +1,82 @@
+package decide
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// homesOf is an affinity over so many servers, taken in in an order that a seed draws.
+func homesOf(n int, seed uint64) (a *affinity, all []*server) {
+	a = &affinity{}
+	for _, e := range servers(n) {
+		all = append(all, &server{Server: e})
+	}
+	order := rand.New(rand.NewPCG(seed, 0)).Perm(n)
+	for _, i := range order {
+		a.add(all[i])
+	}
+	return a, all
+}
+
+const testKeys = 40000
+
+// TestNodesAgreeOnKeys has two nodes come to the same servers by other ways: they choose alike, and each
+// server has its part of the keys by its size.
+func TestNodesAgreeOnKeys(t *testing.T) {
+	a, all := homesOf(50, 1)
+	b, others := homesOf(90, 2)
+	for _, s := range others[50:] {
+		b.remove(s)
+	}
+	b.remove(others[7])
+	a.remove(all[7])
+	all[7].Scale, others[7].Scale = 3, 3
+	a.add(all[7])
+	b.add(others[7])
+	got := make(map[ServerID]float64)
+	for key := range uint64(testKeys) {
+		x, _ := a.choose(key+1, 0)
+		y, _ := b.choose(key+1, 0)
+		if x.ID != y.ID {
+			t.Fatalf("key %d is kept on %d here and on %d there", key, x.ID, y.ID)
+		}
+		got[x.ID]++
+	}
+	for _, s := range all {
+		want := testKeys * s.Scale / 52
+		if math.Abs(got[s.ID]-want) > 5*math.Sqrt(want) {
+			t.Errorf("server %d of size %v has %v keys, want some %.0f", s.ID, s.Scale, got[s.ID], want)
+		}
+	}
+}
+
+// TestFewKeysMove takes one server of many away: beside its own keys there move no more than log2(n)/2
+// times as many, and some for chance.
+func TestFewKeysMove(t *testing.T) {
+	for _, n := range []int{20, 200, 3200} {
+		a, all := homesOf(n, 3)
+		was := make([]*server, testKeys)
+		for key := range was {
+			was[key], _ = a.choose(uint64(key)+1, 0)
+		}
+		const gone = 10
+		for _, s := range all[:gone] {
+			a.remove(s)
+		}
+		moved, own := 0, 0
+		for key, s := range was {
+			is, _ := a.choose(uint64(key)+1, 0)
+			switch {
+			case s.ID <= gone:
+				own++
+			case is != s:
+				moved++
+			}
+		}
+		t.Logf("of %d servers %d go: %d of %d keys were theirs, %d others move", n, gone, own, testKeys, moved)
+		if most := 1.5 * float64(own) * math.Log2(float64(n)) / 2; float64(moved) > most {
+			t.Errorf("%d keys moved beside the %d of the servers gone, of %d; want %.0f at the most", moved, own, n, most)
+		}
+	}
+}
