--- a/decide/roster.go
+++ b/decide/roster.go
@@ -105,12 +105,14 @@
 	last := len(b.ready) - 1
 	b.ready[s.place.ready] = b.ready[last]
 	b.ready[last].place.ready = s.place.ready
+	b.ready[last] = nil
 	b.ready = b.ready[:last]
 	last = len(p.list) - 1
 	p.list[s.place.pool] = p.list[last]
 	p.list[last].place.pool = s.place.pool
 	p.set(s.place.pool, p.values[last])
 	p.removeLast()
+	p.list[last] = nil
 	p.list = p.list[:last]
 	s.place = place{}
 	b.totalScale -= s.Scale
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -48,6 +48,7 @@
 	news := newsOf(hosts)
 	if kind != decide.ListDelta {
 		p.inParts(news.unnamed(p.servers), p.dropped)
+		slices.SortFunc(news.ready, byName) // nodes that begin draw samples by one order
 	}
 	p.inParts(news.ending, p.told)
 	p.inParts(news.ready, p.told)
@@ -95,10 +96,12 @@
 			gone = append(gone, Host{Name: name, Condition: decide.Gone})
 		}
 	}
-	slices.SortFunc(gone, func(x, y Host) int { return cmp.Compare(x.Name, y.Name) }) // not as the map has them
+	slices.SortFunc(gone, byName) // not as the map has them
 	return gone
 }
 
+func byName(x, y Host) int { return cmp.Compare(x.Name, y.Name) }
+
 // inParts carries something out for servers, a few at a time.
 func (p *Pool) inParts(hosts []Host, each func(now time.Duration, hosts []Host)) {
 	for part := range slices.Chunk(hosts, listBatch) {
