--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,8 +14,12 @@
 	"jasperpin/internal/standin/stand"
 )
 
-// nodeEnv has this test's program be a node.
-const nodeEnv = "JASPERPIN_SOAK_NODE"
+// nodeEnv has this test's program be a node, and raceEnds has one under the race detector end at once: it
+// would stay for a second more, and be killed.
+const (
+	nodeEnv  = "JASPERPIN_SOAK_NODE"
+	raceEnds = "GORACE=atexit_sleep_ms=0"
+)
 
 func TestMain(m *testing.M) {
 	if os.Getenv(nodeEnv) == "" {
@@ -73,6 +77,17 @@
 	holds(t, p)
 }
 
+// TestNoDescriptorLeftInACrowd has connections that say nothing come beside: they wait to be accepted ahead
+// of clients' requests, and are given up as ones that have been silent since they came.
+func TestNoDescriptorLeftInACrowd(t *testing.T) {
+	p := NewPlan(1013, 5*time.Second)
+	p.Troubles = []Trouble{
+		{Kind: NodeStarves, At: 2 * time.Second, For: 2 * time.Second, Target: 2},
+		{Kind: ClientsCrowd, At: 2500 * time.Millisecond, For: 2 * time.Second},
+	}
+	holds(t, p)
+}
+
 // holds plays a plan.
 func holds(t *testing.T, p Plan) {
 	t.Helper()
@@ -81,7 +96,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := Run(t.Context(), p, Options{Program: stand.Program{Path: self, Env: []string{nodeEnv + "=1"}, Says: true}, Dir: t.TempDir()})
+	r, err := Run(t.Context(), p, Options{Program: stand.Program{Path: self, Env: []string{nodeEnv + "=1", raceEnds}, Says: true}, Dir: t.TempDir()})
 	if err != nil {
 		t.Fatal(err)
 	}
