Count a silent connection's time from when it came, not from when it was accepted

Cause: conns.Accept took the moment of accepting for the moment of coming (heard), so that a silent connection that had waited in the accept queue for seconds was spared for 50 ms more, one behind the other, ahead of clients' requests.

--- a/internal/httpfront/conns.go
+++ b/internal/httpfront/conns.go
@@ -138,7 +138,7 @@
 	c.wanted = false
 	c.all++
 	now := time.Now()
-	cc := &clientConn{Conn: nc, owner: c, heard: now}
+	cc := &clientConn{Conn: nc, owner: c}
 	if sc, ok := nc.(syscall.Conn); ok {
 		if cc.raw, err = sc.SyscallConn(); err != nil {
 			cc.raw = nil
@@ -147,7 +147,7 @@
 	// It may have waited in the kernel's queue, with a whole request.
 	cc.queued = min(cc.quiet(), mostQueued)
 	came := now.Add(-cc.queued)
-	cc.begun, cc.arrived, cc.floor = came, came, came
+	cc.heard, cc.begun, cc.arrived, cc.floor = came, came, came, came
 	cc.enlist(&c.silent)
 	return cc, nil
 }
