--- a/internal/manyservers/rig.go
+++ b/internal/manyservers/rig.go
@@ -218,7 +218,7 @@
 	return map[string]any{
 		"name": "n", "listen": r.addr, "discovery": r.discovery.Addr, "seed": "1",
 		"limits": map[string]any{"cores": r.Share, "memory_mb": 48, "sockets": descriptors},
-		"known":  map[string]any{"seq": 1, "whole": true, "hosts": r.known()},
+		"known":  map[string]any{"seq": r.discovery.Version(), "whole": true, "hosts": r.known()},
 		"settings": map[string]any{
 			"myNumber": 0, "nInstances": 300, "az": 0, "zones": []string{"a", "b", "c"}, "discovery": "ask",
 			"ceilings": map[string]any{"maxAttempts": 3, "secondCopies": true, "cancel": true, "dialTimeoutMs": 250, "keepaliveMs": 15000, "retryAfter": true, "maxRetryAfterMs": 2000},
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -80,6 +80,13 @@
 	d.renew()
 }
 
+// Version is the newest version.
+func (d *Discovery) Version() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seq
+}
+
 // renew begins a new version. Called under the lock.
 func (d *Discovery) renew() {
 	d.seq++
