Review, case 1: the client repeats when Retry-After says, within its time

Change: six servers, 3 s of silence, a window of 3 s, and a second try at Retry-After within the client's 6 s.

--- a/review/stand/case1/main.go
+++ b/review/stand/case1/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -12,10 +13,10 @@
 )
 
 const (
-	servers  = 5
-	remember = 12 * time.Second
-	silent   = 6 * time.Second
-	again    = remember + 2*time.Second // from the first sending to its repeat
+	servers  = 6
+	remember = 3 * time.Second
+	silent   = 3 * time.Second
+	deadline = 6 * time.Second // of a client, over all its tries
 )
 
 func main() {
@@ -34,7 +35,7 @@
 	var once sync.Once
 	boxes.Begun = func(server string, r *http.Request) {
 		if c.Trouble && strings.HasPrefix(r.URL.Path, "/linen-order/") {
-			once.Do(func() { proxies[server].Cut(silent) }) // one of five servers, while it works
+			once.Do(func() { proxies[server].Cut(silent) }) // one of six servers, while it works
 		}
 	}
 	addr := c.FreeAddr()
@@ -64,7 +65,7 @@
   [[pool.class]]
   name = "linen-order"
   repeat = "keyed"
-  remember = "12s"
+  remember = "3s"
   group = "all"
   aim = "2s"
   deadline = "6s"
@@ -75,24 +76,38 @@
 	c.StartNode("edge-1", "serve -c "+file)
 	c.AwaitUp(addr, 10*time.Second)
 
-	send := func(who, key string, try int) lib.Answer {
+	send := func(who, key string, try int, left time.Duration) lib.Answer {
 		return c.Do(who, addr, lib.Request{Method: "POST", Path: "/linen-order/4711", Body: "12 sheets for " + key, Header: map[string]string{
-			"Req-Id": fmt.Sprintf("%s-try%d", key, try), "Req-Owner": "tamar-hotels", "Req-Deadline-Ms": "6000", "Idempotency-Key": key,
-		}}, 7*time.Second)
+			"Req-Id": fmt.Sprintf("%s-try%d", key, try), "Req-Owner": "tamar-hotels", "Req-Deadline-Ms": fmt.Sprint(left.Milliseconds()), "Idempotency-Key": key,
+		}}, left+time.Second)
 	}
-	// Three orders. The first is at its server when that falls silent; the others are sent after its return.
-	began := time.Now()
+	// Three clients, a second apart. Each sends its order, and once more when the node said to come back (or 4 s
+	// after the first sending, as a double tap, if it was answered), within the time that it waits in all.
 	var answers, repeats [3]lib.Answer
+	var clients sync.WaitGroup
 	for i := range answers {
-		if i == 1 {
-			time.Sleep(time.Until(began.Add(silent + time.Second)))
-		}
-		answers[i] = send("client", fmt.Sprintf("order-key-%d", i), 1)
-	}
-	time.Sleep(time.Until(began.Add(again)))
-	for i := range repeats {
-		repeats[i] = send("client, again", fmt.Sprintf("order-key-%d", i), 2)
+		clients.Go(func() {
+			key := fmt.Sprintf("order-key-%d", i)
+			who := fmt.Sprintf("client %d", i)
+			if i > 0 { // after the return of the silent server
+				time.Sleep(silent + time.Duration(i)*time.Second)
+			}
+			began := time.Now()
+			answers[i] = send(who, key, 1, deadline)
+			again := began.Add(4 * time.Second)
+			if seconds, err := strconv.ParseFloat(answers[i].Header.Get("Retry-After"), 64); err == nil {
+				again = time.Now().Add(time.Duration(seconds * float64(time.Second)))
+			}
+			time.Sleep(time.Until(again))
+			left := time.Until(began.Add(deadline))
+			if left <= 0 {
+				c.Log("%s: has no time left for another try", who)
+				return
+			}
+			repeats[i] = send(who+", again", key, 2, left)
+		})
 	}
+	clients.Wait()
 	time.Sleep(300 * time.Millisecond)
 	broken := ""
 	for i := range answers {
