--- a/review/stand/case2/main.go
+++ b/review/stand/case2/main.go
@@ -11,22 +11,27 @@
 	"review/stand/lib"
 )
 
-const shorter = 5 * time.Second // the new keep
+const (
+	shorter = 5 * time.Second // the new keep
+	nodes   = 3
+	away    = 3 * time.Second // how long a killed node is away
+)
 
 func main() {
 	c := lib.New()
-	boxes := c.NewBoxes(150 * time.Millisecond)
+	boxes := c.NewBoxes(200 * time.Millisecond)
 	var listed []string
 	for i := range 3 {
 		addr, _ := boxes.Add(fmt.Sprintf("box-%d", i+1))
 		listed = append(listed, fmt.Sprintf("%q", addr))
 	}
-	addr := c.FreeAddr()
-	settings := func(keep string) string {
+	settings := func(n int, addr, keep string) string {
 		return fmt.Sprintf(`
 [node]
-name = "edge-1"
+name = "edge-%d"
 listen = [%q]
+number = %d
+nodes = %d
 
 [limits]
 cores = 1.0
@@ -56,11 +61,18 @@
 
     [pool.class.keys]
     keep = %q
-`, addr, filepath.Join(c.Temp, "keys.db"), strings.Join(listed, ", "), keep)
+`, n, addr, n-1, nodes, filepath.Join(c.Temp, fmt.Sprintf("keys-%d.db", n)), strings.Join(listed, ", "), keep)
+	}
+	// Three nodes; the clients of this case use the first.
+	var addrs [nodes]string
+	var running [nodes]*lib.Node
+	for i := range nodes {
+		addrs[i] = c.FreeAddr()
+		file := c.WriteFile(fmt.Sprintf("edge-%d.toml", i+1), settings(i+1, addrs[i], "24h"))
+		running[i] = c.StartNode(fmt.Sprintf("edge-%d", i+1), "serve -c "+file)
+		c.AwaitUp(addrs[i], 10*time.Second)
 	}
-	file := c.WriteFile("node.toml", settings("24h"))
-	node := c.StartNode("edge-1", "serve -c "+file)
-	c.AwaitUp(addr, 10*time.Second)
+	addr, node, file := addrs[0], running[0], filepath.Join(c.Temp, "edge-1.toml")
 	send := func(who, key string, try int) lib.Answer {
 		return c.Do(who, addr, lib.Request{Method: "POST", Path: "/loss-credit/4711", Body: "credit for " + key, Header: map[string]string{
 			"Req-Id": fmt.Sprintf("%s-try%d", key, try), "Req-Owner": "tamar-hotels", "Req-Deadline-Ms": "6000", "Idempotency-Key": key,
@@ -81,15 +93,18 @@
 	time.Sleep(1500 * time.Millisecond) // no SIGHUP in the first second
 
 	c.Log("operator: keep is %v for keys from now on", shorter)
-	c.WriteFile("node.toml", settings(shorter.String()))
-	node.Signal(syscall.SIGHUP)
-	node.AwaitLog("msg=reloaded", 1, 5*time.Second)
+	for i := range nodes {
+		c.WriteFile(fmt.Sprintf("edge-%d.toml", i+1), settings(i+1, addrs[i], shorter.String()))
+		running[i].Signal(syscall.SIGHUP)
+		running[i].AwaitLog("msg=reloaded", 1, 5*time.Second)
+	}
 	time.Sleep(shorter + time.Second)
 	check("after the reload", 2)
 
 	if c.Trouble {
 		node.Kill()
-		c.Log("node edge-1: killed")
+		c.Log("node edge-1: killed, one of %d", nodes)
+		time.Sleep(away)
 		c.StartNode("edge-1", "serve -c "+file)
 		c.AwaitUp(addr, 10*time.Second)
 	}
