--- a/review/stand/case3/main.go
+++ b/review/stand/case3/main.go
@@ -4,25 +4,42 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
 	"review/stand/lib"
 )
 
-const work = 2 * time.Second // of a credit at a slow server, within its aim of 2.5 s
+const (
+	servers  = 8
+	work     = 200 * time.Millisecond // of a credit
+	slowWork = 2 * time.Second        // of a credit at the slow server, within its aim of 2.5 s
+)
 
 func main() {
 	c := lib.New()
 	boxes := c.NewBoxes(0)
 	begun := make(chan string, 100)
-	boxes.Work = func(_ string, r *http.Request) bool {
+	var mu sync.Mutex
+	slow := "" // one of eight servers: the first that gets a credit
+	boxes.Work = func(server string, r *http.Request) bool {
+		mu.Lock()
+		if slow == "" {
+			slow = server
+			c.Log("server %s is the slow one", server)
+		}
+		takes := work
+		if slow == server {
+			takes = slowWork
+		}
+		mu.Unlock()
 		begun <- r.Header.Get("Req-Id")
-		time.Sleep(work)
+		time.Sleep(takes)
 		return true
 	}
 	var hosts []map[string]any
-	for i := range 3 {
+	for i := range servers {
 		name := fmt.Sprintf("box-%d", i+1)
 		addr, _ := boxes.Add(name)
 		hosts = append(hosts, lib.Host(name, addr, "in_service"))
