Request ids in use belong to the pool's name, and not to the pool that a reload replaces

Cause: each core.Pool had a registry of ids of its own. A reload that changes the pool makes a new Pool with an empty registry, while the open requests stay in the registry of the draining one. The hand-over to another process read and wrote only the registries of the current pools, so that it missed the ids of draining pools, and a reload in the new process dropped the ids that the old process had sent.

Change: core.SharedState owns the ids. service.Set keeps one for each name of a pool; all pools of that name use it, and the hand-over reads and writes it, also for names that are not configured yet. It is removed when no pool uses it and it is empty. core.Settings.ClockStart moves into it, as both must be the same for all pools.

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -8,18 +8,14 @@
 	"jasperpin/decide"
 	"jasperpin/internal/invariant"
 	"jasperpin/internal/maintenance"
-	"jasperpin/internal/requestid"
 	"jasperpin/internal/starttime"
 )
 
 // Settings are the settings of a pool. They must not change after NewPool.
 type Settings struct {
-	Balancer decide.Settings
-	Seed     uint64
-	// ClockStart is the origin of the Balancer's clock. All pools of a process use the same origin, so
-	// that a step of the wall clock does not shift the clock of a pool that is made later. The zero time
-	// means the time of NewPool.
-	ClockStart     time.Time
+	Balancer       decide.Settings
+	Seed           uint64
+	Shared         *SharedState // shared with the other pools of the same name; nil for a pool without others
 	Upstream       Upstream
 	Placer         Placer            // chooses the first attempt's server; nil if the Balancer chooses it
 	WatchEndpoints func()            // called when the Balancer starts a watch on discovery; may be nil
@@ -32,8 +28,9 @@
 
 // Pool owns a Balancer, its servers and the open requests. Its methods may be called concurrently.
 type Pool struct {
-	settings   Settings
-	clockStart time.Time
+	clock
+	settings Settings
+	shared   *SharedState
 
 	// endpointMu is held while an endpoint list is applied. It is locked before mu.
 	endpointMu sync.Mutex
@@ -43,8 +40,7 @@
 	unlockActions []func() // run in order after mu is unlocked
 	requests      map[decide.RequestID]*OpenRequest
 	lastRequestID decide.RequestID
-	requestIDs    *requestid.Registry // the clients' request ids in use here and in other processes
-	servers       map[string]*server  // servers by name
+	servers       map[string]*server // servers by name
 	serversByID   map[decide.ServerID]*server
 	startTimes    starttime.Tracker
 	maintenance   *maintenance.Registry
@@ -61,14 +57,14 @@
 	if settings.Log == nil {
 		settings.Log = slog.New(slog.DiscardHandler)
 	}
-	if settings.ClockStart.IsZero() {
-		settings.ClockStart = time.Now()
+	if settings.Shared == nil {
+		settings.Shared = NewSharedState(time.Now())
 	}
 	pool := &Pool{
+		clock:       settings.Shared.clock,
 		settings:    settings,
-		clockStart:  settings.ClockStart,
+		shared:      settings.Shared,
 		requests:    make(map[decide.RequestID]*OpenRequest),
-		requestIDs:  requestid.New(),
 		servers:     make(map[string]*server),
 		serversByID: make(map[decide.ServerID]*server),
 		maintenance: maintenance.New(),
@@ -92,18 +88,6 @@
 // Classes returns the pool's classes of requests. They never change.
 func (p *Pool) Classes() []decide.Class { return p.settings.Balancer.Classes }
 
-// clockTime converts a time to the Balancer's clock. That clock counts from the Unix epoch, so that the start
-// times that servers report need no conversion, but it is monotonic, so that a step of the wall clock changes
-// no deadline.
-func (p *Pool) clockTime(t time.Time) time.Duration {
-	return time.Duration(p.clockStart.UnixNano()) + t.Sub(p.clockStart)
-}
-
-// wallTime is the inverse of clockTime.
-func (p *Pool) wallTime(t time.Duration) time.Time {
-	return p.clockStart.Add(t - time.Duration(p.clockStart.UnixNano()))
-}
-
 // handle calls feed, which passes one event to the Balancer, with mu held. After the unlock it runs the actions
 // that afterUnlock has queued.
 func (p *Pool) handle(kind event, feed func(now time.Duration)) {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -57,7 +57,7 @@
 	if p.retired {
 		return ErrRetired
 	}
-	if !p.requestIDs.Open(r.ID) {
+	if !p.shared.openRequestID(r.ID) {
 		return ErrIDInUse
 	}
 	r.id = p.nextRequestID()
@@ -126,7 +126,7 @@
 		return
 	}
 	delete(p.requests, r.id)
-	p.requestIDs.Close(r.ID)
+	p.shared.closeRequestID(r.ID)
 	if p.settings.Placer != nil {
 		p.settings.Placer.RequestClosed(r.id)
 	}
--- /dev/null
+++ b/internal/core/shared.go
@@ -0,0 +1,79 @@
+package core
+
+import (
+	"sync"
+	"time"
+
+	"jasperpin/internal/requestid"
+)
+
+// SharedState is the state of a pool that must outlive its Pool object: a reload replaces the Pool, and the old one
+// continues with its open requests. All Pools of one name in a process use the same SharedState, the only owner
+// of the clients' request ids in use. Its methods may be called concurrently.
+type SharedState struct {
+	clock clock
+
+	mu         sync.Mutex // guards requestIDs; may be locked with Pool.mu held, and is held for one operation
+	requestIDs *requestid.Registry
+}
+
+// NewSharedState returns a state without request ids. clockStart is the origin of the Balancers' clock. All pools of
+// a process use the same origin, so that a step of the wall clock does not shift the clock of a pool that is made later.
+func NewSharedState(clockStart time.Time) *SharedState {
+	return &SharedState{clock: clock{clockStart}, requestIDs: requestid.New()}
+}
+
+// openRequestID marks a request id as in use. It returns false if the id is in use already.
+func (s *SharedState) openRequestID(id string) bool {
+	s.mu.Lock()
+	opened := s.requestIDs.Open(id)
+	s.mu.Unlock()
+	return opened
+}
+
+// closeRequestID frees a request id.
+func (s *SharedState) closeRequestID(id string) {
+	s.mu.Lock()
+	s.requestIDs.Close(id)
+	s.mu.Unlock()
+}
+
+// RequestIDs returns an update of the request ids in use here, for the node's other processes: all ids
+// if complete is set or this is the first update, otherwise the changes since the last one.
+func (s *SharedState) RequestIDs(complete bool) requestid.Update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if complete {
+		return s.requestIDs.All()
+	}
+	return s.requestIDs.Changes()
+}
+
+// StopTrackingRequestIDs stops collecting changes, as there is no other process to send them to.
+func (s *SharedState) StopTrackingRequestIDs() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requestIDs.StopTracking()
+}
+
+// ApplyPeerRequestIDs applies an update of the request ids in use in another process of the node. These ids
+// are in use here too: Pool.Submit returns ErrIDInUse for them.
+func (s *SharedState) ApplyPeerRequestIDs(from requestid.Neighbor, update requestid.Update) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requestIDs.ApplyPeer(from, update)
+}
+
+// ForgetPeerRequestIDs removes the request ids of another process, which has ended.
+func (s *SharedState) ForgetPeerRequestIDs(side requestid.Neighbor) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requestIDs.ForgetPeer(side)
+}
+
+// Empty reports whether the state contains nothing that a later pool of its name would need.
+func (s *SharedState) Empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requestIDs.Empty()
+}
--- a/internal/core/start_times_test.go
+++ b/internal/core/start_times_test.go
@@ -73,7 +73,7 @@
 		time.Sleep(2 * time.Second)
 
 		m := first.Snapshot()
-		settings.Snapshot, settings.ClockStart = &m, time.Now().Add(-time.Hour) // the wall clock was stepped
+		settings.Snapshot, settings.Shared = &m, NewSharedState(time.Now().Add(-time.Hour)) // the wall clock was stepped
 		next := NewPool(settings)
 		defer next.Close()
 		next.UpdateEndpoints(decide.UpdateCached, m.Endpoints)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -66,30 +66,16 @@
 
 // RequestIDs returns the changes of each pool's request IDs or, if all is set, all that are open.
 func (h handoverNode) RequestIDs(all bool) map[string]requestid.Update {
-	updates := make(map[string]requestid.Update)
-	for name, pool := range h.services.Pools() {
-		if u := pool.RequestIDs(all); !u.Empty() {
-			updates[name] = u
-		}
-	}
-	return updates
+	return h.services.RequestIDs(all)
 }
 
 // StopTrackingRequestIDs stops the tracking of changes in all pools.
-func (h handoverNode) StopTrackingRequestIDs() {
-	for _, pool := range h.services.Pools() {
-		pool.StopTrackingRequestIDs()
-	}
-}
+func (h handoverNode) StopTrackingRequestIDs() { h.services.StopTrackingRequestIDs() }
 
-// ApplyPeerRequestIDs applies another process's changes to the pools that this process also has.
+// ApplyPeerRequestIDs applies another process's changes.
 func (h handoverNode) ApplyPeerRequestIDs(from requestid.Neighbor, updates map[string]requestid.Update) {
 	for name, update := range updates {
-		pool := h.services.Pool(name)
-		if pool == nil {
-			continue
-		}
-		if err := pool.ApplyPeerRequestIDs(from, update); err != nil {
+		if err := h.services.ApplyPeerRequestIDs(name, from, update); err != nil {
 			h.log.Warn("hot restart: another process's request IDs rejected", "pool", name, "err", err)
 		}
 	}
@@ -97,9 +83,7 @@
 
 // ForgetPeerRequestIDs frees the request IDs of a process that has ended, in all pools.
 func (h handoverNode) ForgetPeerRequestIDs(side requestid.Neighbor) {
-	for _, pool := range h.services.Pools() {
-		pool.ForgetPeerRequestIDs(side)
-	}
+	h.services.ForgetPeerRequestIDs(side)
 }
 
 // SetProcesses sends the newest value to the goroutine of Run and drops an older one that is pending.
--- a/internal/requestid/registry.go
+++ b/internal/requestid/registry.go
@@ -97,6 +97,15 @@
 	r.track(name, false)
 }
 
+// Empty reports whether no id is in use, here or in a neighbor.
+func (r *Registry) Empty() bool {
+	inUse := len(r.open)
+	for _, peer := range r.peers {
+		inUse += len(peer)
+	}
+	return inUse == 0
+}
+
 // track stores a change for the next update. An id that was opened and ended between two updates is sent as ended,
 // which is harmless.
 func (r *Registry) track(name string, open bool) {
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -47,6 +47,7 @@
 	maxAttempts   int           // maximum number of attempts of a request
 	config        *config.Pool  // guarded by the Set's mu
 	core          *core.Pool
+	shared        *sharedStates // released by close
 	feed          *discovery.Feed
 	subscription  int // the id of the pool's subscription to the feed
 	health        poolHealth
@@ -65,7 +66,7 @@
 	if known != nil && configured.Discovery != "" { // the known list is newer than the list in the configuration
 		options.Cached = discovery.List{Endpoints: known.Endpoints}
 	}
-	runtime := &poolRuntime{name: configured.Name, maxRetryAfter: configured.Settings.MaxRetryAfter, maxAttempts: configured.Settings.MaxAttempts, config: configured}
+	runtime := &poolRuntime{name: configured.Name, maxRetryAfter: configured.Settings.MaxRetryAfter, maxAttempts: configured.Settings.MaxAttempts, config: configured, shared: s.shared}
 	sharesFeed := previous != nil && previous.runtime.feed.CanReconfigure(options)
 	if sharesFeed {
 		runtime.feed = previous.runtime.feed
@@ -102,7 +103,7 @@
 	settings := core.Settings{
 		Balancer: c.Settings, Seed: s.seed ^ seedOfName(c.Name), Upstream: s.newUpstream(c), WatchEndpoints: feed.StartWatch, Log: log,
 		RequestWritten: func(class int) { counts[class].Forwarded.Add(1) },
-		ClockStart:     s.start, ClassNames: c.ClassNames(), Snapshot: known, Violations: s.Metrics.Violations,
+		Shared:         s.shared.acquire(c.Name), ClassNames: c.ClassNames(), Snapshot: known, Violations: s.Metrics.Violations,
 	}
 	if s.newPlacer != nil {
 		settings.Placer = s.newPlacer(c)
@@ -151,5 +152,6 @@
 	r.closeOnce.Do(func() {
 		r.feed.Unsubscribe(r.subscription)
 		r.core.Close()
+		r.shared.release(r.name)
 	})
 }
--- a/internal/service/set.go
+++ b/internal/service/set.go
@@ -34,6 +34,7 @@
 
 	log         *slog.Logger
 	start       time.Time             // origin of the clock of gates and health
+	shared      *sharedStates         // what outlives the pools of a name
 	current     atomic.Pointer[table] // replaced with mu held, read without it
 	connections ConnectionLimiter
 	budgets     *budgets // nil if the node has a single pool, which shares nothing
@@ -55,8 +56,9 @@
 // New returns a set with the services and pools of a configuration. placer may be nil. predecessor contains the
 // snapshots of the predecessor process's pools, by name; nil if there was none.
 func New(cfg *config.Config, connections ConnectionLimiter, upstream NewUpstream, placer NewPlacer, predecessor map[string]core.Snapshot, registry *metrics.Registry, log *slog.Logger) (*Set, error) {
+	start := time.Now()
 	s := &Set{
-		Metrics: registry, log: log, start: time.Now(), connections: connections,
+		Metrics: registry, log: log, start: start, shared: newSharedStates(start), connections: connections,
 		newUpstream: upstream, newPlacer: placer, predecessor: predecessor, draining: make(map[*poolRuntime]bool),
 	}
 	if cfg.PoolsShareLimits {
