Processes pass on the request ids of the processes beyond them, and the ends of all ids

Cause: a process sent its neighbors the ids of its own requests only. Changes were collected once for both neighbors, so that what one neighbor had sent could not be sent to the other.

Change: requestid.Registry collects the changes for each neighbor by itself: the ids of this process and of its other neighbor; whether an id is open is looked up when the update is made. The wire format is unchanged.

--- a/internal/core/shared.go
+++ b/internal/core/shared.go
@@ -38,22 +38,15 @@
 	s.mu.Unlock()
 }
 
-// RequestIDs returns an update of the request ids in use here, for the node's other processes: all ids
-// if complete is set or this is the first update, otherwise the changes since the last one.
-func (s *SharedState) RequestIDs(complete bool) requestid.Update {
+// RequestIDs returns an update for another process of the node, with the request ids in use here and in the processes
+// beyond this one: all ids if complete is set or this is the first update, otherwise the changes since the last one.
+func (s *SharedState) RequestIDs(to requestid.Neighbor, complete bool) requestid.Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if complete {
-		return s.requestIDs.All()
+		return s.requestIDs.Complete(to)
 	}
-	return s.requestIDs.Changes()
-}
-
-// StopTrackingRequestIDs stops collecting changes, as there is no other process to send them to.
-func (s *SharedState) StopTrackingRequestIDs() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.requestIDs.StopTracking()
+	return s.requestIDs.Changes(to)
 }
 
 // ApplyPeerRequestIDs applies an update of the request ids in use in another process of the node. These ids
--- a/internal/hotrestart/doc.go
+++ b/internal/hotrestart/doc.go
@@ -7,8 +7,9 @@
 // The processes of a node form a chain in the order of their starts. Each has at most one
 // predecessor and at most one successor, with a connection to each over a Unix socket in the node's
 // private directory. The newest process listens on the socket, so a third process connects to the
-// second even while the first still drains. Process counts and request IDs are sent to the neighbors
-// only and are not forwarded: with four processes, the first is not notified of the last.
+// second even while the first still drains. Process counts are sent to the neighbors only and are not
+// forwarded: with four processes, the first is not notified of the last. Request IDs are forwarded:
+// each process sends to one neighbor its own IDs and those that the other neighbor has sent.
 //
 // # Protocol
 //
@@ -19,7 +20,7 @@
 //
 //   - the number of processes from the sender on, when its other neighbor connects or exits;
 //   - maintenance calls of operators, which each process forwards to its other neighbor;
-//   - the request IDs opened and closed since the last message, every 20 ms;
+//   - the request IDs opened and closed since the last message, in the sender and beyond it, every 20 ms;
 //   - and, from a predecessor that drains, the number of its open connections.
 //
 // When a connection ends, the process at its other end is considered to have exited, and so are all
--- a/internal/hotrestart/handover.go
+++ b/internal/hotrestart/handover.go
@@ -41,15 +41,14 @@
 	ApplyMaintenance(MaintenanceCall)
 	// SetProcesses sets the processes that share the machine.
 	SetProcesses(Processes)
-	// RequestIDs returns the request IDs opened and closed in this process since the last call, by
-	// pool, or every open ID if all is set. It starts the tracking of changes.
-	RequestIDs(all bool) map[string]requestid.Update
-	// StopTrackingRequestIDs stops the tracking of changes, as there is no other process to send
-	// them to.
-	StopTrackingRequestIDs()
+	// RequestIDs returns the request IDs opened and closed since the last call, by pool, or every
+	// open ID if all is set, for another process: those of this process and of the processes beyond
+	// it. It starts the tracking of changes.
+	RequestIDs(to requestid.Neighbor, all bool) map[string]requestid.Update
 	// ApplyPeerRequestIDs applies the request IDs that another process sent.
 	ApplyPeerRequestIDs(from requestid.Neighbor, updates map[string]requestid.Update)
-	// ForgetPeerRequestIDs releases the request IDs of a process that has exited.
+	// ForgetPeerRequestIDs releases the request IDs of a process that has exited, and stops the
+	// tracking of changes for it.
 	ForgetPeerRequestIDs(requestid.Neighbor)
 }
 
@@ -235,7 +234,7 @@
 	successor.writeLocked(message{
 		ProcessCount:    processes,
 		Snapshots:       h.node.Snapshots(),
-		RequestIDs:      h.node.RequestIDs(true),
+		RequestIDs:      h.node.RequestIDs(requestid.Successor, true),
 		ListenAddresses: addresses,
 	}, descriptors)
 }
--- a/internal/hotrestart/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -43,23 +43,17 @@
 	n.requestIDs.Close(id)
 }
 
-func (n *node) RequestIDs(all bool) map[string]requestid.Update {
+func (n *node) RequestIDs(to requestid.Neighbor, all bool) map[string]requestid.Update {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	updates := n.requestIDs.All()
-	if !all {
-		updates = n.requestIDs.Changes()
+	next := n.requestIDs.Changes
+	if all {
+		next = n.requestIDs.Complete
 	}
-	if updates.Empty() {
-		return nil
+	if update := next(to); !update.Empty() {
+		return map[string]requestid.Update{"": update}
 	}
-	return map[string]requestid.Update{"": updates}
-}
-
-func (n *node) StopTrackingRequestIDs() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.requestIDs.StopTracking()
+	return nil
 }
 
 func (n *node) ApplyPeerRequestIDs(from requestid.Neighbor, updates map[string]requestid.Update) {
@@ -188,6 +182,36 @@
 	check.Eventually(t, "the IDs of the first process are free after it has exited", func() bool { return second.open("long") })
 }
 
+// TestRequestIDsInUseTwoProcessesAway guards against a second run of a request that is open in the
+// process two before: its ID must be in use in the third process, and an ID of the third in the first,
+// until the request ends.
+func TestRequestIDsInUseTwoProcessesAway(t *testing.T) {
+	dir := t.TempDir()
+	_, first, _ := start(t, dir, "first")
+	first.open("long")
+	_, second, _ := start(t, dir, "second")
+	_, third, _ := start(t, dir, "third")
+	if third.open("long") {
+		t.Error("an ID that is open in the first process is free in the third at its start")
+	}
+	first.open("later")
+	check.Eventually(t, "the third process receives a new ID of the first", func() bool {
+		defer third.end("later")
+		return !third.open("later")
+	})
+	third.open("new")
+	check.Eventually(t, "the first process receives a new ID of the third", func() bool {
+		defer first.end("new")
+		return !first.open("new")
+	})
+	first.end("long")
+	check.Eventually(t, "a closed ID is free in the third process", func() bool { return third.open("long") })
+	check.Eventually(t, "the second process receives the reopened ID", func() bool {
+		defer second.end("long")
+		return !second.open("long")
+	})
+}
+
 // TestListenersPassToSuccessors passes the listener of the first process to a second process and
 // then to a third. A client that connects while no process accepts must wait in the queue until the
 // successor accepts it.
--- a/internal/hotrestart/peer.go
+++ b/internal/hotrestart/peer.go
@@ -23,7 +23,9 @@
 	conn  net.Conn
 	lines *bufio.Scanner
 
-	writeMu sync.Mutex // held while a message is written, so that messages do not interleave
+	// writeMu is held while a message is written, so that messages do not interleave. It is locked
+	// before Handover.mu, except for a connection that no other goroutine has yet.
+	writeMu sync.Mutex
 }
 
 // newPeerConn returns a peerConn for a connection whose first bytes have already been read.
@@ -40,6 +42,16 @@
 	p.writeLocked(m, nil)
 }
 
+// writeNext sends the message that next returns, if next reports true. It calls next with writeMu held, so
+// that messages are sent in the order in which they were made.
+func (p *peerConn) writeNext(next func() (message, bool)) {
+	p.writeMu.Lock()
+	defer p.writeMu.Unlock()
+	if m, ok := next(); ok {
+		p.writeLocked(m, nil)
+	}
+}
+
 // writeLocked sends one message with descriptors, which the reader must expect. The caller holds
 // writeMu.
 func (p *peerConn) writeLocked(m message, descriptors []int) {
--- a/internal/hotrestart/receive.go
+++ b/internal/hotrestart/receive.go
@@ -108,16 +108,29 @@
 		if len(neighbors) == 0 {
 			return
 		}
-		updates := h.node.RequestIDs(false)
-		if len(updates) == 0 {
-			continue
-		}
 		for _, peer := range neighbors {
-			peer.write(message{RequestIDs: updates})
+			peer.writeNext(func() (message, bool) {
+				updates := h.requestIDs(peer)
+				return message{RequestIDs: updates}, len(updates) > 0
+			})
 		}
 	}
 }
 
+// requestIDs returns the changes for a neighbor; none if that process has ended, as another one may have
+// taken its place and must receive them.
+func (h *Handover) requestIDs(peer *peerConn) map[string]requestid.Update {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch peer {
+	case h.predecessor:
+		return h.node.RequestIDs(requestid.Predecessor, false)
+	case h.successor:
+		return h.node.RequestIDs(requestid.Successor, false)
+	}
+	return nil
+}
+
 // requestIDReceivers returns the neighbors to send request IDs to. If there are none, it records
 // under the same lock that the sender stops: the next process that connects starts it again.
 func (h *Handover) requestIDReceivers() []*peerConn {
@@ -128,6 +141,5 @@
 		return neighbors
 	}
 	h.sendingRequestIDs = false
-	h.node.StopTrackingRequestIDs()
 	return nil
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -65,13 +65,10 @@
 }
 
 // RequestIDs returns the changes of each pool's request IDs or, if all is set, all that are open.
-func (h handoverNode) RequestIDs(all bool) map[string]requestid.Update {
-	return h.services.RequestIDs(all)
+func (h handoverNode) RequestIDs(to requestid.Neighbor, all bool) map[string]requestid.Update {
+	return h.services.RequestIDs(to, all)
 }
 
-// StopTrackingRequestIDs stops the tracking of changes in all pools.
-func (h handoverNode) StopTrackingRequestIDs() { h.services.StopTrackingRequestIDs() }
-
 // ApplyPeerRequestIDs applies another process's changes.
 func (h handoverNode) ApplyPeerRequestIDs(from requestid.Neighbor, updates map[string]requestid.Update) {
 	for name, update := range updates {
--- a/internal/requestid/registry_test.go
+++ b/internal/requestid/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"testing"
 
 	_ "jasperpin/internal/seeded"
@@ -10,75 +11,138 @@
 	"pgregory.net/rapid"
 )
 
-// TestNeighborsNeverOpenTheSameID: two processes open and end request ids at random, and sometimes send each other
-// updates. An id that one process has sent as open is never opened by the other; one that it has sent as ended is
-// free again; and no process rejects an id that is not in use.
-func TestNeighborsNeverOpenTheSameID(t *testing.T) {
+// chain is a model of a chain of processes: the ids that are open in each, and those that each was last sent by the
+// processes on both sides.
+type chain struct {
+	registries [3]*Registry
+	open       [3]map[string]bool
+	sent       [3][neighborCount]map[string]bool // by receiver and side of the sender
+}
+
+// start replaces a process with a new one, to which its neighbors send what they know.
+func (c *chain) start(r *rapid.T, process int) {
+	c.registries[process], c.open[process] = New(), map[string]bool{}
+	c.sent[process] = [neighborCount]map[string]bool{{}, {}}
+	for side, other := range c.neighborsOf(process) {
+		if c.registries[other] != nil {
+			c.registries[other].ForgetPeer(side.other())
+			c.sent[other][side.other()] = map[string]bool{}
+			c.send(r, other, side.other(), c.registries[other].Complete(side.other()))
+		}
+	}
+}
+
+// neighborsOf returns the neighbors of a process, by side.
+func (c *chain) neighborsOf(process int) map[Neighbor]int {
+	neighbors := make(map[Neighbor]int)
+	if process > 0 {
+		neighbors[Predecessor] = process - 1
+	}
+	if process+1 < len(c.registries) {
+		neighbors[Successor] = process + 1
+	}
+	return neighbors
+}
+
+// send applies an update of a process at its neighbor on one side.
+func (c *chain) send(r *rapid.T, process int, to Neighbor, update Update) {
+	receiver := c.neighborsOf(process)[to]
+	if err := c.registries[receiver].ApplyPeer(to.other(), update); err != nil {
+		r.Fatal(err)
+	}
+	sent := map[string]bool{}
+	maps.Copy(sent, c.open[process])
+	maps.Copy(sent, c.sent[process][to.other()])
+	c.sent[receiver][to.other()] = sent
+}
+
+// TestChainNeverOpensTheSameID guards against an id that two processes open, up to two processes apart: three processes
+// in a chain open and end request ids at random, end and are replaced, and sometimes send each other updates. An id that
+// a process was sent as open, by any process beyond a neighbor, is never opened by it; one that it was sent as ended
+// is free again; and no process rejects an id that is not in use.
+func TestChainNeverOpensTheSameID(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		registries := [2]*Registry{New(), New()}
-		sides := [2]Neighbor{Successor, Predecessor} // which neighbor the other process is of each
-		open := [2]map[string]bool{{}, {}}
-		sent := [2]map[string]bool{{}, {}}
+		var processes chain
+		for i := range processes.registries {
+			processes.start(r, i)
+		}
 		for range rapid.IntRange(1, 300).Draw(r, "steps") {
-			i := rapid.IntRange(0, 1).Draw(r, "process")
+			i := rapid.IntRange(0, len(processes.registries)-1).Draw(r, "process")
 			name := fmt.Sprint("r", rapid.IntRange(0, 12).Draw(r, "name"))
 			switch rapid.IntRange(0, 9).Draw(r, "event") {
 			case 0, 1, 2, 3:
-				got := registries[i].Open(name)
-				if want := !open[i][name] && !sent[1-i][name]; got != want {
-					r.Fatalf("process %d opens %s: %v, want %v; it has open %v, the other process has sent %v", i, name, got, want, open[i], sent[1-i])
+				got := processes.registries[i].Open(name)
+				sent := processes.sent[i]
+				if want := !processes.open[i][name] && !sent[Predecessor][name] && !sent[Successor][name]; got != want {
+					r.Fatalf("process %d opens %s: %v, want %v; it has open %v, the others have sent %v", i, name, got, want, processes.open[i], sent)
 				}
 				if got {
-					open[i][name] = true
+					processes.open[i][name] = true
 				}
 			case 4, 5, 6:
-				registries[i].Close(name)
-				delete(open[i], name)
+				processes.registries[i].Close(name)
+				delete(processes.open[i], name)
 			case 7, 8:
-				update := registries[i].Changes()
-				if rapid.IntRange(0, 3).Draw(r, "complete") == 0 {
-					update = registries[i].All()
-				}
-				if err := registries[1-i].ApplyPeer(sides[1-i], update); err != nil {
-					r.Fatal(err)
-				}
-				sent[i] = make(map[string]bool)
-				for n := range open[i] {
-					sent[i][n] = true
+				to := Neighbor(rapid.IntRange(0, int(neighborCount)-1).Draw(r, "neighbor"))
+				if _, ok := processes.neighborsOf(i)[to]; !ok {
+					continue
 				}
-			case 9: // the other process ends and a new one starts
-				registries[1-i], open[1-i], sent[1-i] = New(), map[string]bool{}, map[string]bool{}
-				registries[i].ForgetPeer(sides[i])
-				registries[i].StopTracking()
-				if err := registries[1-i].ApplyPeer(sides[1-i], registries[i].All()); err != nil {
-					r.Fatal(err)
-				}
-				sent[i] = make(map[string]bool)
-				for n := range open[i] {
-					sent[i][n] = true
+				update := processes.registries[i].Changes(to)
+				if rapid.IntRange(0, 3).Draw(r, "complete") == 0 {
+					update = processes.registries[i].Complete(to)
 				}
+				processes.send(r, i, to, update)
+			case 9:
+				processes.start(r, i)
 			}
 		}
 	})
 }
 
+// TestEmptyRegistryOwesNoChange: a registry is empty only once no id is in use and its neighbors know so: a neighbor that
+// is not sent the end of an id would reject the id for as long as it lives.
+func TestEmptyRegistryOwesNoChange(t *testing.T) {
+	r := New()
+	r.Open("a")
+	r.Complete(Successor)
+	r.Close("a")
+	if r.Empty() {
+		t.Error("the registry is empty before the end of an id was sent, want it not empty")
+	}
+	r.Changes(Successor)
+	if !r.Empty() {
+		t.Error("the registry is not empty after the end of the last id was sent, want it empty")
+	}
+	id := Hash("b")
+	if err := r.ApplyPeer(Predecessor, Update{Opened: id[:]}); err != nil || r.Empty() {
+		t.Errorf("error %v, or the registry is empty with an id of a neighbor, want it not empty", err)
+	}
+	r.ForgetPeer(Predecessor)
+	if r.Empty() {
+		t.Error("the registry is empty before the end of a relayed id was sent, want it not empty")
+	}
+	if r.ForgetPeer(Successor); !r.Empty() {
+		t.Error("the registry is not empty without neighbors and ids, want it empty")
+	}
+}
+
 // TestUpdateIsBounded: more ids are opened than maxChanges. The next update is complete.
 func TestUpdateIsBounded(t *testing.T) {
 	a, b := New(), New()
-	a.Changes()
+	a.Changes(Successor)
 	for i := range 2 * maxChanges {
 		a.Open(fmt.Sprint(i))
-		if len(a.changed) > maxChanges {
-			t.Fatalf("%d changes are stored, want at most %d", len(a.changed), maxChanges)
+		if stored := len(a.neighbors[Successor].changed); stored > maxChanges {
+			t.Fatalf("%d changes are stored, want at most %d", stored, maxChanges)
 		}
 	}
-	update := a.Changes()
+	update := a.Changes(Successor)
 	if err := b.ApplyPeer(Predecessor, update); err != nil || !update.Complete || b.Open("0") || b.Open(fmt.Sprint(2*maxChanges-1)) || !b.Open("new") {
 		t.Errorf("error %v, or the update (complete: %v) does not contain all open ids only", err, update.Complete)
 	}
-	a.StopTracking()
-	if a.Open("x"); a.changed != nil {
-		t.Error("a change is stored after StopTracking")
+	a.ForgetPeer(Successor)
+	if a.Open("x"); a.hashes != nil || a.neighbors[Successor].changed != nil {
+		t.Error("a change is stored after ForgetPeer")
 	}
 }
 
@@ -96,7 +160,7 @@
 		if bad := len(opened)%hashSize != 0 || len(ended)%hashSize != 0; bad != (err != nil) {
 			t.Fatalf("update of %d and %d bytes: got error %v, malformed: %v", len(opened), len(ended), err, bad)
 		}
-		if len(b.peers[Successor]) > len(opened)/hashSize || b.Open("mine") {
+		if len(b.neighbors[Successor].open) > len(opened)/hashSize || b.Open("mine") {
 			t.Fatal("the registry stores ids that no update contained, or has lost its own")
 		}
 	})
--- a/internal/service/shared.go
+++ b/internal/service/shared.go
@@ -78,23 +78,18 @@
 	}
 }
 
-// RequestIDs returns, by pool, the request ids opened and closed since the last call, or all that are open if complete
-// is set. They include those of draining pools.
-func (s *Set) RequestIDs(complete bool) map[string]requestid.Update {
+// RequestIDs returns updates for another process of the node, by pool, with the request ids opened and closed since the
+// last call, or all that are open if complete is set. They include those of draining pools.
+func (s *Set) RequestIDs(to requestid.Neighbor, complete bool) map[string]requestid.Update {
 	updates := make(map[string]requestid.Update)
 	s.shared.each(func(name string, state *core.SharedState) {
-		if update := state.RequestIDs(complete); !update.Empty() {
+		if update := state.RequestIDs(to, complete); !update.Empty() {
 			updates[name] = update
 		}
 	})
 	return updates
 }
 
-// StopTrackingRequestIDs stops the tracking of changes in all pools.
-func (s *Set) StopTrackingRequestIDs() {
-	s.shared.each(func(_ string, state *core.SharedState) { state.StopTrackingRequestIDs() })
-}
-
 // ApplyPeerRequestIDs applies the request ids of another process to the pool of a name, which may be configured later.
 func (s *Set) ApplyPeerRequestIDs(name string, from requestid.Neighbor, update requestid.Update) error {
 	s.shared.mu.Lock()
@@ -105,7 +100,7 @@
 	return nil
 }
 
-// ForgetPeerRequestIDs frees the request ids of a process that has ended, in all pools.
+// ForgetPeerRequestIDs frees the request ids of a process that has ended and stops the updates for it, in all pools.
 func (s *Set) ForgetPeerRequestIDs(side requestid.Neighbor) {
 	s.shared.each(func(_ string, state *core.SharedState) { state.ForgetPeerRequestIDs(side) })
 	s.shared.removeUnused()
