A request's id stays in use while its long answer is passed on to the client

Cause: an answer over 64 KiB ends its attempt with its first bytes (Pool.finishAttempt). That settled and released the request, and with it the id, though the server and the client still worked on the answer.

Change: the rest of the answer holds the id until its last byte has been read from the server, or it failed or was closed (core.answerBody). The id is free before the last bytes are written to the client, so that no client can have the whole answer and find its id in use. The pool itself is released as before: it decides nothing more, and a retired one does not wait for slow readers; the id is held by the state of its name.

Evidence: TestRequestIDInUseWhileAnswerStreams (last byte read, end of an unknown length, closed early, cut short) and TestRequestIDInUseWhileAnswerIsPassedOn (8 MB, also after a reload) fail on the commit before (200 or no error, want 409 or ErrIDInUse) and pass now.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -71,6 +71,7 @@
 		attempt.endedMayHaveRun, attempt.result, attempt.duration = !result.NeverRan(), result, time.Since(attempt.sentAt)
 		if result == decide.OK && !r.settled.Load() {
 			r.settled.Store(true)
+			p.trackAnswer(r, answer)
 			r.final <- Final{Status: Served, Answer: answer}
 			p.cancelUnbegun(r)
 		} else {
--- a/internal/core/pool_test.go
+++ b/internal/core/pool_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -185,6 +187,54 @@
 	})
 }
 
+// TestRequestIDInUseWhileAnswerStreams guards against a second run of a request whose long answer is still being
+// passed on: its id is in use, also in the pool that replaces its pool, until the client can have the whole answer.
+func TestRequestIDInUseWhileAnswerStreams(t *testing.T) {
+	const first, rest = "beginning ", "of a long answer"
+	for name, testCase := range map[string]struct {
+		length int64
+		end    func(body io.ReadCloser)
+	}{
+		"last byte read": {int64(len(first + rest)), func(body io.ReadCloser) {
+			_, _ = io.ReadFull(body, make([]byte, len(rest)))
+		}},
+		"end read, length unknown": {-1, func(body io.ReadCloser) { _, _ = io.ReadAll(body) }},
+		"closed early":             {int64(len(first + rest)), func(body io.ReadCloser) { body.Close() }},
+		"cut short":                {int64(2 * len(first+rest)), func(body io.ReadCloser) { _, _ = io.ReadAll(body) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				old := scriptedPool(&scriptedUpstream{do: func(context.Context, int, string) (decide.Result, *Answer) {
+					return decide.OK, &Answer{StatusCode: 200, Body: []byte(first), ContentLength: testCase.length, StreamedBody: io.NopCloser(strings.NewReader(rest))}
+				}})
+				open, err := submit(old, "r", notIdempotent)
+				if err != nil {
+					t.Fatal(err)
+				}
+				final := <-open.Final()
+				synctest.Wait()
+				if _, err := submit(old, "r", notIdempotent); !errors.Is(err, ErrIDInUse) {
+					t.Errorf("submitting a second request while the answer streams: got error %v, want ErrIDInUse", err)
+				}
+				next := NewPool(old.settings)
+				defer next.Close()
+				old.Retire()
+				<-old.Drained() // the pool decides nothing more, however long the client takes to read
+				old.Close()
+				_, _ = io.ReadFull(final.Answer.StreamedBody, make([]byte, len(rest)-1))
+				if _, err := submit(next, "r", notIdempotent); !errors.Is(err, ErrIDInUse) {
+					t.Errorf("submitting a request to the next pool before the last byte: got error %v, want ErrIDInUse", err)
+				}
+				testCase.end(final.Answer.StreamedBody)
+				if _, err := submit(next, "r", notIdempotent); err != nil {
+					t.Errorf("submitting a request after the answer has ended: got error %v, want none", err)
+				}
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
 // TestRetiredPoolEndsItsRequests: a retired pool accepts no new requests, answers the open ones, and leaves no
 // timer of the Balancer running: the synctest bubble would not end otherwise.
 func TestRetiredPoolEndsItsRequests(t *testing.T) {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -34,6 +34,7 @@
 	clientDisconnected   bool          // the client disconnected, and the request does not continue without it
 	clientDisconnectedAt time.Time
 	awaitingPlacement    bool // the Placer has not yet chosen the first attempt's server
+	answerStreams        bool // the rest of the answer is on its way to the client
 }
 
 // Final returns the channel that receives the request's one final answer.
@@ -120,13 +121,16 @@
 	p.release(r)
 }
 
-// release removes a request that is settled and has no attempt in flight. It is called with Pool.mu held.
+// release removes a request that is settled and has no attempt in flight, and frees its id unless its answer is still
+// being streamed. It is called with Pool.mu held.
 func (p *Pool) release(r *OpenRequest) {
 	if !r.settled.Load() || r.outstanding > 0 || p.requests[r.id] != r {
 		return
 	}
 	delete(p.requests, r.id)
-	p.shared.closeRequestID(r.ID)
+	if !r.answerStreams {
+		p.shared.closeRequestID(r.ID)
+	}
 	if p.settings.Placer != nil {
 		p.settings.Placer.RequestClosed(r.id)
 	}
--- a/internal/node/shared_state_test.go
+++ b/internal/node/shared_state_test.go
@@ -1,6 +1,10 @@
 package node
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -102,3 +106,30 @@
 	}
 	check.Eventually(t, "the id is free", func() bool { return second.statusOfCredit("dup") == 200 })
 }
+
+// TestRequestIDInUseWhileAnswerIsPassedOn guards against a second run of a request whose long answer a slow client is
+// still reading: another client that sends the id gets 409, also after a reload, until the answer has been passed on.
+func TestRequestIDInUseWhileAnswerIsPassedOn(t *testing.T) {
+	const length = 8 << 20 // bytes, more than the sockets between the server and the client buffer
+	server := check.ScriptedServer(t, emulator.Respond(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, patternText(length))))
+	n := startServices(t, ordersFile("", server.Addr))
+	c := n.dial()
+	writeString(t, c, forHost("orders", postRequest("credit", "dup", "", "x")))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status := n.statusOfCredit("dup"); status != 409 {
+		t.Errorf("a request with the id of a streaming answer was answered %d, want 409", status)
+	}
+	n.reloadServices(ordersFile("attempts = 2", server.Addr))
+	if status := n.statusOfCredit("dup"); status != 409 {
+		t.Errorf("a request with the id of a streaming answer was answered %d after a reload, want 409", status)
+	}
+	if got, err := io.Copy(io.Discard, resp.Body); err != nil || got != length {
+		t.Errorf("read %d bytes of the answer and error %v, want %d bytes", got, err, length)
+	}
+	if status := n.statusOfCredit("dup"); status != 200 {
+		t.Errorf("a request with the id was answered %d after the answer had been passed on, want 200", status)
+	}
+}
--- a/internal/service/apply.go
+++ b/internal/service/apply.go
@@ -35,6 +35,7 @@
 	changes := config.Changes{Routes: routes, SharesChanged: true}
 	changes.Pools, changes.RemovedPools = replaceAll(cfg.Pools, func(c *config.Pool) string { return c.Name }, current.pools)
 	changes.Services, changes.RemovedServices = replaceAll(cfg.Services, func(c *config.Service) string { return c.Name }, current.services)
+	s.shared.removeUnused()
 	return s.change(changes, nodeSettingsOf(cfg))
 }
 
