Excluded servers belong to the pool's name: a call reaches draining pools and outlives a pool

A call, of an operator or of another process, changed only the copy of the current pool.

Change: core.SharedState owns the exclusions and knows the pools that use them; a call changes the state and then refreshes the server in all of these before it is answered. Calls of other processes are recorded even if the server or the pool is unknown here.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -191,9 +191,9 @@
 // balancerServer returns the Balancer's view of a server: a server that an operator has excluded is draining,
 // whatever state discovery lists.
 func (p *Pool) balancerServer(s *server) decide.Server {
-	view := s.BalancerServer(s.id, s.startedAt)
-	view.StartedAt = p.maintenance.StartedAt(s.Name, view.StartedAt)
-	if view.State == decide.Ready && p.maintenance.Excluded(s.Name) {
+	startedAt, excluded := p.shared.rotation(s.Name, s.startedAt)
+	view := s.BalancerServer(s.id, startedAt)
+	if view.State == decide.Ready && excluded {
 		view.State = decide.Draining
 	}
 	return view
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -7,7 +7,6 @@
 
 	"jasperpin/decide"
 	"jasperpin/internal/invariant"
-	"jasperpin/internal/maintenance"
 	"jasperpin/internal/starttime"
 )
 
@@ -43,7 +42,6 @@
 	servers       map[string]*server // servers by name
 	serversByID   map[decide.ServerID]*server
 	startTimes    starttime.Tracker
-	maintenance   *maintenance.Registry
 	fleetPosition FleetPosition // the position that was set last; Until is zero once it has passed
 	drainDeadline time.Duration // latest deadline of any request; 0 until a drain begins
 	retired       bool          // the pool accepts no further requests
@@ -67,15 +65,14 @@
 		requests:    make(map[decide.RequestID]*OpenRequest),
 		servers:     make(map[string]*server),
 		serversByID: make(map[decide.ServerID]*server),
-		maintenance: maintenance.New(),
 		drained:     make(chan struct{}),
 	}
+	pool.shared.attach(pool)
 	pool.handle(eventState, func(now time.Duration) {
 		pool.balancer = decide.New(settings.Balancer, settings.Seed, now, effects{pool})
 	})
 	if settings.Snapshot != nil {
 		pool.handle(eventState, func(now time.Duration) {
-			pool.maintenance.Restore(now, settings.Snapshot.Maintenance)
 			pool.restoreStartTimes(now)
 		})
 	}
@@ -150,6 +147,7 @@
 // Close closes a pool that is no longer used, with its Placer and its Upstream.
 func (p *Pool) Close() {
 	p.handle(eventState, func(time.Duration) { p.retired, p.closed = true, true })
+	p.shared.detach(p)
 	if p.settings.Placer != nil {
 		p.settings.Placer.Close()
 	}
--- a/internal/core/shared.go
+++ b/internal/core/shared.go
@@ -4,23 +4,29 @@
 	"sync"
 	"time"
 
+	"jasperpin/internal/maintenance"
 	"jasperpin/internal/requestid"
 )
 
 // SharedState is the state of a pool that must outlive its Pool object: a reload replaces the Pool, and the old one
 // continues with its open requests. All Pools of one name in a process use the same SharedState, the only owner
-// of the clients' request ids in use. Its methods may be called concurrently.
+// of the clients' request ids in use and of the servers that operators have excluded. Its methods may be called
+// concurrently.
 type SharedState struct {
 	clock clock
 
-	mu         sync.Mutex // guards requestIDs; may be locked with Pool.mu held, and is held for one operation
-	requestIDs *requestid.Registry
+	mu          sync.Mutex // guards the following fields; may be locked with Pool.mu held, and is held for one operation
+	requestIDs  *requestid.Registry
+	maintenance *maintenance.Registry
+	pools       map[*Pool]struct{} // the pools that use the state and are not closed
 }
 
-// NewSharedState returns a state without request ids. clockStart is the origin of the Balancers' clock. All pools of
+// NewSharedState returns a state without request ids and exclusions. clockStart is the origin of the Balancers' clock. All pools of
 // a process use the same origin, so that a step of the wall clock does not shift the clock of a pool that is made later.
 func NewSharedState(clockStart time.Time) *SharedState {
-	return &SharedState{clock: clock{clockStart}, requestIDs: requestid.New()}
+	return &SharedState{
+		clock: clock{clockStart}, requestIDs: requestid.New(), maintenance: maintenance.New(), pools: make(map[*Pool]struct{}),
+	}
 }
 
 // openRequestID marks a request id as in use. It returns false if the id is in use already.
@@ -68,5 +74,20 @@
 func (s *SharedState) Empty() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.requestIDs.Empty()
+	return s.requestIDs.Empty() && s.maintenance.Empty()
+}
+
+// attach adds a pool that uses the state. It must be called before the pool has servers: each of them is either
+// added after an exclusion, or updated by it.
+func (s *SharedState) attach(p *Pool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pools[p] = struct{}{}
+}
+
+// detach removes a pool that is closed.
+func (s *SharedState) detach(p *Pool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pools, p)
 }
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -13,9 +13,13 @@
 type Snapshot struct {
 	Endpoints []Endpoint `json:"Hosts"` // endpoints as they were last listed
 	// Uptimes are the ages of the servers whose start time is known, by name.
-	Uptimes     map[string]time.Duration `json:"Ages,omitempty"`
-	Maintenance maintenance.Snapshot     `json:"Rota"`
-	Balancer    decide.Snapshot          `json:"Decide"`
+	Uptimes map[string]time.Duration `json:"Ages,omitempty"`
+	// Maintenance are the excluded servers, for another process. In one process all pools of a name
+	// share them, and Pool.Snapshot does not set the field.
+	Maintenance maintenance.Snapshot `json:"Rota"`
+	Balancer    decide.Snapshot      `json:"Decide"`
+	// Removed is set if the pool is not configured any more. Then only Maintenance is set.
+	Removed bool `json:"Removed,omitempty"`
 }
 
 // Snapshot returns the pool's learned state.
@@ -28,7 +32,7 @@
 				snapshot.Uptimes[s.Name] = now - s.startedAt
 			}
 		}
-		snapshot.Maintenance, snapshot.Balancer = p.maintenance.Snapshot(now), p.balancer.Snapshot(now)
+		snapshot.Balancer = p.balancer.Snapshot(now)
 		p.addNames(&snapshot.Balancer)
 	})
 	return snapshot
--- a/internal/maintenance/registry.go
+++ b/internal/maintenance/registry.go
@@ -105,6 +105,9 @@
 	return e.to
 }
 
+// Empty reports whether no server is excluded or was recently included again.
+func (r *Registry) Empty() bool { return len(r.excluded)+len(r.included) == 0 }
+
 // List returns the ids of the excluded servers, sorted.
 func (r *Registry) List() []string { return slices.Sorted(maps.Keys(r.excluded)) }
 
@@ -115,6 +118,9 @@
 	Included map[string][2]time.Duration `json:"Back"` // time since the exclusion and since the inclusion, by id
 }
 
+// Empty reports whether the snapshot contains no server.
+func (s Snapshot) Empty() bool { return len(s.Excluded)+len(s.Included) == 0 }
+
 // Snapshot returns the excluded servers, and those that were recently included again.
 func (r *Registry) Snapshot(now time.Duration) Snapshot {
 	s := Snapshot{
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -10,9 +10,9 @@
 	"strings"
 
 	"jasperpin/internal/admin"
-	"jasperpin/internal/core"
 	"jasperpin/internal/hotrestart"
 	"jasperpin/internal/metrics"
+	"jasperpin/internal/service"
 )
 
 // adminSocketMode denies other users access to an admin server at a Unix socket.
@@ -96,14 +96,14 @@
 
 // maintenanceAction takes a server out of rotation or puts the server back.
 type maintenanceAction struct {
-	apply        func(pool *core.Pool, server string) error
+	apply        func(services *service.Set, pool, server string) error
 	out          bool   // whether the server is out of rotation afterwards
 	done, failed string // log messages
 }
 
 var (
-	excludeServer = maintenanceAction{(*core.Pool).Exclude, true, "server excluded", "server not excluded"}
-	includeServer = maintenanceAction{(*core.Pool).Include, false, "server included", "server not included"}
+	excludeServer = maintenanceAction{(*service.Set).Exclude, true, "server excluded", "server not excluded"}
+	includeServer = maintenanceAction{(*service.Set).Include, false, "server included", "server not included"}
 )
 
 // Exclude takes a server out of rotation in all processes of the node.
@@ -121,11 +121,11 @@
 	if err != nil {
 		return err
 	}
-	pool := o.services.Pool(name)
-	if pool == nil {
-		return fmt.Errorf("unknown pool %.40q", name)
+	err = action.apply(o.services, name, server)
+	if errors.Is(err, service.ErrUnknownPool) {
+		return fmt.Errorf("%w %.40q", err, name)
 	}
-	if err := action.apply(pool.Pool, server); err != nil {
+	if err != nil {
 		o.log.Warn(action.failed, "pool", name, "server_id", server, "err", err)
 		return err
 	}
--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -165,9 +165,7 @@
 func TestHotRestartByFile(t *testing.T) {
 	release := make(chan struct{})
 	slow, excluded := check.ScriptedServer(t, holdUntil(release, "slow")), check.ScriptedServer(t, emulator.Echo)
-	text := strings.Replace(nodeText, "127.0.0.1:0", check.UnusedAddr(t), 1)
-	text = strings.Replace(text, "[limits]", "private = \""+t.TempDir()+"\"\n[limits]", 1)
-	first := newFileNode(t, text+serviceText("orders", "")+poolText("orders", "", slow.Addr, excluded.Addr))
+	first := newFileNode(t, privateNodeText(t)+serviceText("orders", "")+poolText("orders", "", slow.Addr, excluded.Addr))
 	first.startAndAwait(File{Path: first.file, Control: "127.0.0.1:0"})
 	if got := first.call("exclude orders/" + excluded.Addr); got != "done\n" {
 		t.Fatalf("exclude was answered %q, want done", got)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -46,18 +46,14 @@
 // Listeners returns the listeners that a successor continues to use.
 func (h handoverNode) Listeners() map[string]net.Listener { return h.handedOver }
 
-// ApplyMaintenance applies an operator's call that another process received. It ignores a call for a
-// pool that only the other process's configuration has.
+// ApplyMaintenance applies an operator's call that another process received, also for a pool or a server that this
+// process does not know yet.
 func (h handoverNode) ApplyMaintenance(call hotrestart.MaintenanceCall) {
-	pool := h.services.Pool(call.Pool)
-	if pool == nil {
-		return
-	}
-	action := includeServer
+	apply := h.services.Include
 	if call.Out {
-		action = excludeServer
+		apply = h.services.ExcludeUnlisted
 	}
-	if err := action.apply(pool.Pool, call.Server); err != nil {
+	if err := apply(call.Pool, call.Server); err != nil {
 		h.log.Warn("hot restart: another process's maintenance call failed", "pool", call.Pool, "server_id", call.Server, "out", call.Out, "err", err)
 		return
 	}
--- a/internal/service/apply.go
+++ b/internal/service/apply.go
@@ -164,7 +164,7 @@
 func (s *Set) updatePool(configured *config.Pool, old *poolEntry) *Pool {
 	if old == nil {
 		var known *core.Snapshot
-		if snapshot, ok := s.predecessor[configured.Name]; ok {
+		if snapshot, ok := s.predecessor[configured.Name]; ok && !snapshot.Removed {
 			known = &snapshot // snapshot of the pool in the predecessor process
 		}
 		p := s.newPool(configured, nil, known)
--- a/internal/service/set.go
+++ b/internal/service/set.go
@@ -61,6 +61,7 @@
 		Metrics: registry, log: log, start: start, shared: newSharedStates(start), connections: connections,
 		newUpstream: upstream, newPlacer: placer, predecessor: predecessor, draining: make(map[*poolRuntime]bool),
 	}
+	s.shared.restore(predecessor)
 	if cfg.PoolsShareLimits {
 		s.budgets = newBudgets()
 	}
@@ -86,12 +87,19 @@
 	return longest
 }
 
-// Snapshot returns the learned state of the current pools, by name.
+// Snapshot returns the learned state of the current pools, by name, and the excluded servers of all pools.
 func (s *Set) Snapshot() map[string]core.Snapshot {
 	snapshots := make(map[string]core.Snapshot)
 	for name, p := range s.Pools() {
 		snapshots[name] = p.Snapshot()
 	}
+	s.shared.each(func(name string, state *core.SharedState) {
+		snapshot, current := snapshots[name]
+		snapshot.Maintenance, snapshot.Removed = state.Maintenance(), !current
+		if current || !snapshot.Maintenance.Empty() {
+			snapshots[name] = snapshot
+		}
+	})
 	return snapshots
 }
 
--- a/internal/service/shared.go
+++ b/internal/service/shared.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"sync"
@@ -15,7 +16,7 @@
 type sharedStates struct {
 	clockStart time.Time // origin of the clock of all pools
 
-	mu     sync.Mutex // guards byName; locked before the lock of a state
+	mu     sync.Mutex // guards byName; locked before the locks of pools and states
 	byName map[string]*sharedEntry
 }
 
@@ -69,6 +70,26 @@
 	maps.DeleteFunc(s.byName, func(_ string, entry *sharedEntry) bool { return entry.unused() })
 }
 
+// change calls do for the state of a name, or returns ErrUnknownPool. The state is not removed meanwhile.
+func (s *sharedStates) change(name string, do func(*core.SharedState) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry := s.byName[name]
+	if entry == nil {
+		return ErrUnknownPool
+	}
+	return do(entry.SharedState)
+}
+
+// restore adds the excluded servers that another process has handed over.
+func (s *sharedStates) restore(snapshots map[string]core.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, snapshot := range snapshots {
+		s.entry(name).RestoreMaintenance(snapshot.Maintenance)
+	}
+}
+
 // each calls do for all states.
 func (s *sharedStates) each(do func(name string, state *core.SharedState)) {
 	s.mu.Lock()
@@ -78,6 +99,29 @@
 	}
 }
 
+// ErrUnknownPool means that there is no pool with a name, neither current nor draining.
+var ErrUnknownPool = errors.New("unknown pool")
+
+// Exclude takes a server out of rotation until Include, in all pools of a name: the current one and those that are
+// draining, and those that a later configuration adds. The error is ErrUnknownPool or one of core.SharedState.Exclude.
+func (s *Set) Exclude(pool, server string) error {
+	return s.shared.change(pool, func(state *core.SharedState) error { return state.Exclude(server) })
+}
+
+// Include puts an excluded server back into rotation, in all pools of a name. The error is ErrUnknownPool or one of
+// core.SharedState.Include.
+func (s *Set) Include(pool, server string) error {
+	return s.shared.change(pool, func(state *core.SharedState) error { return state.Include(server) })
+}
+
+// ExcludeUnlisted is like Exclude for a call that another process of the node has accepted: the pool may be configured
+// here later, and the server listed later. The error is one of package maintenance.
+func (s *Set) ExcludeUnlisted(pool, server string) error {
+	s.shared.mu.Lock()
+	defer s.shared.mu.Unlock()
+	return s.shared.entry(pool).ExcludeUnlisted(server)
+}
+
 // RequestIDs returns updates for another process of the node, by pool, with the request ids opened and closed since the
 // last call, or all that are open if complete is set. They include those of draining pools.
 func (s *Set) RequestIDs(to requestid.Neighbor, complete bool) map[string]requestid.Update {
--- /dev/null
+++ b/internal/service/shared_test.go
@@ -0,0 +1,122 @@
+package service
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"jasperpin/decide"
+	"jasperpin/internal/config"
+	"jasperpin/internal/core"
+	"jasperpin/internal/requestid"
+)
+
+// replacedPools returns two configurations of the same pools, between which each pool must be replaced.
+func replacedPools() [2]*config.Config {
+	configs := [2]*config.Config{twoPools(), twoPools()}
+	for i := range configs[1].Pools {
+		configs[1].Pools[i].PlainHTTP = true
+	}
+	return configs
+}
+
+// checkOutOfRotation checks how many servers of the current pool of a name are out of rotation.
+func checkOutOfRotation(t *testing.T, set *Set, pool string, want int) {
+	t.Helper()
+	if _, out := set.Pool(pool).CountServers(); out != want {
+		t.Errorf("%d servers of pool %s are out of rotation, want %d", out, pool, want)
+	}
+}
+
+// TestExclusionDuringReloads guards against an accepted call that is lost: servers are excluded and included while
+// reloads replace their pool. After each call, the pool that is current then has applied it.
+func TestExclusionDuringReloads(t *testing.T) {
+	const calls = 300
+	configs := replacedPools()
+	set := newSet(t, configs[0])
+	defer set.Close()
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for i := 1; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if err := set.Apply(configs[i%len(configs)]); err != nil {
+				t.Error(err)
+			}
+		}
+	}()
+	for range calls {
+		if err := set.Exclude("a", "s"); err != nil {
+			t.Errorf("excluding a server: got error %v, want none", err)
+		}
+		checkOutOfRotation(t, set, "a", 1)
+		if err := set.Include("a", "s"); err != nil {
+			t.Errorf("including a server: got error %v, want none", err)
+		}
+		checkOutOfRotation(t, set, "a", 0)
+	}
+	close(stop)
+	<-stopped
+}
+
+// TestExclusionOfUnlistedServer guards against requests to a server that an operator has excluded at another process
+// of the node: this process lists the server, or configures its pool, only after the call.
+func TestExclusionOfUnlistedServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := twoPools()
+		one := twoPools()
+		one.Services, one.Pools = one.Services[:1], one.Pools[:1]
+		set := newSet(t, one)
+		defer set.Close()
+		for _, call := range [][2]string{{"a", "later"}, {"b", "s"}} {
+			if err := set.ExcludeUnlisted(call[0], call[1]); err != nil {
+				t.Errorf("excluding server %s of pool %s: got error %v, want none", call[1], call[0], err)
+			}
+		}
+		if err := set.Exclude("a", "unknown"); !errors.Is(err, core.ErrUnknownServer) {
+			t.Errorf("excluding an unlisted server: got error %v, want ErrUnknownServer", err)
+		}
+		if err := set.Exclude("c", "s"); !errors.Is(err, ErrUnknownPool) {
+			t.Errorf("excluding a server of an unknown pool: got error %v, want ErrUnknownPool", err)
+		}
+		all.Pools[0].Servers = append(all.Pools[0].Servers, core.Endpoint{Name: "later", Addr: "127.0.0.1:2", State: decide.Ready, Capacity: 1})
+		if err := set.Apply(all); err != nil {
+			t.Fatal(err)
+		}
+		checkOutOfRotation(t, set, "a", 1)
+		checkOutOfRotation(t, set, "b", 1)
+		synctest.Wait()
+	})
+}
+
+// TestUnusedStatesAreRemoved: pools are removed, with nothing left, with a server excluded, and with an id that another
+// process has in use. Only what a later pool of the name needs is kept, until it is not needed any more.
+func TestUnusedStatesAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		none := twoPools()
+		none.Services, none.Pools = nil, nil
+		set := newSet(t, twoPools())
+		defer set.Close()
+		id := requestid.Hash("x")
+		if err := set.ApplyPeerRequestIDs("c", requestid.Predecessor, requestid.Update{Opened: id[:]}); err != nil {
+			t.Fatal(err)
+		}
+		if err := set.Exclude("b", "s"); err != nil {
+			t.Fatal(err)
+		}
+		if err := set.Apply(none); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if a, b, c := set.shared.byName["a"], set.shared.byName["b"], set.shared.byName["c"]; a != nil || b == nil || c == nil {
+			t.Errorf("states are %v, %v, %v, want only those with an exclusion and with an id", a, b, c)
+		}
+		if set.ForgetPeerRequestIDs(requestid.Predecessor); len(set.shared.byName) != 1 {
+			t.Errorf("%d states, want only the one with an exclusion", len(set.shared.byName))
+		}
+	})
+}
