A pool or process that is replaced spends none of the slow-start tokens that were handed over

A server in slow start could get more than its budget.

Cause: a reload copies a pool's learned state, slow-start tokens included, into the pool that replaces it. The old pool kept its copy and its quota, and its open requests retried at cold servers with tokens that the new pool also had. The same held for a process that drains with a successor, to which the tokens were handed over.

What remains: between the hand-over and the drain both processes have the tokens, at most one bucket (2 s) of each server.

The call at a drain has no test of its own.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -13,17 +13,36 @@
 // SetFleetPosition sets the node's position in its fleet, which may change at any time.
 func (p *Pool) SetFleetPosition(position FleetPosition) {
 	p.handle(eventState, func(time.Duration) {
-		p.balancer.SetFleetPosition(position.Index, position.Count, position.UnusedQuotaShare)
 		p.fleetPosition = position
+		p.applyQuota(position.UnusedQuotaShare)
 	})
 }
 
+// ReleaseQuota ends the pool's use of the node's quota for good: the pool or the process that takes over continues
+// with the pool's slow-start tokens, which must not be spent twice. Open requests begin no more attempts at servers in
+// slow start.
+func (p *Pool) ReleaseQuota() {
+	p.handle(eventState, func(time.Duration) {
+		p.quotaReleased = true
+		p.applyQuota(1)
+	})
+}
+
+// applyQuota passes the position to the Balancer, with the part of the quota that it must not use. It is called with
+// Pool.mu held.
+func (p *Pool) applyQuota(unusedShare float64) {
+	if p.quotaReleased {
+		unusedShare = 1
+	}
+	p.balancer.SetFleetPosition(p.fleetPosition.Index, p.fleetPosition.Count, unusedShare)
+}
+
 // expireFleetPosition sets the node's quota to 0 once FleetPosition.Until has passed. It is called before
 // each event, before any decision: a process that was suspended must not continue to use a quota that other
 // nodes may have taken over meanwhile.
 func (p *Pool) expireFleetPosition(now time.Duration) {
 	if !p.fleetPosition.Until.IsZero() && now >= p.clockTime(p.fleetPosition.Until) {
 		p.fleetPosition.Until = time.Time{}
-		p.balancer.SetFleetPosition(p.fleetPosition.Index, p.fleetPosition.Count, 1)
+		p.applyQuota(1)
 	}
 }
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -43,6 +43,7 @@
 	serversByID   map[decide.ServerID]*server
 	startTimes    starttime.Tracker
 	fleetPosition FleetPosition // the position that was set last; Until is zero once it has passed
+	quotaReleased bool          // another pool or process uses the node's quota
 	drainDeadline time.Duration // latest deadline of any request; 0 until a drain begins
 	retired       bool          // the pool accepts no further requests
 	closed        bool          // timers do nothing any more
@@ -59,9 +60,12 @@
 		settings.Shared = NewSharedState(time.Now())
 	}
 	pool := &Pool{
-		clock:       settings.Shared.clock,
-		settings:    settings,
-		shared:      settings.Shared,
+		clock:    settings.Shared.clock,
+		settings: settings,
+		shared:   settings.Shared,
+		fleetPosition: FleetPosition{
+			Index: settings.Balancer.NodeIndex, Count: settings.Balancer.NodeCount, UnusedQuotaShare: settings.Balancer.UnusedQuotaShare,
+		},
 		requests:    make(map[decide.RequestID]*OpenRequest),
 		servers:     make(map[string]*server),
 		serversByID: make(map[decide.ServerID]*server),
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -113,6 +113,7 @@
 // closes with its next answer. The successor is notified of the connections that are still open.
 func (n *Node) handOverClients(until time.Time) {
 	n.closeListeners()
+	n.services.ReleaseQuota() // the successor continues with the slow-start tokens
 	if err := n.services.Resize(n.cfg.Limits.Split(2)); err != nil {
 		n.log.Error("hot restart: reducing this process's limits for the successor failed", "err", err)
 	}
--- a/internal/service/apply.go
+++ b/internal/service/apply.go
@@ -176,6 +176,7 @@
 	if old.runtime.update(configured) {
 		return old.Pool
 	}
+	old.ReleaseQuota()
 	snapshot := old.Snapshot()
 	p := s.newPool(configured, old.Pool, &snapshot)
 	p.queue = old.queue // requests of the old pool still use its slots
--- a/internal/service/drain.go
+++ b/internal/service/drain.go
@@ -33,6 +33,13 @@
 	s.eachPool(func(p *core.Pool) { p.DrainBy(t) })
 }
 
+// ReleaseQuota ends the use of the node's quota of fleet-wide limits in all pools, as another process takes over.
+func (s *Set) ReleaseQuota() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.eachPool((*core.Pool).ReleaseQuota)
+}
+
 // SetFleetPosition sets the node's position in its fleet, for all present and future pools.
 func (s *Set) SetFleetPosition(position core.FleetPosition) {
 	s.mu.Lock()
--- a/internal/service/shared_test.go
+++ b/internal/service/shared_test.go
@@ -1,13 +1,19 @@
 package service
 
 import (
+	"context"
 	"errors"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"jasperpin/decide"
 	"jasperpin/internal/config"
 	"jasperpin/internal/core"
+	"jasperpin/internal/metrics"
 	"jasperpin/internal/requestid"
 )
 
@@ -120,3 +126,94 @@
 		}
 	})
 }
+
+// failingUpstream answers each attempt after answerTime. While held, attempts wait until release is closed and then
+// fail. It counts the attempts at the server cold.
+type failingUpstream struct {
+	fakeUpstream
+	held    atomic.Bool
+	release chan struct{}
+	cold    atomic.Int64
+}
+
+const (
+	coldAddr   = "127.0.0.9:1"
+	answerTime = 10 * time.Millisecond
+)
+
+func (u *failingUpstream) AddServer() core.Server { return u }
+
+func (u *failingUpstream) Send(ctx context.Context, addr string, _ *core.Message, gate core.AttemptGate) (decide.Result, *core.Answer) {
+	if _, ok := gate.Begin(); !ok {
+		return core.ResultWithoutAnswer(ctx, true), nil
+	}
+	if addr == coldAddr {
+		u.cold.Add(1)
+	}
+	if u.held.Load() {
+		<-u.release
+		return decide.Failed, nil
+	}
+	time.Sleep(answerTime)
+	return decide.OK, &core.Answer{StatusCode: 200}
+}
+
+// TestReplacedPoolLeavesServersInSlowStart guards against an overloaded cold server: a reload replaces a pool, and the new
+// one continues with its slow-start tokens. The requests that are open in the old pool fail, and none of them is
+// retried at a server in slow start: these tokens would be spent twice. A new position in the fleet changes nothing.
+func TestReplacedPoolLeavesServersInSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &failingUpstream{release: make(chan struct{})}
+		configs := replacedPools()
+		for _, c := range configs {
+			pool := &c.Pools[0]
+			pool.Settings.MaxAttempts, pool.Settings.OverloadMultiple = 3, 3
+			pool.Settings.SlowStartShare, pool.Settings.SlowStartWindow = 0.2, time.Hour
+			pool.Settings.Classes[0].PriorityWeight = 1
+			pool.Servers = []core.Endpoint{{Name: "cold", Addr: coldAddr, State: decide.Ready, Capacity: 1, StartedAtMS: float64(time.Now().UnixMilli())}}
+			for i := range 2 {
+				pool.Servers = append(pool.Servers, core.Endpoint{Name: fmt.Sprint("s", i), Addr: fmt.Sprintf("127.0.0.1:%d", i+1), State: decide.Ready, Capacity: 1})
+			}
+		}
+		set, err := New(configs[0], fakeLimiter{}, func(*config.Pool) core.Upstream { return upstream }, nil, nil, metrics.New(), slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer set.Close()
+		submit := func(id string) *core.OpenRequest {
+			open, err := set.Pool("a").Submit(&core.Request{ID: id, ReceivedAt: time.Now(), Timeout: time.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return open
+		}
+		for i := range 1000 {
+			<-submit(fmt.Sprint("warm", i)).Final()
+			time.Sleep(answerTime)
+		}
+		if upstream.cold.Load() == 0 {
+			t.Fatal("no request went to the cold server before the reload, want some")
+		}
+		time.Sleep(time.Second) // in which tokens accrue
+		upstream.held.Store(true)
+		var open []*core.OpenRequest
+		for i := range 8 {
+			open = append(open, submit(fmt.Sprint("open", i)))
+		}
+		synctest.Wait()
+		if err := set.Apply(configs[1]); err != nil {
+			t.Fatal(err)
+		}
+		set.SetFleetPosition(core.FleetPosition{Count: 1})
+		before := upstream.cold.Load()
+		upstream.held.Store(false)
+		close(upstream.release)
+		for _, r := range open {
+			<-r.Final()
+		}
+		if got := upstream.cold.Load() - before; got > 0 {
+			t.Errorf("%d retries of the old pool went to the cold server, want none", got)
+		}
+		time.Sleep(time.Minute) // lets the old pool's feed and timers end
+	})
+}
