Of three processes the newest keeps the hand-over's socket, and the middle one ends after the oldest

Calls and ids no longer pass between the first and the third process either.

Cause: a process that lost its successor bound the socket path again without asking whether a newer process listens there; and a process that drained without clients ended at once, though it was the only link between its two neighbors.

Change: hotrestart.Handover connects to the path first, and leaves it to a process that answers. A draining process with a successor waits for the end of its predecessor (AwaitPredecessor), at most until its own drain ends. What remains: if the middle process is killed, the outer two are not connected, and each acts alone until the older one ends.

--- a/internal/hotrestart/doc.go
+++ b/internal/hotrestart/doc.go
@@ -25,7 +25,8 @@
 //
 // When a connection ends, the process at its other end is considered to have exited, and so are all
 // processes beyond it. A process that has lost its successor listens again, since the new version
-// failed and another successor may follow.
+// failed and another successor may follow, unless a newer process listens on the socket. A process that
+// drains exits after its predecessor, if that ends in time, so that the chain is not cut in the middle.
 //
 // # Without a predecessor
 //
--- a/internal/hotrestart/handover.go
+++ b/internal/hotrestart/handover.go
@@ -1,6 +1,7 @@
 package hotrestart
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -73,8 +74,9 @@
 
 	mu                sync.Mutex // guards the fields below
 	chain             processChain
-	predecessor       *peerConn // nil if there is none
-	successor         *peerConn // nil if there is none
+	predecessor       *peerConn     // nil if there is none
+	predecessorEnded  chan struct{} // closed once the predecessor has exited; nil if there was none
+	successor         *peerConn     // nil if there is none
 	listener          *net.UnixListener
 	closed            bool
 	sendingRequestIDs bool
@@ -106,6 +108,7 @@
 		return handover, Inherited{}
 	}
 	handover.predecessor, handover.inheritedRequestIDs = predecessor, snapshot.RequestIDs
+	handover.predecessorEnded = make(chan struct{})
 	handover.chain.predecessors = max(1, snapshot.ProcessCount)
 	log.Info("taking over", "processes", handover.chain.processes().Count, "listeners", len(listeners))
 	return handover, Inherited{snapshot.Snapshots, listeners}
@@ -175,6 +178,17 @@
 	return nil
 }
 
+// rebind listens on the socket path again after the successor has exited, unless another process listens there:
+// a successor of that successor is newer than this process. The caller holds mu.
+func (h *Handover) rebind() error {
+	conn, err := net.DialTimeout("unix", h.socketPath, peerWriteTimeout)
+	if err == nil {
+		conn.Close()
+		return nil
+	}
+	return h.bind()
+}
+
 // accept accepts successors until the listener is closed.
 func (h *Handover) accept(ln net.Listener) {
 	ln = acceptor.New(ln, "hot restart", h.log)
@@ -278,6 +292,19 @@
 	return h.successor != nil
 }
 
+// AwaitPredecessor waits until the predecessor has exited or ctx is done. A process with neighbors on both sides
+// must not exit before its predecessor: these two have no connection to each other, so that calls of operators and
+// request IDs would no longer reach them.
+func (h *Handover) AwaitPredecessor(ctx context.Context) {
+	if h == nil || h.predecessorEnded == nil {
+		return
+	}
+	select {
+	case <-h.predecessorEnded:
+	case <-ctx.Done():
+	}
+}
+
 // AnnounceDrain notifies the successor that this process accepts no more clients, and how many connections it
 // still has open. It does nothing without a successor.
 func (h *Handover) AnnounceDrain(d Drain) {
--- a/internal/hotrestart/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -278,6 +278,22 @@
 	third.awaitProcesses(t, Processes{Count: 1})
 }
 
+// TestNewestProcessKeepsSocket guards against a successor that finds the wrong predecessor: the middle one
+// of three processes exits first. The next process must connect to the third and not to the first.
+func TestNewestProcessKeepsSocket(t *testing.T) {
+	dir := t.TempDir()
+	_, first, _ := start(t, dir, "first")
+	b, _, _ := start(t, dir, "second")
+	_, third, _ := start(t, dir, "third")
+	third.awaitProcesses(t, Processes{Count: 3, AwaitDrain: true})
+	b.Close()
+	first.awaitProcesses(t, Processes{Count: 1})
+	third.awaitProcesses(t, Processes{Count: 1})
+	if _, _, inherited := start(t, dir, "fourth"); len(inherited[""].Endpoints) != 1 || inherited[""].Endpoints[0].Name != "third" {
+		t.Errorf("the fourth process inherited %+v, want the state of the third", inherited)
+	}
+}
+
 // TestUnusablePredecessor starts a process whose socket belongs to no process of its node: a dead
 // process, or one that sends nothing, invalid data or half a snapshot. The new process must start
 // without a predecessor, and the next process must be able to connect to it.
--- a/internal/hotrestart/receive.go
+++ b/internal/hotrestart/receive.go
@@ -70,9 +70,10 @@
 	var bindErr error
 	if side == requestid.Predecessor {
 		h.predecessor, h.chain.predecessors, h.chain.lastDrain = nil, 0, nil
+		close(h.predecessorEnded)
 	} else {
 		h.successor, h.chain.successors = nil, 0
-		bindErr = h.bind() // the successor failed or exited early: the next one must be able to connect to this process
+		bindErr = h.rebind() // the successor failed or exited early: the next one must be able to connect to this process
 	}
 	predecessor, successor, chain := h.predecessor, h.successor, h.chain
 	h.mu.Unlock()
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -91,6 +91,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadlines.exitBy)
 	defer cancel()
 	err := n.server.Shutdown(ctx, deadlines.readUntil)
+	if hasSuccessor {
+		n.handover.AwaitPredecessor(ctx)
+	}
 	leaving.Wait()
 	n.log.Info("drained", "duration", time.Since(began).Round(time.Millisecond).String())
 	if err != nil {
--- a/internal/node/shared_state_test.go
+++ b/internal/node/shared_state_test.go
@@ -269,3 +269,22 @@
 		t.Errorf("a request with the id was answered %d after the answer had been passed on, want 200", status)
 	}
 }
+
+// TestMiddleProcessOutlivesItsPredecessor guards against calls and ids that no longer reach the oldest of three processes:
+// the middle one drains without clients while the oldest still runs. It ends only after the oldest has ended.
+func TestMiddleProcessOutlivesItsPredecessor(t *testing.T) {
+	text := privateNodeText(t) + ordersFile("", check.ScriptedServer(t, emulator.Echo).Addr)
+	var processes [3]*testNode
+	for i := range processes {
+		processes[i] = newFileNode(t, text)
+		processes[i].startAndAwait(File{Path: processes[i].file, Control: "127.0.0.1:0"})
+	}
+	oldest, middle := processes[0], processes[1]
+	middle.term()
+	check.Eventually(t, "the middle process has no more clients", func() bool { return strings.Contains(middle.logged.String(), "draining") })
+	oldest.term()
+	middle.awaitEnd()
+	if !strings.Contains(middle.logged.String(), "peer=predecessor") {
+		t.Error("the middle process ended before the oldest one, want it to wait")
+	}
+}
