A draining pool hears of servers that end, also if the pool that replaced it has another feed

A request that was open at a reload could be retried at a server that the new file or the new discovery does not list any more, or lists as draining.

Cause: pools of one name share a discovery.Feed unless the zones change, or the source changes between a list and discovery. Then the new pool got a feed of its own, and the draining one stayed with the old feed: a list that never changes again, or a discovery service that is not the configured one.

Change: all pools of a name that still drain follow the newest feed (poolRuntime.follow), which tells them of the servers that they know; zones and cells stay those of their own configuration (core.Pool.UpdateKnownEndpoints). A list is applied at once.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -41,11 +41,32 @@
 // list does not contain, then applies those that are gone or draining, then the rest: an ending server must
 // get no more requests while a long list is applied.
 //
-// Only UpdateEndpoints writes the set of servers and their list entries, one list at a time, so that it can
+// Only updateEndpoints writes the set of servers and their list entries, one list at a time, so that it can
 // read them without Pool.mu.
 func (p *Pool) UpdateEndpoints(kind decide.UpdateKind, endpoints []Endpoint) {
 	p.endpointMu.Lock()
 	defer p.endpointMu.Unlock()
+	p.updateEndpoints(kind, endpoints)
+}
+
+// UpdateKnownEndpoints is like UpdateEndpoints for the list of another configuration, whose numbers of zones and cells may
+// differ: it adds no servers, and the known ones keep their zones and cells. A pool that drains is told by it of
+// servers that end.
+func (p *Pool) UpdateKnownEndpoints(kind decide.UpdateKind, endpoints []Endpoint) {
+	p.endpointMu.Lock()
+	defer p.endpointMu.Unlock()
+	known := make([]Endpoint, 0, len(p.servers))
+	for _, e := range endpoints {
+		if s := p.servers[e.Name]; s != nil {
+			e.Zone, e.Cell = s.Zone, s.Cell
+			known = append(known, e)
+		}
+	}
+	p.updateEndpoints(kind, known)
+}
+
+// updateEndpoints is UpdateEndpoints with endpointMu held.
+func (p *Pool) updateEndpoints(kind decide.UpdateKind, endpoints []Endpoint) {
 	if kind == decide.UpdateFailed {
 		p.handle(eventEndpoints, func(now time.Duration) { p.balancer.UpdateEndpoints(now, kind, nil) })
 		return
--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -81,6 +81,17 @@
 	return f.subscribe(begin())
 }
 
+// Follow subscribes a pool whose own feed this one replaces: it applies the list of the configuration, if there is one, and
+// all updates until Unsubscribe.
+func (f *Feed) Follow(apply ApplyUpdate) (subscription int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.watcher == nil {
+		apply(decide.UpdateFull, f.options.Servers)
+	}
+	return f.subscribe(apply)
+}
+
 // subscribe adds a subscriber. The caller holds mu.
 func (f *Feed) subscribe(apply ApplyUpdate) (subscription int) {
 	f.lastSubscription++
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -48,10 +48,12 @@
 	config        *config.Pool  // guarded by the Set's mu
 	core          *core.Pool
 	shared        *sharedStates // released by close
-	feed          *discovery.Feed
-	subscription  int // the id of the pool's subscription to the feed
 	health        poolHealth
-	closeOnce     sync.Once
+
+	feedMu       sync.Mutex // guards the following fields, which are written with the Set's mu held too, except for closed
+	feed         *discovery.Feed
+	subscription int // the id of the pool's subscription to the feed
+	closed       bool
 }
 
 // newPool returns a new pool and starts its feed. The pool takes over the learned state of the pool that it
@@ -80,6 +82,7 @@
 	} else {
 		runtime.core = core.NewPool(settings)
 		runtime.subscription = runtime.feed.Start(runtime.core.UpdateEndpoints)
+		s.followFeed(runtime, previous)
 	}
 	if s.fleetPosition != nil {
 		runtime.core.SetFleetPosition(*s.fleetPosition)
@@ -146,12 +149,41 @@
 	return true
 }
 
+// followFeed subscribes the pools that a new pool with a feed of its own replaces to that feed, as those that still drain
+// must not send to servers that end. previous is the current pool of the name; nil for none. It is called with s.mu held.
+func (s *Set) followFeed(current *poolRuntime, previous *Pool) {
+	if previous != nil {
+		previous.runtime.follow(current.feed)
+	}
+	for r := range s.draining {
+		if r.name == current.name {
+			r.follow(current.feed)
+		}
+	}
+}
+
+// follow replaces the feed of the pool's servers. It does nothing for a closed pool.
+func (r *poolRuntime) follow(feed *discovery.Feed) {
+	r.feedMu.Lock()
+	defer r.feedMu.Unlock()
+	if r.closed {
+		return
+	}
+	replaced, subscription := r.feed, r.subscription
+	r.feed, r.subscription = feed, feed.Follow(r.core.UpdateKnownEndpoints)
+	replaced.Unsubscribe(subscription)
+}
+
 // close ends the subscription to the feed and then closes the pool, so that no update reaches a closed pool. It
 // may be called twice.
 func (r *poolRuntime) close() {
-	r.closeOnce.Do(func() {
-		r.feed.Unsubscribe(r.subscription)
-		r.core.Close()
-		r.shared.release(r.name)
-	})
+	r.feedMu.Lock()
+	defer r.feedMu.Unlock()
+	if r.closed {
+		return
+	}
+	r.closed = true
+	r.feed.Unsubscribe(r.subscription)
+	r.core.Close()
+	r.shared.release(r.name)
 }
--- a/internal/service/shared_test.go
+++ b/internal/service/shared_test.go
@@ -13,6 +13,7 @@
 	"jasperpin/decide"
 	"jasperpin/internal/config"
 	"jasperpin/internal/core"
+	"jasperpin/internal/discovery"
 	"jasperpin/internal/metrics"
 	"jasperpin/internal/requestid"
 )
@@ -128,12 +129,12 @@
 }
 
 // failingUpstream answers each attempt after answerTime. While held, attempts wait until release is closed and then
-// fail. It counts the attempts at the server cold.
+// fail.
 type failingUpstream struct {
 	fakeUpstream
 	held    atomic.Bool
 	release chan struct{}
-	cold    atomic.Int64
+	cold    atomic.Int64 // attempts at the server with the address coldAddr
 }
 
 const (
@@ -158,35 +159,48 @@
 	return decide.OK, &core.Answer{StatusCode: 200}
 }
 
+func endpoint(name, addr string) core.Endpoint {
+	return core.Endpoint{Name: name, Addr: addr, State: decide.Ready, Capacity: 1}
+}
+
+// newFailingSet returns a set whose pools have one failingUpstream.
+func newFailingSet(t *testing.T, cfg *config.Config) (*Set, *failingUpstream) {
+	t.Helper()
+	upstream := &failingUpstream{release: make(chan struct{})}
+	set, err := New(cfg, fakeLimiter{}, func(*config.Pool) core.Upstream { return upstream }, nil, nil, metrics.New(), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set, upstream
+}
+
+// submitToA submits a request to the current pool a.
+func submitToA(t *testing.T, set *Set, id string) *core.OpenRequest {
+	t.Helper()
+	open, err := set.Pool("a").Submit(&core.Request{ID: id, ReceivedAt: time.Now(), Timeout: time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return open
+}
+
 // TestReplacedPoolLeavesServersInSlowStart guards against an overloaded cold server: a reload replaces a pool, and the new
 // one continues with its slow-start tokens. The requests that are open in the old pool fail, and none of them is
 // retried at a server in slow start: these tokens would be spent twice. A new position in the fleet changes nothing.
 func TestReplacedPoolLeavesServersInSlowStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		upstream := &failingUpstream{release: make(chan struct{})}
 		configs := replacedPools()
 		for _, c := range configs {
 			pool := &c.Pools[0]
 			pool.Settings.MaxAttempts, pool.Settings.OverloadMultiple = 3, 3
 			pool.Settings.SlowStartShare, pool.Settings.SlowStartWindow = 0.2, time.Hour
 			pool.Settings.Classes[0].PriorityWeight = 1
-			pool.Servers = []core.Endpoint{{Name: "cold", Addr: coldAddr, State: decide.Ready, Capacity: 1, StartedAtMS: float64(time.Now().UnixMilli())}}
-			for i := range 2 {
-				pool.Servers = append(pool.Servers, core.Endpoint{Name: fmt.Sprint("s", i), Addr: fmt.Sprintf("127.0.0.1:%d", i+1), State: decide.Ready, Capacity: 1})
-			}
-		}
-		set, err := New(configs[0], fakeLimiter{}, func(*config.Pool) core.Upstream { return upstream }, nil, nil, metrics.New(), slog.New(slog.DiscardHandler))
-		if err != nil {
-			t.Fatal(err)
+			pool.Servers = []core.Endpoint{endpoint("cold", coldAddr), endpoint("s0", "127.0.0.1:1"), endpoint("s1", "127.0.0.1:2")}
+			pool.Servers[0].StartedAtMS = float64(time.Now().UnixMilli())
 		}
+		set, upstream := newFailingSet(t, configs[0])
 		defer set.Close()
-		submit := func(id string) *core.OpenRequest {
-			open, err := set.Pool("a").Submit(&core.Request{ID: id, ReceivedAt: time.Now(), Timeout: time.Second})
-			if err != nil {
-				t.Fatal(err)
-			}
-			return open
-		}
+		submit := func(id string) *core.OpenRequest { return submitToA(t, set, id) }
 		for i := range 1000 {
 			<-submit(fmt.Sprint("warm", i)).Final()
 			time.Sleep(answerTime)
@@ -217,3 +231,52 @@
 		time.Sleep(time.Minute) // lets the old pool's feed and timers end
 	})
 }
+
+// TestDrainingPoolHearsOfEndingServers guards against a request to a server that is not listed any more: a reload replaces a
+// pool with an open request, and the new list lacks a server, which the old pool does not use either. The new pool has the
+// feed of the old one or, if the zones have changed, a feed of its own; a second reload has another one.
+func TestDrainingPoolHearsOfEndingServers(t *testing.T) {
+	for name, zones := range map[string][]discovery.Zones{
+		"same feed":       {nil},
+		"other feed":      {{"x": 0}},
+		"third feed":      {{"x": 0}, {"y": 0}},
+		"feed, then list": {{"x": 0}, {"x": 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first := replacedPools()[0]
+				first.Pools[0].Settings.MaxAttempts = 3
+				first.Pools[0].Servers = []core.Endpoint{endpoint("s", "127.0.0.1:1"), endpoint("ending", coldAddr)}
+				set, upstream := newFailingSet(t, first)
+				defer set.Close()
+				upstream.held.Store(true)
+				var open []*core.OpenRequest
+				for i := range 8 {
+					open = append(open, submitToA(t, set, fmt.Sprint("open", i)))
+				}
+				synctest.Wait()
+				for i, z := range zones {
+					next := replacedPools()[(i+1)%2]
+					next.Pools[0].Settings.MaxAttempts, next.Pools[0].Zones = 3, z
+					next.Pools[0].Servers = first.Pools[0].Servers
+					if i == len(zones)-1 {
+						next.Pools[0].Servers = next.Pools[0].Servers[:1]
+					}
+					if err := set.Apply(next); err != nil {
+						t.Fatal(err)
+					}
+				}
+				before := upstream.cold.Load()
+				upstream.held.Store(false)
+				close(upstream.release)
+				for _, r := range open {
+					<-r.Final()
+				}
+				if got := upstream.cold.Load() - before; got > 0 || before == 0 {
+					t.Errorf("%d retries went to a server that is not listed any more, want none; %d attempts before, want some", got, before)
+				}
+				time.Sleep(time.Minute) // lets the old pools' timers end
+			})
+		})
+	}
+}
