Slots of a removed pool or service stay in use until its requests end, also if it returns

Servers could get more requests at a time than the limit `concurrent` of their service or pool allows.

Cause: a pool or service that a file lacked for a while came back with a new admission queue, though requests of the old one still ran; and a service that named another header for tenants got a new queue as well.

Change: service.Set keeps the queue of a removed pool or service while requests use it, and a service keeps its queue when only the header changes. Queues that no request uses are dropped at each change of the configuration.

Evidence: TestSlotsSurviveRemoval fails in all three cases before the change (a second request is admitted, want it rejected) and passes now, under the race detector too.

--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -91,6 +91,9 @@
 	return g.admitQueued()
 }
 
+// Idle reports whether no request is in flight or queued.
+func (g *Gate) Idle() bool { return g.inFlight == 0 && len(g.queued) == 0 }
+
 // QueueWait returns how long a request may wait for a slot.
 func (g *Gate) QueueWait() time.Duration { return g.settings.QueueWait }
 
--- a/internal/service/apply.go
+++ b/internal/service/apply.go
@@ -140,15 +140,20 @@
 	for _, name := range changes.RemovedPools {
 		if old, ok := pools.Delete([]byte(name)); ok {
 			replaced = append(replaced, old.Pool)
+			s.poolQueues[name] = old.queue
 		}
 	}
 	services := current.services.tree.Txn()
 	for _, c := range changes.Services {
-		services.Insert([]byte(c.Name), current.services.get(c.Name).configure(c))
+		services.Insert([]byte(c.Name), s.updateService(c, current.services.get(c.Name)))
 	}
 	for _, name := range changes.RemovedServices {
-		services.Delete([]byte(name))
+		if old, ok := services.Delete([]byte(name)); ok {
+			s.serviceQueues[name] = old.queue
+		}
 	}
+	s.poolQueues.removeIdle()
+	s.serviceQueues.removeIdle()
 	next.pools.tree, next.services.tree = pools.Commit(), services.Commit()
 	if s.budgets == nil && len(changes.Pools) == 1 && len(changes.Services) == 1 {
 		next.only = &Target{
@@ -168,7 +173,7 @@
 			known = &snapshot // snapshot of the pool in the predecessor process
 		}
 		p := s.newPool(configured, nil, known)
-		p.queue = newAdmissionQueue(configured.Gate)
+		p.queue = s.poolQueues.take(configured.Name, configured.Gate)
 		s.clearFault(configured.Name)
 		return p
 	}
@@ -231,12 +236,16 @@
 	return s.budgets.configure(machine, guarantees)
 }
 
-// configure returns the service for a new configuration: a new service if s is nil or identifies tenants by
-// another header, otherwise s with the new limits. Requests that s has admitted or queued stay admitted or queued.
-func (s *Service) configure(c *config.Service) *Service {
-	if s == nil || s.TenantHeader != c.TenantHeader {
-		return &Service{Name: c.Name, TenantHeader: c.TenantHeader, queue: newAdmissionQueue(c.Gate)}
+// updateService returns the service for a configuration: the current one if it identifies tenants by the same header,
+// otherwise a new one. Requests that the current or a removed service of the name has admitted or queued stay admitted
+// or queued. old is the current service; nil for none.
+func (s *Set) updateService(c *config.Service, old *Service) *Service {
+	if old == nil {
+		return &Service{Name: c.Name, TenantHeader: c.TenantHeader, queue: s.serviceQueues.take(c.Name, c.Gate)}
+	}
+	old.queue.configure(c.Gate)
+	if old.TenantHeader == c.TenantHeader {
+		return old
 	}
-	s.queue.configure(c.Gate)
-	return s
+	return &Service{Name: c.Name, TenantHeader: c.TenantHeader, queue: old.queue}
 }
--- a/internal/service/queue.go
+++ b/internal/service/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -94,3 +95,30 @@
 		delete(q.waiting, ticket)
 	}
 }
+
+// idle reports whether no request uses the queue.
+func (q *admissionQueue) idle() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.gate.Idle()
+}
+
+// removedQueues are the queues of pools or services that are not configured any more, by name, while their requests use
+// slots. The slots are still in use if the name is configured again.
+type removedQueues map[string]*admissionQueue
+
+// take returns the queue for a pool or service that is configured anew.
+func (r removedQueues) take(name string, settings limit.GateSettings) *admissionQueue {
+	queue := r[name]
+	if queue == nil {
+		return newAdmissionQueue(settings)
+	}
+	delete(r, name)
+	queue.configure(settings)
+	return queue
+}
+
+// removeIdle removes the queues that no request uses.
+func (r removedQueues) removeIdle() {
+	maps.DeleteFunc(r, func(_ string, queue *admissionQueue) bool { return queue.idle() })
+}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -361,6 +361,62 @@
 	})
 }
 
+// TestSlotsSurviveRemoval guards against more requests than a limit allows: the only slot of a service or of its pool is in
+// use while both are removed from the configuration and return, or while the service names another header for tenants.
+// The slot stays in use until its request ends.
+func TestSlotsSurviveRemoval(t *testing.T) {
+	one := limit.GateSettings{Concurrent: 1}
+	for name, testCase := range map[string]struct {
+		limit   func(cfg *config.Config)
+		between func(cfg *config.Config)
+		after   func(cfg *config.Config)
+	}{
+		"pool":          {limit: func(cfg *config.Config) { cfg.Pools[0].Gate = one }, between: removeFirst},
+		"service":       {limit: func(cfg *config.Config) { cfg.Services[0].Gate = one }, between: removeFirst},
+		"other tenants": {limit: func(cfg *config.Config) { cfg.Services[0].Gate = one }, after: func(cfg *config.Config) { cfg.Services[0].TenantHeader = "Req-Owner" }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				limited := func(changes ...func(*config.Config)) *config.Config {
+					cfg := twoPools()
+					testCase.limit(cfg)
+					for _, change := range changes {
+						if change != nil {
+							change(cfg)
+						}
+					}
+					return cfg
+				}
+				set := newSet(t, limited())
+				defer set.Close()
+				first, err := set.Admit(t.Context(), find(t, set, "a.org"), askFor(0))
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, cfg := range []*config.Config{limited(testCase.between), limited(testCase.after)} {
+					if err := set.Apply(cfg); err != nil {
+						t.Fatal(err)
+					}
+					synctest.Wait()
+				}
+				is := find(t, set, "a.org")
+				if _, err := set.Admit(t.Context(), is, askFor(0)); err == nil {
+					t.Error("a request is admitted while the slot is in use, want it rejected")
+				}
+				first.Release(OutcomeServed)
+				second, err := set.Admit(t.Context(), is, askFor(0))
+				if err != nil {
+					t.Fatalf("request is rejected though the slot is free: error is %v, want none", err)
+				}
+				second.Release(OutcomeServed)
+			})
+		})
+	}
+}
+
+// removeFirst removes the first service and the first pool.
+func removeFirst(cfg *config.Config) { cfg.Services, cfg.Pools = cfg.Services[1:], cfg.Pools[1:] }
+
 // TestFaultyPoolWithoutGuaranteeRecovers: the requests of a pool without a guarantee fail, as before its first
 // endpoint list. One request at a time is still admitted, and once such requests are served all are admitted:
 // otherwise the pool could never show that it has recovered.
--- a/internal/service/set.go
+++ b/internal/service/set.go
@@ -51,6 +51,8 @@
 	drainDeadline time.Time                // zero until a drain begins
 	fleetPosition *core.FleetPosition      // nil if the configuration sets the position
 	draining      map[*poolRuntime]bool    // retired pools with open requests
+	poolQueues    removedQueues            // queues of removed pools
+	serviceQueues removedQueues            // queues of removed services
 }
 
 // New returns a set with the services and pools of a configuration. placer may be nil. predecessor contains the
@@ -60,6 +62,7 @@
 	s := &Set{
 		Metrics: registry, log: log, start: start, shared: newSharedStates(start), connections: connections,
 		newUpstream: upstream, newPlacer: placer, predecessor: predecessor, draining: make(map[*poolRuntime]bool),
+		poolQueues: make(removedQueues), serviceQueues: make(removedQueues),
 	}
 	s.shared.restore(predecessor)
 	if cfg.PoolsShareLimits {
