Draining pools follow another feed only once the new pool serves

Cause: the old pool was told of the new list before the table was swapped. For that moment it still took requests, and with a list of other names it had no server to send them to. By reading; no request was seen rejected by it.

Change: service.Set.change moves the draining pools to the current feed of their name after the swap, also those of a name that returns. TestDrainingPoolHearsOfEndingServers and the service tests pass three times under the race detector.

--- a/internal/service/apply.go
+++ b/internal/service/apply.go
@@ -103,6 +103,11 @@
 	for _, p := range replaced {
 		s.retire(p)
 	}
+	for r := range s.draining {
+		if current := next.pools.get(r.name); current != nil {
+			r.follow(current.runtime.feed)
+		}
+	}
 	return nil
 }
 
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -50,7 +50,7 @@
 	shared        *sharedStates // released by close
 	health        poolHealth
 
-	feedMu       sync.Mutex // guards the following fields, which are written with the Set's mu held too, except for closed
+	feedMu       sync.Mutex // guards the following fields; feed and subscription are written with the Set's mu held too
 	feed         *discovery.Feed
 	subscription int // the id of the pool's subscription to the feed
 	closed       bool
@@ -82,7 +82,6 @@
 	} else {
 		runtime.core = core.NewPool(settings)
 		runtime.subscription = runtime.feed.Start(runtime.core.UpdateEndpoints)
-		s.followFeed(runtime, previous)
 	}
 	if s.fleetPosition != nil {
 		runtime.core.SetFleetPosition(*s.fleetPosition)
@@ -149,24 +148,12 @@
 	return true
 }
 
-// followFeed subscribes the pools that a new pool with a feed of its own replaces to that feed, as those that still drain
-// must not send to servers that end. previous is the current pool of the name; nil for none. It is called with s.mu held.
-func (s *Set) followFeed(current *poolRuntime, previous *Pool) {
-	if previous != nil {
-		previous.runtime.follow(current.feed)
-	}
-	for r := range s.draining {
-		if r.name == current.name {
-			r.follow(current.feed)
-		}
-	}
-}
-
-// follow replaces the feed of the pool's servers. It does nothing for a closed pool.
+// follow makes a pool that drains use the feed of the current pool of its name, as it must not send to servers that end.
+// It does nothing for a closed pool.
 func (r *poolRuntime) follow(feed *discovery.Feed) {
 	r.feedMu.Lock()
 	defer r.feedMu.Unlock()
-	if r.closed {
+	if r.closed || r.feed == feed {
 		return
 	}
 	replaced, subscription := r.feed, r.subscription
