Test that slow-start tokens are not spent twice as another process takes over, too

TestReplacedPoolLeavesServersInSlowStart has a second case, service.Set.ReleaseQuota, which a drain with a successor calls.

--- a/internal/service/shared_test.go
+++ b/internal/service/shared_test.go
@@ -184,52 +184,61 @@
 	return open
 }
 
-// TestReplacedPoolLeavesServersInSlowStart guards against an overloaded cold server: a reload replaces a pool, and the new
-// one continues with its slow-start tokens. The requests that are open in the old pool fail, and none of them is
-// retried at a server in slow start: these tokens would be spent twice. A new position in the fleet changes nothing.
+// TestReplacedPoolLeavesServersInSlowStart guards against an overloaded cold server: a reload replaces a pool, or another
+// process takes over, and continues with the pool's slow-start tokens. The requests that are open in the old pool fail,
+// and none of them is retried at a server in slow start: these tokens would be spent twice. A new position in the fleet
+// changes nothing.
 func TestReplacedPoolLeavesServersInSlowStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		configs := replacedPools()
-		for _, c := range configs {
-			pool := &c.Pools[0]
-			pool.Settings.MaxAttempts, pool.Settings.OverloadMultiple = 3, 3
-			pool.Settings.SlowStartShare, pool.Settings.SlowStartWindow = 0.2, time.Hour
-			pool.Settings.Classes[0].PriorityWeight = 1
-			pool.Servers = []core.Endpoint{endpoint("cold", coldAddr), endpoint("s0", "127.0.0.1:1"), endpoint("s1", "127.0.0.1:2")}
-			pool.Servers[0].StartedAtMS = float64(time.Now().UnixMilli())
-		}
-		set, upstream := newFailingSet(t, configs[0])
-		defer set.Close()
-		submit := func(id string) *core.OpenRequest { return submitToA(t, set, id) }
-		for i := range 1000 {
-			<-submit(fmt.Sprint("warm", i)).Final()
-			time.Sleep(answerTime)
-		}
-		if upstream.cold.Load() == 0 {
-			t.Fatal("no request went to the cold server before the reload, want some")
-		}
-		time.Sleep(time.Second) // in which tokens accrue
-		upstream.held.Store(true)
-		var open []*core.OpenRequest
-		for i := range 8 {
-			open = append(open, submit(fmt.Sprint("open", i)))
-		}
-		synctest.Wait()
-		if err := set.Apply(configs[1]); err != nil {
-			t.Fatal(err)
-		}
-		set.SetFleetPosition(core.FleetPosition{Count: 1})
-		before := upstream.cold.Load()
-		upstream.held.Store(false)
-		close(upstream.release)
-		for _, r := range open {
-			<-r.Final()
-		}
-		if got := upstream.cold.Load() - before; got > 0 {
-			t.Errorf("%d retries of the old pool went to the cold server, want none", got)
-		}
-		time.Sleep(time.Minute) // lets the old pool's feed and timers end
-	})
+	configs := replacedPools()
+	for _, c := range configs {
+		pool := &c.Pools[0]
+		pool.Settings.MaxAttempts, pool.Settings.OverloadMultiple = 3, 3
+		pool.Settings.SlowStartShare, pool.Settings.SlowStartWindow = 0.2, time.Hour
+		pool.Settings.Classes[0].PriorityWeight = 1
+		pool.Servers = []core.Endpoint{endpoint("cold", coldAddr), endpoint("s0", "127.0.0.1:1"), endpoint("s1", "127.0.0.1:2")}
+	}
+	for name, takeOver := range map[string]func(set *Set) error{
+		"reload":      func(set *Set) error { return set.Apply(configs[1]) },
+		"new process": func(set *Set) error { set.ReleaseQuota(); return nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				for _, c := range configs {
+					c.Pools[0].Servers[0].StartedAtMS = float64(time.Now().UnixMilli())
+				}
+				set, upstream := newFailingSet(t, configs[0])
+				defer set.Close()
+				for i := range 1000 {
+					<-submitToA(t, set, fmt.Sprint("warm", i)).Final()
+					time.Sleep(answerTime)
+				}
+				if upstream.cold.Load() == 0 {
+					t.Fatal("no request went to the cold server before, want some")
+				}
+				time.Sleep(time.Second) // in which tokens accrue
+				upstream.held.Store(true)
+				var open []*core.OpenRequest
+				for i := range 8 {
+					open = append(open, submitToA(t, set, fmt.Sprint("open", i)))
+				}
+				synctest.Wait()
+				if err := takeOver(set); err != nil {
+					t.Fatal(err)
+				}
+				set.SetFleetPosition(core.FleetPosition{Count: 1})
+				before := upstream.cold.Load()
+				upstream.held.Store(false)
+				close(upstream.release)
+				for _, r := range open {
+					<-r.Final()
+				}
+				if got := upstream.cold.Load() - before; got > 0 {
+					t.Errorf("%d retries of the old pool went to the cold server, want none", got)
+				}
+				time.Sleep(time.Minute) // lets the old pool's feed and timers end
+			})
+		})
+	}
 }
 
 // TestDrainingPoolHearsOfEndingServers guards against a request to a server that is not listed any more: a reload replaces a
