--- a/internal/hotrestart/handover.go
+++ b/internal/hotrestart/handover.go
@@ -29,6 +29,9 @@
 	// requestIDInterval is the time between two messages about request IDs, and therefore the
 	// maximum time during which an ID that is open in one process can also be opened in another.
 	requestIDInterval = 20 * time.Millisecond
+	// rebindInterval is the time between two looks at the socket of another process, after the successor has
+	// exited: either a newer process listens there, or the successor's socket is about to be closed.
+	rebindInterval = 50 * time.Millisecond
 )
 
 // Node is the part of a node that a Handover depends on. Its methods are called from the Handover's
@@ -78,6 +81,7 @@
 	predecessorEnded  chan struct{} // closed once the predecessor has exited; nil if there was none
 	successor         *peerConn     // nil if there is none
 	listener          *net.UnixListener
+	socket            os.FileInfo // the socket of listener; nil before the first bind
 	closed            bool
 	sendingRequestIDs bool
 	// inheritedRequestIDs are the open request IDs of the predecessor, stored from Connect until
@@ -170,23 +174,58 @@
 		ln.Close()
 		return fmt.Errorf("restricting the socket to its owner: %w", err)
 	}
+	socket, err := os.Stat(h.socketPath)
+	if err != nil {
+		ln.Close()
+		return fmt.Errorf("reading the identity of the socket: %w", err)
+	}
 	if h.listener != nil {
 		h.listener.Close()
 	}
-	h.listener = ln
+	h.listener, h.socket = ln, socket
 	h.goroutines.Go(func() { h.accept(ln) })
 	return nil
 }
 
-// rebind listens on the socket path again after the successor has exited, unless another process listens there:
-// a successor of that successor is newer than this process. The caller holds mu.
-func (h *Handover) rebind() error {
+// rebind listens on the socket path again after the successor has exited. It returns false if another process
+// listens there: a successor of that successor is newer than this process. The caller holds mu.
+func (h *Handover) rebind() (done bool, err error) {
+	info, err := os.Stat(h.socketPath)
+	if err == nil && os.SameFile(info, h.socket) {
+		return true, nil // the successor failed before it listened
+	}
 	conn, err := net.DialTimeout("unix", h.socketPath, peerWriteTimeout)
 	if err == nil {
 		conn.Close()
-		return nil
+		return false, nil
+	}
+	return true, h.bind()
+}
+
+// awaitFreeSocket looks at the socket path until no other process listens there, and then listens. It ends early
+// if a new process connects or the Handover is closed.
+func (h *Handover) awaitFreeSocket() {
+	ticker := time.NewTicker(rebindInterval)
+	defer ticker.Stop()
+	for range ticker.C {
+		h.mu.Lock()
+		done, err := h.closed || h.successor != nil, error(nil)
+		if !done {
+			done, err = h.rebind()
+		}
+		h.mu.Unlock()
+		h.logBindError(err)
+		if done {
+			return
+		}
+	}
+}
+
+// logBindError logs an error of rebind; nil is not logged.
+func (h *Handover) logBindError(err error) {
+	if err != nil {
+		h.log.Warn("hot restart: no successor can connect to this process", "err", err)
 	}
-	return h.bind()
 }
 
 // accept accepts successors until the listener is closed.
@@ -334,12 +373,12 @@
 	}
 	h.mu.Lock()
 	h.closed = true
+	if h.listener != nil {
+		h.listener.Close() // first, so that a neighbor that finds its connection closed finds no listener
+	}
 	for _, peer := range h.neighborsLocked() {
 		peer.conn.Close()
 	}
-	if h.listener != nil {
-		h.listener.Close()
-	}
 	h.mu.Unlock()
 	h.goroutines.Wait()
 }
--- a/internal/hotrestart/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -294,6 +294,39 @@
 	}
 }
 
+// TestSocketOfFailedSuccessorIsTakenBack guards against a process that no successor can connect to: its successor's
+// connection ends while the successor's socket still answers, as when a killed process is being ended. The
+// process must listen again once that socket is closed. The same holds if the third of three processes ends
+// after the second.
+func TestSocketOfFailedSuccessorIsTakenBack(t *testing.T) {
+	for name, processes := range map[string]int{"second": 2, "second, then third": 3} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			oldest, first, _ := start(t, dir, "first")
+			var later []*Handover
+			for i := range processes - 1 {
+				h, _, _ := start(t, dir, fmt.Sprint("later", i))
+				later = append(later, h)
+			}
+			first.awaitProcesses(t, Processes{Count: processes})
+			later[0].predecessor.conn.Close()
+			first.awaitProcesses(t, Processes{Count: 1})
+			for _, h := range later {
+				h.Close()
+			}
+			check.Eventually(t, "the first process listens on the path", func() bool {
+				oldest.mu.Lock()
+				defer oldest.mu.Unlock()
+				info, err := os.Stat(oldest.socketPath)
+				return err == nil && os.SameFile(info, oldest.socket)
+			})
+			if _, _, inherited := start(t, dir, "next"); len(inherited[""].Endpoints) != 1 || inherited[""].Endpoints[0].Name != "first" {
+				t.Errorf("the next process inherited %+v, want the state of the first", inherited)
+			}
+		})
+	}
+}
+
 // TestUnusablePredecessor starts a process whose socket belongs to no process of its node: a dead
 // process, or one that sends nothing, invalid data or half a snapshot. The new process must start
 // without a predecessor, and the next process must be able to connect to it.
--- a/internal/hotrestart/receive.go
+++ b/internal/hotrestart/receive.go
@@ -67,18 +67,19 @@
 		return
 	}
 	h.node.ForgetPeerRequestIDs(side)
-	var bindErr error
+	done, bindErr := true, error(nil)
 	if side == requestid.Predecessor {
 		h.predecessor, h.chain.predecessors, h.chain.lastDrain = nil, 0, nil
 		close(h.predecessorEnded)
 	} else {
 		h.successor, h.chain.successors = nil, 0
-		bindErr = h.rebind() // the successor failed or exited early: the next one must be able to connect to this process
+		done, bindErr = h.rebind() // the successor failed or exited early: the next one must be able to connect to this process
 	}
 	predecessor, successor, chain := h.predecessor, h.successor, h.chain
 	h.mu.Unlock()
-	if bindErr != nil {
-		h.log.Warn("hot restart: no successor can connect to this process", "err", bindErr)
+	h.logBindError(bindErr)
+	if !done {
+		h.goroutines.Go(h.awaitFreeSocket)
 	}
 	h.log.Info("hot restart: process has ended", "peer", sideNames[side], "processes", chain.processes().Count)
 	h.node.SetProcesses(chain.processes())
