--- a/internal/node/shared_state_random_test.go
+++ b/internal/node/shared_state_random_test.go
@@ -120,7 +120,11 @@
 	run.held[request.id] = request
 	run.mu.Unlock()
 	request.answer = run.newest().exchangeAsync(forHost("orders", postRequest("credit", request.id, "", "x")))
-	<-request.reached
+	select {
+	case <-request.reached:
+	case got := <-request.answer:
+		run.t.Fatalf("request %s was answered %q before it reached a server", request.id, got)
+	}
 	run.open = append(run.open, request)
 }
 
--- a/internal/node/shared_state_test.go
+++ b/internal/node/shared_state_test.go
@@ -246,7 +246,7 @@
 // TestRequestIDInUseWhileAnswerIsPassedOn guards against a second run of a request whose long answer a slow client is
 // still reading: another client that sends the id gets 409, also after a reload, until the answer has been passed on.
 func TestRequestIDInUseWhileAnswerIsPassedOn(t *testing.T) {
-	const length = 8 << 20 // bytes, more than the sockets between the server and the client buffer
+	const length = 24 << 20 // bytes, more than the sockets between the server and the client buffer
 	server := check.ScriptedServer(t, emulator.Respond(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, patternText(length))))
 	n := startServices(t, ordersFile("", server.Addr))
 	c := n.dial()
