--- a/review/stand-2/cases/platform.go
+++ b/review/stand-2/cases/platform.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
+	"unsafe"
 )
 
 // settingsOfPage are the settings of the interface page, for one node.
@@ -57,6 +60,28 @@
 	return d.addr, string(text)
 }
 
+// tcpCloseWait is the state of a client's connection (TCP_INFO) that the node has closed in order: it has read all
+// that the client sent. A close with unread bytes, or before the bytes arrive, is answered by a reset.
+const tcpCloseWait = 8
+
+// tcpState returns the state of a client's connection, or -1.
+func tcpState(c net.Conn) int {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return -1
+	}
+	state := -1
+	_ = raw.Control(func(fd uintptr) {
+		var info [256]byte
+		size := uint32(len(info))
+		if _, _, errno := syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
+			uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0); errno == 0 {
+			state = int(info[0])
+		}
+	})
+	return state
+}
+
 // startPlatform starts a node with the platform's configuration, by the run command of the deploy file.
 func (e *env) startPlatform(listen string, sockets int, servers ...*server) *process {
 	addr, list := e.discovery(servers...)
