--- a/review/stand-2/cases/common.go
+++ b/review/stand-2/cases/common.go
@@ -12,7 +12,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -34,6 +36,8 @@
 	temp    string
 	begin   time.Time
 
+	starts chan func() // run by starter
+
 	mu     sync.Mutex
 	record *os.File
 	nodes  []*process
@@ -68,7 +72,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	code := e.guard(run)
+	e.starts = make(chan func())
+	go e.starter()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	code := e.guard(run, stop)
 	e.stopAll()
 	_ = os.RemoveAll(e.temp)
 	e.note("exit %d", code)
@@ -78,8 +86,17 @@
 // notRun is the panic value of a case that could not run.
 type notRun struct{ why string }
 
-// guard runs a case, and ends it when it takes too long or cannot run.
-func (e *env) guard(run func(*env) int) int {
+// starter starts all processes from one thread, which lasts as long as this program: when the program ends in
+// whatever way, the kernel ends them.
+func (e *env) starter() {
+	runtime.LockOSThread()
+	for start := range e.starts {
+		start()
+	}
+}
+
+// guard runs a case, and ends it when it takes too long, cannot run or is told to stop.
+func (e *env) guard(run func(*env) int, stop <-chan os.Signal) int {
 	result := make(chan int, 1)
 	go func() {
 		defer func() {
@@ -97,6 +114,9 @@
 	select {
 	case code := <-result:
 		return code
+	case s := <-stop:
+		e.note("could not run: got %v", s)
+		return exitNotRun
 	case <-time.After(caseDeadline):
 		e.note("could not run: the case took longer than %v", caseDeadline)
 		return exitNotRun
@@ -150,7 +170,10 @@
 	cmd := exec.Command("/bin/sh", "-c", e.runCommand()+" "+args)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = e.root, log, log
 	cmd.Env = append(append(os.Environ(), "TMPDIR="+e.temp), variables...)
-	if err := cmd.Start(); err != nil {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	e.starts <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
 		fail("%v", err)
 	}
 	p := &process{cmd, make(chan struct{})}
