--- a/review/stand-2/cases/common.go
+++ b/review/stand-2/cases/common.go
@@ -29,6 +29,9 @@
 	caseDeadline = 115 * time.Second
 )
 
+// returnAfter is how long a killed node is away: BRIEF says 2.2 to 7.2 s.
+const returnAfter = 3 * time.Second
+
 // env is what one run of a case has: its record, its temporary folder and the processes that it started.
 type env struct {
 	trouble bool
