Show the close of a read request on four nodes, each with a TMPDIR of its own

Case 10 now starts four separate nodes, and each node of the cases 6 and 10 gets an empty TMPDIR of its own. Without that the four took over from each other as in a hot restart.

--- a/review/stand-2/cases/case10.go
+++ b/review/stand-2/cases/case10.go
@@ -16,8 +16,10 @@
 func init() { cases["10"] = case10 }
 
 const (
-	clients10  = 40 // good clients, which keep their connections
-	crowd10    = 4  // how many idle clients come at a time
+	nodes10    = 4
+	sockets10  = 256 // the descriptors of a node
+	clients10  = 40  // good clients of a node, which keep their connections
+	crowd10    = 4   // how many idle clients come to a node at a time
 	length10   = 100 * time.Second
 	evidence10 = 3 // lost requests after which the case ends
 )
@@ -25,11 +27,16 @@
 // run10 is one run of case 10.
 type run10 struct {
 	*env
-	listen string
-	end    time.Time
-	seen   sync.Map // ids that have reached the server
+	end  time.Time
+	seen sync.Map // ids that have reached the servers
 
 	came, answered, closed, lost atomic.Int64
+}
+
+// node10 is one of the nodes of case 10, with its clients.
+type node10 struct {
+	*run10
+	listen string
 
 	mu   sync.Mutex
 	rest time.Duration // how long idle clients rested lately before the node closed their connection
@@ -60,7 +67,7 @@
 
 // crowd opens connections; on each an idle client sends one request, gets its answer and rests until the node
 // closes the connection.
-func (r *run10) crowd() {
+func (r *node10) crowd() {
 	for !r.over() {
 		c, err := net.DialTimeout("tcp", r.listen, time.Second)
 		if err != nil {
@@ -86,7 +93,7 @@
 }
 
 // pause returns how long a good client waits before its next request: about as long as a connection may rest.
-func (r *run10) pause() time.Duration {
+func (r *node10) pause() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return time.Duration(float64(r.rest) * (0.7 + 0.6*rand.Float64()))
@@ -94,7 +101,7 @@
 
 // client is a good client: it sends one request after the other, and opens a new connection when the node has
 // closed its own.
-func (r *run10) client() {
+func (r *node10) client() {
 	for !r.over() {
 		c, err := net.DialTimeout("tcp", r.listen, time.Second)
 		if err != nil {
@@ -130,32 +137,40 @@
 	}
 }
 
-// case10 keeps a node at its limit of connections: idle clients come all the time, each sends one request and
-// rests. Good clients keep their connections, and send a request now and then.
+// case10 keeps nodes at their limit of connections: idle clients come all the time, each sends one request and
+// rests. Good clients keep their connections, and send a request now and then. The nodes have nothing to do with
+// each other; there are several because the fault is rare.
 func case10(e *env) int {
-	r := &run10{env: e, listen: freePort(), end: time.Now().Add(length10), rest: 30 * time.Millisecond}
+	r := &run10{env: e}
 	s := newServer(func(w http.ResponseWriter, q *http.Request) {
 		r.seen.Store(q.Header.Get("Req-Id"), true)
 		fmt.Fprint(w, "stock")
 	})
-	const sockets = 256
-	e.startPlatform(r.listen, sockets, s)
-	e.awaitUp(r.listen)
+	var nodes []*node10
+	for i := range nodes10 {
+		n := &node10{run10: r, listen: freePort(), rest: 30 * time.Millisecond}
+		e.startPlatform(fmt.Sprintf("n%d", i), n.listen, sockets10, s)
+		e.awaitUp(n.listen)
+		nodes = append(nodes, n)
+	}
+	r.end = time.Now().Add(length10)
 	var all sync.WaitGroup
-	if e.trouble {
-		for range crowd10 {
-			all.Go(r.crowd)
+	for _, n := range nodes {
+		if e.trouble {
+			for range crowd10 {
+				all.Go(n.crowd)
+			}
+		}
+		for range clients10 {
+			all.Go(n.client)
 		}
-	}
-	for range clients10 {
-		all.Go(r.client)
-	}
-	for !r.over() {
-		time.Sleep(100 * time.Millisecond)
 	}
 	all.Wait()
-	e.note("%d idle clients came and rested %v each; of the requests of good clients %d were answered, %d were met by a close, %d of these had been read",
-		r.came.Load(), r.rest.Round(time.Millisecond), r.answered.Load(), r.closed.Load(), r.lost.Load())
+	e.note("%d idle clients came; of the requests of good clients %d were answered, %d were met by a close, %d of these had been read",
+		r.came.Load(), r.answered.Load(), r.closed.Load(), r.lost.Load())
+	for _, n := range nodes {
+		e.note("idle clients of the node at %s rested %v lately", n.listen, n.rest.Round(time.Millisecond))
+	}
 	if r.lost.Load() > 0 {
 		return exitBroken
 	}
--- a/review/stand-2/cases/case6.go
+++ b/review/stand-2/cases/case6.go
@@ -25,7 +25,7 @@
 	})
 	listen := freePort()
 	const sockets, idle, special, deadline = 512, 360, 20, 2500 * time.Millisecond
-	e.startPlatform(listen, sockets, s)
+	e.startPlatform("n0", listen, sockets, s)
 	e.awaitUp(listen)
 	good := func(id string) bool {
 		sent := time.Now()
--- a/review/stand-2/cases/platform.go
+++ b/review/stand-2/cases/platform.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"syscall"
 	"time"
@@ -82,10 +84,15 @@
 	return state
 }
 
-// startPlatform starts a node with the platform's configuration, by the run command of the deploy file.
-func (e *env) startPlatform(listen string, sockets int, servers ...*server) *process {
+// startPlatform starts a node with the platform's configuration, by the run command of the deploy file. Each
+// has a TMPDIR of its own, empty at the start (DEPLOY page).
+func (e *env) startPlatform(name, listen string, sockets int, servers ...*server) *process {
 	addr, list := e.discovery(servers...)
-	path := e.file("config.json", fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`,
-		listen, addr, sockets, list, settingsOfPage))
-	return e.startWith("node.log", "", "GW_CONFIG="+path)
+	path := e.file(name+".json", fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`,
+		name, listen, addr, sockets, list, settingsOfPage))
+	temp := filepath.Join(e.temp, name)
+	if err := os.Mkdir(temp, 0o700); err != nil {
+		fail("%v", err)
+	}
+	return e.startWith(name+".log", "", "GW_CONFIG="+path, "TMPDIR="+temp)
 }
