--- a/review/stand-2/cases/common.go
+++ b/review/stand-2/cases/common.go
@@ -209,13 +209,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, "/bin/sh", "-c", e.runCommand()+" "+args)
-	cmd.Dir = e.root
-	out, err := cmd.CombinedOutput()
+	var out bytes.Buffer
+	cmd.Dir, cmd.Stdout, cmd.Stderr = e.root, &out, &out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	e.starts <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
+		fail("%v", err)
+	}
 	code := 0
-	if err != nil {
+	if cmd.Wait() != nil {
 		code = cmd.ProcessState.ExitCode()
 	}
-	return strings.ReplaceAll(string(out), e.temp, "TEMP"), code
+	return strings.ReplaceAll(out.String(), e.temp, "TEMP"), code
 }
 
 // stopAll ends all processes that the case started.
