--- a/internal/httpserver/arrival_test.go
+++ b/internal/httpserver/arrival_test.go
@@ -27,7 +27,8 @@
 	if _, err := conn.Read(make([]byte, 4096)); err != nil {
 		t.Fatal(err)
 	}
-	if late := conn.beginRequest().Sub(written); late > queueTime/3 {
+	receivedAt, _ := conn.beginRequest()
+	if late := receivedAt.Sub(written); late > queueTime/3 {
 		t.Errorf("the request is recorded as complete %v after it was written, want no later than the write", late)
 	}
 	if err := conn.SetReadDeadline(time.Now().Add(readHeaderTimeout)); err != nil {
@@ -50,7 +51,8 @@
 	conn.mu.Lock()
 	conn.recordRead([]byte(completeRequest), readBegan)
 	conn.mu.Unlock()
-	if late := conn.beginRequest().Sub(written); late > stoppedFor/3 {
+	receivedAt, _ := conn.beginRequest()
+	if late := receivedAt.Sub(written); late > stoppedFor/3 {
 		t.Errorf("the request is recorded as complete %v after it was written, want no later than the write", late)
 	}
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"jasperpin/internal/httpframing"
 	"jasperpin/internal/limit"
 )
@@ -59,15 +61,13 @@
 	readingStopped atomic.Bool
 
 	// The following fields are guarded by tracker.mu.
-	element      *list.Element // in list; nil while the connection has a request, or after eviction
-	list         *list.List    // the tracker's eviction list that contains element
-	evicted      bool
-	lastActivity time.Time // time of the last read of bytes or of the last complete answer
+	element      *list.Element // in list; nil while the connection is in no list
+	list         *list.List    // the tracker's list that contains element
+	lastActivity time.Time     // time of the last read of bytes or of the last complete answer
 
-	mu           sync.Mutex
-	framing      httpframing.Scanner
+	mu           sync.Mutex // held while the socket is read, so that reads and closes exclude each other
+	state        connState
 	arrival      arrivalTimes
-	handled      int           // number of requests whose handler has returned
 	readDeadline time.Time     // as set by net/http
 	queueWait    time.Duration // time in the accept queue
 }
@@ -96,15 +96,14 @@
 	return connected
 }
 
-// addToList appends the connection to one of the tracker's eviction lists. The caller holds tracker.mu.
+// addToList appends the connection to one of the tracker's lists. The caller holds tracker.mu.
 func (cc *clientConn) addToList(l *list.List) {
 	cc.removeFromList()
 	cc.list = l
 	cc.element = l.PushBack(cc)
 }
 
-// removeFromList removes the connection from its eviction list, which protects it from eviction. The caller
-// holds tracker.mu.
+// removeFromList removes the connection from its list, if it is in one. The caller holds tracker.mu.
 func (cc *clientConn) removeFromList() {
 	if cc.element != nil {
 		cc.list.Remove(cc.element)
@@ -115,36 +114,44 @@
 // Read implements net.Conn for net/http. While a handler runs, net/http reads one byte to detect a disconnect;
 // that read waits for the disconnect and consumes nothing.
 func (cc *clientConn) Read(p []byte) (int, error) {
-	if len(p) == 1 && cc.hasRequest() {
+	if len(p) == 1 && cc.hasCompleteRequest() {
 		return 0, cc.awaitDisconnect()
 	}
 	n, err := cc.readAndRecord(p)
-	if n == 0 {
-		if errors.Is(err, os.ErrDeadlineExceeded) && cc.readingStopped.Load() {
-			cc.answerIncompleteRequest()
-		}
-		return n, err
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && cc.readingStopped.Load() {
+		cc.answerIncompleteRequest()
 	}
-	cc.tracker.recordActivity(cc)
 	return n, err
 }
 
-// readAndRecord reads available bytes, or waits for them. Bytes are read from the socket and recorded under one
-// lock, so that no observer finds a request neither in the socket nor in the connection's state.
+// readAndRecord reads available bytes, or waits for them. Bytes are read from the socket and recorded under the
+// lock under which the connection is closed: a request is either read before the close, which it then prevents, or
+// not read at all.
 func (cc *clientConn) readAndRecord(buf []byte) (n int, err error) {
 	began := time.Now()
+	wasActive := false
 	var readErr error
 	err = cc.raw.Read(func(fd uintptr) bool {
 		cc.mu.Lock()
 		defer cc.mu.Unlock()
+		if cc.state.closed {
+			readErr = net.ErrClosed
+			return true
+		}
 		if n, readErr = readRetryingEINTR(fd, buf); n > 0 {
+			wasActive = cc.state.owesAnswer()
 			cc.recordRead(buf[:n], began)
 		}
 		return readErr != syscall.EAGAIN //nolint:errorlint // a bare errno of a system call
 	})
+	if n > 0 && !wasActive {
+		cc.tracker.update(cc)
+	}
 	switch {
 	case err != nil: // the deadline has passed or the connection is closed
 		return 0, err
+	case errors.Is(readErr, net.ErrClosed):
+		return 0, readErr
 	case readErr != nil:
 		return 0, &net.OpError{
 			Op: "read", Net: cc.RemoteAddr().Network(), Source: cc.LocalAddr(), Addr: cc.RemoteAddr(),
@@ -159,13 +166,16 @@
 // recordRead records the bytes of a read that began at readBegan. The caller holds mu.
 func (cc *clientConn) recordRead(buf []byte, readBegan time.Time) {
 	now := time.Now()
-	cc.framing.Feed(buf)
+	cc.state.recordRead(buf)
 	cc.arrival.recordRead(readBegan, now, cc.sinceLastReceived())
 }
 
 // Write implements net.Conn. It limits the time for which a client accepts no bytes, not the total time of the
 // write.
 func (cc *clientConn) Write(p []byte) (int, error) {
+	cc.mu.Lock()
+	cc.state.wrote = true
+	cc.mu.Unlock()
 	written := 0
 	for {
 		// Setting a deadline fails only on a closed connection, where Write returns the error.
@@ -190,7 +200,7 @@
 		}
 	}
 	cc.readDeadline = t
-	if cc.readingStopped.Load() && !cc.hasRequestLocked() {
+	if cc.readingStopped.Load() && !cc.state.hasCompleteRequest() {
 		t = pastDeadline
 	}
 	return cc.Conn.SetReadDeadline(t)
@@ -200,7 +210,7 @@
 func (cc *clientConn) stopReading() {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	if cc.readingStopped.CompareAndSwap(false, true) && !cc.hasRequestLocked() {
+	if cc.readingStopped.CompareAndSwap(false, true) && !cc.state.hasCompleteRequest() {
 		_ = cc.Conn.SetReadDeadline(pastDeadline) // fails on a closed connection, where reads fail as well
 	}
 }
@@ -208,13 +218,13 @@
 // answerIncompleteRequest answers 503 if at least one byte of a request's head has been read.
 func (cc *clientConn) answerIncompleteRequest() {
 	cc.mu.Lock()
-	begun := cc.framing.InHead()
+	begun := cc.state.framing.InHead()
 	cc.mu.Unlock()
 	if !begun {
 		return
 	}
 	_ = cc.SetDeadline(time.Now().Add(lingerTimeout)) // if setting the deadline fails, the write fails as well
-	if _, err := io.WriteString(cc.Conn, incompleteRequestAnswer); err == nil {
+	if _, err := io.WriteString(cc, incompleteRequestAnswer); err == nil {
 		cc.linger()
 	}
 }
@@ -230,38 +240,100 @@
 	_, _ = io.CopyN(io.Discard, cc.Conn, maxHeaderBytes+limit.GuaranteedBody)
 }
 
-// Close closes the connection. If the client has sent bytes that were not read, Close first waits until the
-// client has read its answer (linger). It never fails.
+// Close closes the connection. If the client has an answer to read and has sent bytes that were not read, Close first
+// waits until the client has read that answer (linger). Without an answer the unread bytes stay unread, and the client
+// gets a reset: it can send a request among them again. Close never fails.
 func (cc *clientConn) Close() error {
-	if cc.tracker.shouldLinger(cc) && cc.hasUnread() {
+	if cc.hasWritten() && cc.tracker.lingers() && cc.hasUnread() {
 		cc.linger()
 	}
 	cc.tracker.close(cc)
 	return nil
 }
 
-// onConnState is the ConnState hook of http.Server. A connection becomes idle here, and not when the handler
-// returns: its answer may then still be in a buffer, and an eviction would lose it.
+// hasWritten reports whether bytes of an answer have been written since the connection was last idle.
+func (cc *clientConn) hasWritten() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.state.wrote && !cc.state.closed
+}
+
+// closeIfNothingOwed closes the connection for reading if no answer is owed on it and no bytes have arrived that may
+// complete a request. It returns false, and changes nothing, if there are any or if the connection is already closed.
+// The caller has to close the descriptor.
+func (cc *clientConn) closeIfNothingOwed() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return !cc.state.owesAnswer() && !cc.hasUnread() && cc.state.close()
+}
+
+// closeIfIdle is closeIfNothingOwed for a connection that is also between requests.
+func (cc *clientConn) closeIfIdle() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.state.phase() == phaseIdle && !cc.hasUnread() && cc.state.close()
+}
+
+// closeReading closes the connection for reading, whatever is owed on it. It returns false if the connection is
+// already closed; otherwise the caller has to close the descriptor.
+func (cc *clientConn) closeReading() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.state.close()
+}
+
+// resetAfterClose makes the kernel reset an idle connection once the client's machine has everything that was written and
+// knows that the connection is closed. A request that arrives while the kernel closes the socket would otherwise be
+// dropped in silence until its client's machine sends it again, and an end without a reset says that it was read.
+func (cc *clientConn) resetAfterClose() {
+	// Both fail only on a closed connection or a socket that is not TCP, which are closed in any case.
+	_ = cc.raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_LINGER2, -1) })
+}
+
+// phase returns the phase of the connection.
+func (cc *clientConn) phase() connPhase {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.state.phase()
+}
+
+// onConnState is the ConnState hook of http.Server. An answer ends here, and not when the handler returns: it may then
+// still be in a buffer, and an eviction would lose it.
 func onConnState(c net.Conn, state http.ConnState) {
 	if cc, ok := c.(*clientConn); ok && state == http.StateIdle {
-		cc.tracker.markIdle(cc)
+		cc.endAnswer()
 	}
 }
 
+// endAnswer records that the answer of a request has been written, and that the connection stays open.
+func (cc *clientConn) endAnswer() {
+	cc.mu.Lock()
+	cc.state.endAnswer()
+	cc.mu.Unlock()
+	cc.tracker.update(cc)
+}
+
 // nextHead returns the framing information of the head of the request being handled. It must be called exactly
 // once for each request. It returns false if no head was recognised, although net/http read one.
 func (cc *clientConn) nextHead() (h httpframing.Head, ok bool) {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	return cc.framing.NextHead()
+	return cc.state.framing.NextHead()
 }
 
-// beginRequest returns the arrival time of the last byte of the request just read. Each call must be followed
+// beginRequest records that the request just read will be answered, and returns the arrival time of its last byte.
+// It returns false if the connection was closed before: the request must not run. Otherwise the call must be followed
 // by a call of endRequest.
-func (cc *clientConn) beginRequest() time.Time {
+func (cc *clientConn) beginRequest() (receivedAt time.Time, ok bool) {
 	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	return cc.arrival.beginRequest()
+	wasActive := cc.state.owesAnswer()
+	ok = cc.state.beginAnswer()
+	receivedAt = cc.arrival.beginRequest()
+	cc.mu.Unlock()
+	if !wasActive {
+		cc.tracker.update(cc)
+	}
+	return receivedAt, ok
 }
 
 // endRequest records that the request has been answered.
@@ -271,11 +343,11 @@
 	cc.arrival.endRequest(time.Now())
 }
 
-// handlerReturned records that the handler of a request has returned.
-func (cc *clientConn) handlerReturned() {
+// hasNextRequest reports whether a complete request has been read behind the one that is being answered.
+func (cc *clientConn) hasNextRequest() bool {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	cc.handled++
+	return cc.state.hasNextRequest()
 }
 
 // sinceRequestStart returns the time since the first byte of the request being read arrived.
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -70,7 +70,7 @@
 	if err := <-read; !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("the wait for a disconnect ended with %v, want %v", err, os.ErrDeadlineExceeded)
 	}
-	conn.handlerReturned()
+	conn.endAnswer()
 	_ = conn.SetReadDeadline(time.Time{})
 	if text, err := bufio.NewReader(conn).ReadString('\n'); text != " HTTP/1.1\r\n" {
 		t.Errorf("reading the next request after the wait returned %q and error %v, want all its bytes", text, err)
@@ -87,7 +87,6 @@
 	srv := &http.Server{ConnContext: contextWithConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := connFrom(r.Context())
 		defer close(handled)
-		defer conn.handlerReturned()
 		close(handling)
 		<-sent
 		check.Eventually(t, "the second request has arrived", conn.hasUnread)
--- a/internal/httpserver/conn_tracker.go
+++ b/internal/httpserver/conn_tracker.go
@@ -13,8 +13,9 @@
 // system call under the lock that every read acquires.
 const maxEvictionCandidates = 16
 
-// connTracker limits the number of clients' connections. At the limit a new connection gets the slot of one
-// without a complete request; limit.KindToEvict selects the kind of connection to evict.
+// connTracker limits the number of clients' connections. At the limit a new connection gets the slot of one on which
+// no answer is owed; limit.KindToEvict selects the kind of connection to evict. What is owed is known to each
+// connection's connState; the tracker's lists only order the connections.
 type connTracker struct {
 	accepted atomic.Int64 // connections accepted since the start
 
@@ -22,15 +23,12 @@
 	slotFree *sync.Cond // signalled when a slot may have become free
 	limit    int        // maximum number of open connections
 	open     int        // number of open connections
-	// Connections without a complete request, by what they have sent. Each list is ordered by the last
-	// activity, oldest first.
-	silent     list.List // each element a *clientConn that has received no byte
-	partial    list.List // each element a *clientConn with one read of its first request
-	sending    list.List // each element a *clientConn with several reads of its first request
-	idle       list.List // each element a *clientConn between requests, or with part of a later request
-	slotWanted bool      // a new connection waits for a slot
-	closed     bool      // a listener is closed: connections do not wait for slots
-	noLinger   bool      // connections are closed without waiting until their clients have read
+	// byPhase are the connections on which no answer is owed, by their phase. Each list is ordered by the last
+	// activity, oldest first. Each element is a *clientConn.
+	byPhase  [phaseActive]list.List
+	waiting  int  // number of new connections that wait for a slot
+	closed   bool // a listener is closed: connections do not wait for slots
+	noLinger bool // connections are closed without waiting until their clients have read
 }
 
 func newConnTracker(limit int) *connTracker {
@@ -61,34 +59,39 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for t.open >= t.limit {
-		if old := t.victim(); old != nil {
+		if old := t.closeVictim(0); old != nil {
 			// Closed here and not in a goroutine: in a burst, connections would be accepted faster than closed,
 			// and each connection uses its descriptor until it is closed.
-			t.evict(old)
+			t.closeDescriptor(old)
 			continue
 		}
 		if t.closed {
 			break
 		}
-		t.slotWanted = true
+		t.waiting++
 		t.slotFree.Wait()
+		t.waiting--
 	}
-	t.slotWanted = false
 	t.open++
 	newConn.lastActivity = newConn.startArrivalTimes(time.Now())
-	newConn.addToList(&t.silent)
+	newConn.addToList(&t.byPhase[phaseSilent])
 }
 
-// victim returns the connection to close for a new one, or nil if each connection has a request or may have a
-// request. The caller holds mu.
-func (t *connTracker) victim() *clientConn {
+// closeVictim closes a connection for reading to make room for a new one, and returns it: its descriptor has to be
+// closed. It returns nil if each connection owes an answer or may have a request to read, or if the next one to close
+// is not idle and has been active within minQuiet. The caller holds mu.
+func (t *connTracker) closeVictim(minQuiet time.Duration) *clientConn {
 	conns := t.listToEvict()
 	if conns == nil {
 		return nil
 	}
-	// Skip connections whose request may have arrived by now: they are about to be read, and then reclassified.
+	// Skip connections whose request may have arrived by now: they are about to be read, and then listed elsewhere.
 	for e, n := conns.Front(), 0; e != nil && n < maxEvictionCandidates; e, n = e.Next(), n+1 {
-		if cc := e.Value.(*clientConn); !cc.mayHaveRequest() {
+		cc := e.Value.(*clientConn)
+		if conns != &t.byPhase[phaseIdle] && time.Since(cc.lastActivity) < minQuiet {
+			return nil
+		}
+		if cc.closeIfNothingOwed() {
 			return cc
 		}
 	}
@@ -105,16 +108,17 @@
 		quiet := now.Sub(conns.Front().Value.(*clientConn).lastActivity)
 		return limit.ConnectionGroup{Count: conns.Len(), LongestQuiet: quiet}
 	}
-	kind := limit.KindToEvict(t.limit, group(&t.silent), group(&t.partial), group(&t.sending), group(&t.idle))
+	kind := limit.KindToEvict(t.limit,
+		group(&t.byPhase[phaseSilent]), group(&t.byPhase[phasePartial]), group(&t.byPhase[phaseSending]), group(&t.byPhase[phaseIdle]))
 	switch kind {
 	case limit.SilentConnection:
-		return &t.silent
+		return &t.byPhase[phaseSilent]
 	case limit.PartialConnection:
-		return &t.partial
+		return &t.byPhase[phasePartial]
 	case limit.SendingConnection:
-		return &t.sending
+		return &t.byPhase[phaseSending]
 	case limit.IdleConnection:
-		return &t.idle
+		return &t.byPhase[phaseIdle]
 	default:
 		return nil
 	}
@@ -126,19 +130,21 @@
 func (t *connTracker) evictForDescriptor() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old := t.victim()
-	if old == nil || old.list != &t.idle && time.Since(old.lastActivity) < limit.SilentGrace {
+	old := t.closeVictim(limit.SilentGrace)
+	if old == nil {
 		return false
 	}
-	t.evict(old)
+	t.closeDescriptor(old)
 	return true
 }
 
-// evict closes a connection, and frees its slot only when the descriptor is closed. The caller holds mu, which
-// is released during the close. The goroutine that reads the connection gets an error and closes it again,
-// which has no effect.
-func (t *connTracker) evict(cc *clientConn) {
-	cc.evicted = true
+// closeDescriptor closes the descriptor of a connection that the caller has closed for reading, and frees its slot only
+// then. The caller holds mu, which is released during the close. The goroutine that reads the connection gets an error
+// and closes it again, which has no effect.
+func (t *connTracker) closeDescriptor(cc *clientConn) {
+	if cc.element != nil && cc.list == &t.byPhase[phaseIdle] {
+		cc.resetAfterClose()
+	}
 	cc.removeFromList()
 	t.mu.Unlock()
 	// Close returns when no goroutine reads or writes the connection any more. The descriptor is released even
@@ -155,7 +161,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	for _, conns := range []*list.List{&t.silent, &t.partial, &t.sending} {
+	for _, phase := range []connPhase{phaseSilent, phasePartial, phaseSending} {
+		conns := &t.byPhase[phase]
 		for e := conns.Front(); e != nil; e = e.Next() {
 			cc := e.Value.(*clientConn)
 			if !limit.IsStalled(now.Sub(cc.lastActivity)) {
@@ -171,8 +178,8 @@
 func (t *connTracker) stopReadingAll() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, conns := range []*list.List{&t.silent, &t.partial, &t.sending, &t.idle} {
-		for e := conns.Front(); e != nil; e = e.Next() {
+	for phase := range t.byPhase {
+		for e := t.byPhase[phase].Front(); e != nil; e = e.Next() {
 			e.Value.(*clientConn).stopReading()
 		}
 	}
@@ -183,15 +190,14 @@
 func (t *connTracker) closeIdle() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	candidates := make([]*clientConn, 0, t.idle.Len())
-	for e := t.idle.Front(); e != nil; e = e.Next() {
+	idle := &t.byPhase[phaseIdle]
+	candidates := make([]*clientConn, 0, idle.Len())
+	for e := idle.Front(); e != nil; e = e.Next() {
 		candidates = append(candidates, e.Value.(*clientConn))
 	}
 	for _, cc := range candidates {
-		// evict releases the lock, so the connection may have been moved to another list since it was
-		// collected.
-		if cc.element != nil && cc.list == &t.idle && cc.isIdle() {
-			t.evict(cc)
+		if cc.closeIfIdle() {
+			t.closeDescriptor(cc)
 		}
 	}
 }
@@ -211,61 +217,35 @@
 	t.slotFree.Broadcast()
 }
 
-// recordActivity records that bytes of a request have been read from a connection.
-func (t *connTracker) recordActivity(cc *clientConn) {
+// update lists a connection by its phase, as the most recently active one. It is called after each read and answer
+// that may have changed the phase.
+func (t *connTracker) update(cc *clientConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	cc.lastActivity = time.Now()
-	switch {
-	case cc.element == nil: // the connection has a request, or was evicted
-	case cc.list == &t.silent:
-		cc.addToList(&t.partial)
-	case cc.list == &t.partial:
-		cc.addToList(&t.sending)
-	default:
-		cc.list.MoveToBack(cc.element)
+	phase := cc.phase()
+	if phase >= phaseActive {
+		cc.removeFromList()
+	} else {
+		cc.addToList(&t.byPhase[phase])
 	}
-	if t.slotWanted {
+	if t.waiting > 0 {
 		t.slotFree.Signal() // this connection can be evicted now, or its request has been read
 	}
 }
 
-// markActive marks a connection as having a complete request, which protects it from eviction. It returns false
-// if the connection has already been evicted: the request must not run.
-func (t *connTracker) markActive(cc *clientConn) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if cc.evicted {
-		return false
-	}
-	cc.removeFromList()
-	return true
-}
-
-// markIdle marks a connection as idle after its request has been answered.
-func (t *connTracker) markIdle(cc *clientConn) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if cc.evicted || cc.element != nil {
-		return
-	}
-	cc.lastActivity = time.Now()
-	cc.addToList(&t.idle)
-	t.slotFree.Signal()
-}
-
-// shouldLinger reports whether closing a connection waits until its client has read its answer.
-func (t *connTracker) shouldLinger(cc *clientConn) bool {
+// lingers reports whether closing a connection waits until its client has read its answer.
+func (t *connTracker) lingers() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !cc.evicted && !t.noLinger
+	return !t.noLinger
 }
 
-// close closes a connection, unless it was evicted.
+// close closes a connection, unless it is already closed.
 func (t *connTracker) close(cc *clientConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !cc.evicted {
-		t.evict(cc)
+	if cc.closeReading() {
+		t.closeDescriptor(cc)
 	}
 }
--- a/internal/httpserver/conn_tracker_test.go
+++ b/internal/httpserver/conn_tracker_test.go
@@ -34,12 +34,8 @@
 	return client, cc
 }
 
-// victim returns the connection that would be evicted now.
-func (l *testListener) victim() *clientConn {
-	l.tracker.mu.Lock()
-	defer l.tracker.mu.Unlock()
-	return l.tracker.victim()
-}
+// isOpen reports whether a connection is open.
+func isOpen(cc *clientConn) bool { return cc.phase() != phaseClosed }
 
 func write(t *testing.T, c net.Conn, text string) {
 	t.Helper()
@@ -69,11 +65,11 @@
 				}
 			}
 			ln.connect()
-			if withRequest.evicted || !other.evicted {
-				t.Errorf("connection with a request evicted: %t, want false; other connection evicted: %t, want true", withRequest.evicted, other.evicted)
+			if !isOpen(withRequest) || isOpen(other) {
+				t.Errorf("connection with a request evicted: %t, want false; other connection evicted: %t, want true", !isOpen(withRequest), !isOpen(other))
 			}
-			if read && !ln.tracker.markActive(withRequest) {
-				t.Error("markActive failed for a connection whose request had been read")
+			if _, open := withRequest.beginRequest(); read && !open {
+				t.Error("beginRequest failed for a connection whose request had been read")
 			}
 		})
 	}
@@ -84,15 +80,13 @@
 func TestNewConnectionIsNotEvictedForDescriptor(t *testing.T) {
 	ln := newTestListener(t, 8)
 	_, fresh := ln.connect()
-	if ln.tracker.evictForDescriptor() || fresh.evicted {
+	if ln.tracker.evictForDescriptor() || !isOpen(fresh) {
 		t.Error("a connection that has just been accepted was evicted")
 	}
 	_, idle := ln.connect()
-	ln.tracker.mu.Lock()
-	idle.addToList(&ln.tracker.idle)
-	ln.tracker.mu.Unlock()
-	if !ln.tracker.evictForDescriptor() || !idle.evicted || fresh.evicted {
-		t.Errorf("idle connection evicted: %t, want true; new connection evicted: %t, want false", idle.evicted, fresh.evicted)
+	idle.endAnswer()
+	if !ln.tracker.evictForDescriptor() || isOpen(idle) || !isOpen(fresh) {
+		t.Errorf("idle connection evicted: %t, want true; new connection evicted: %t, want false", !isOpen(idle), !isOpen(fresh))
 	}
 }
 
@@ -112,10 +106,10 @@
 		first = connFrom(r.Context())
 		defer close(returned)
 		defer first.endRequest()
-		if _, recognised := first.nextHead(); !recognised || !ln.tracker.markActive(first) {
-			t.Error("nextHead or markActive failed for a new request")
+		_, recognised := first.nextHead()
+		if _, open := first.beginRequest(); !recognised || !open {
+			t.Error("nextHead or beginRequest failed for a new request")
 		}
-		first.handlerReturned()
 		_, _ = io.WriteString(w, "answer")
 	})}
 	go func() { _ = srv.Serve(ln) }()
@@ -128,7 +122,7 @@
 	select {
 	case <-idle: // the answer has already been written
 	default:
-		if victim := ln.tracker.victim(); victim != nil {
+		if victim := ln.tracker.closeVictim(0); victim != nil {
 			t.Error("a connection whose answer is not written was selected for eviction")
 		}
 	}
@@ -137,5 +131,9 @@
 	if err != nil || resp.ContentLength != 6 {
 		t.Errorf("got response %v, error %v, want 6 bytes", resp, err)
 	}
-	check.Eventually(t, "the connection is idle", func() bool { return ln.victim() == first })
+	check.Eventually(t, "the connection is evicted", func() bool {
+		ln.tracker.mu.Lock()
+		defer ln.tracker.mu.Unlock()
+		return ln.tracker.closeVictim(0) == first
+	})
 }
--- a/internal/httpserver/doc.go
+++ b/internal/httpserver/doc.go
@@ -5,18 +5,26 @@
 //
 // # From connection to answer
 //
-//   - A listener accepts a connection. At the limit a connTracker closes another connection that has no
-//     complete request, or delays the new one.
-//   - net/http reads the request from a clientConn. The clientConn sees every byte first: it tracks the
-//     framing of the requests (package httpframing) and the arrival times of their bytes (arrivalTimes).
+//   - A listener accepts a connection. At the limit a connTracker closes another connection on which no answer
+//     is owed, or delays the new one.
+//   - net/http reads the request from a clientConn. The clientConn sees every byte first: its connState records
+//     what has been read, and its arrivalTimes when the bytes arrived.
 //   - ServeHTTP starts an exchange. It parses the head (request.go), buffers as much of the body as memory
-//     allows (upload), and marks the connection as active, which protects it from eviction.
+//     allows (upload), and begins the answer, which protects the connection from eviction.
 //   - If the request's class has idempotency keys, the exchange claims the key, waits for the first
 //     request with the same key, or replays the answer to that request (idempotency.go).
 //   - service.Set.Admit admits the request or sheds it; core.Pool sends its attempts to servers.
 //   - The exchange writes the final answer (response.go). A body that is not completely buffered streams
 //     from the client to the server; a long answer streams from the server to the client.
 //
+// # Reading and closing
+//
+// A connState is the only record of what has been read on a connection and of what is owed on it. The socket is
+// read, and the connection closed for reading, under clientConn.mu: no request is read after the decision to close, and
+// no connection is closed on which a complete request has been read and not answered. Bytes that arrive after that
+// decision stay unread, so that the kernel resets the connection and the client knows that it may send its request
+// again.
+//
 // # Client presence
 //
 // No attempt may be sent for a client that has disconnected. net/http reads one byte in the background while a
--- a/internal/httpserver/exchange.go
+++ b/internal/httpserver/exchange.go
@@ -34,11 +34,8 @@
 // ServeHTTP writes the one answer to a request. It implements http.Handler and is called only by net/http.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connFrom(r.Context())
-	defer conn.handlerReturned()
 	head, recognised := conn.nextHead()
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	s.closeWhileDraining(w, conn)
 	if isReadinessProbe(r) {
 		s.answerReadiness(w)
 		return
@@ -61,6 +58,14 @@
 	}
 }
 
+// closeWhileDraining lets the answer being prepared be the last one on its connection if the server drains. A request
+// that has already been read behind it is answered first.
+func (s *Server) closeWhileDraining(w http.ResponseWriter, conn *clientConn) {
+	if s.draining.Load() && !conn.hasNextRequest() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func isReadinessProbe(r *http.Request) bool {
 	return r.URL.Path == readinessPath && (r.Method == http.MethodGet || r.Method == http.MethodHead)
 }
@@ -125,9 +130,9 @@
 
 // serve processes and answers a request after readBody has buffered its body or the beginning of it.
 func (x *exchange) serve() {
-	x.request.ReceivedAt = x.conn.beginRequest()
-	if !x.conn.tracker.markActive(x.conn) {
-		panic(http.ErrAbortHandler) // the connection was evicted and is already closed
+	var open bool
+	if x.request.ReceivedAt, open = x.conn.beginRequest(); !open {
+		panic(http.ErrAbortHandler) // the connection was closed while the body was incomplete
 	}
 	registry := x.server.services.Metrics
 	registry.OpenRequests.Add(1)
@@ -283,7 +288,8 @@
 		x.w.Header().Set("Connection", "close")
 	}
 	x.checkAnswerTime()
-	x.server.writeFinal(x.w, final, x.target.Plain)
+	x.server.closeWhileDraining(x.w, x.conn)
+	writeFinal(x.w, final, x.target.Plain)
 	switch final.Status {
 	case core.Served:
 		x.counts.Served.Add(1)
--- a/internal/httpserver/idempotency.go
+++ b/internal/httpserver/idempotency.go
@@ -175,7 +175,8 @@
 	for name, values := range answer.Header {
 		header[name] = values
 	}
-	x.server.writeFinal(x.w, core.Final{Answer: &core.Answer{
+	x.server.closeWhileDraining(x.w, x.conn)
+	writeFinal(x.w, core.Final{Answer: &core.Answer{
 		StatusCode: answer.Code, Header: header, Body: answer.Body, ContentLength: int64(len(answer.Body)),
 	}}, x.target.Plain)
 	if answer.Code >= http.StatusInternalServerError {
--- a/internal/httpserver/presence.go
+++ b/internal/httpserver/presence.go
@@ -16,29 +16,11 @@
 // is well below the size of that buffer.
 const maxUnreadBytes = 48 << 10
 
-// hasRequestLocked reports whether a complete request has been read whose handler has not returned. The caller
-// holds mu.
-func (cc *clientConn) hasRequestLocked() bool { return cc.framing.CompleteRequests() > cc.handled }
-
-// hasRequest is hasRequestLocked for callers that do not hold mu.
-func (cc *clientConn) hasRequest() bool {
-	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	return cc.hasRequestLocked()
-}
-
-// mayHaveRequest reports whether the connection has a complete request, or unread bytes that may complete one.
-func (cc *clientConn) mayHaveRequest() bool {
-	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	return cc.hasRequestLocked() || cc.hasUnread()
-}
-
-// isIdle reports whether the connection is between requests and no bytes are arriving on it.
-func (cc *clientConn) isIdle() bool {
+// hasCompleteRequest reports whether a complete request has been read that has not been answered.
+func (cc *clientConn) hasCompleteRequest() bool {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	return cc.framing.BetweenRequests() && !cc.hasRequestLocked() && !cc.hasUnread()
+	return cc.state.hasCompleteRequest()
 }
 
 // awaitDisconnect waits until the client of a complete request has disconnected. It consumes no bytes: bytes
@@ -69,7 +51,7 @@
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	ended := !cc.readDeadline.IsZero() && !cc.readDeadline.After(pastDeadline)
-	if ended || !cc.hasRequestLocked() {
+	if ended || !cc.state.hasCompleteRequest() {
 		return true
 	}
 	cc.readDeadline = time.Time{}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -36,11 +36,7 @@
 
 // writeFinal writes a request's final answer. If the answer cannot be written completely, it aborts the
 // connection with the panic that net/http provides for this purpose.
-func (s *Server) writeFinal(w http.ResponseWriter, final core.Final, plain bool) {
-	header := w.Header()
-	if s.draining.Load() {
-		header.Set("Connection", "close")
-	}
+func writeFinal(w http.ResponseWriter, final core.Final, plain bool) {
 	if final.Answer == nil {
 		writeStatus(w, statusWithoutAnswer[final.Status], final.RetryAfter, plain)
 		return
--- a/internal/limit/evict.go
+++ b/internal/limit/evict.go
@@ -10,8 +10,8 @@
 const (
 	NothingToEvict    ConnectionKind = iota // no connection: all of them have a request
 	SilentConnection                        // a connection that has never sent a byte
-	PartialConnection                       // a connection that has sent a part of its first request in one piece and nothing since
-	SendingConnection                       // a connection that has sent a part of its first request in several pieces
+	PartialConnection                       // a connection that has sent a part of a request in one piece and nothing since
+	SendingConnection                       // a connection that has sent a part of a request in several pieces
 	IdleConnection                          // a connection that is idle between requests
 )
 
