--- a/internal/httpframing/framing.go
+++ b/internal/httpframing/framing.go
@@ -28,6 +28,8 @@
 	// maxHeads limits the number of heads that NextHead has not returned yet: a reader's buffer holds only a
 	// few heads.
 	maxHeads = 256
+	// MaxFields limits the number of lines of a head or trailer: each costs its reader far more memory than its bytes.
+	MaxFields = 128
 )
 
 type state uint8
@@ -57,6 +59,7 @@
 // headScan is the state of a head that is being parsed.
 type headScan struct {
 	hasRequestLine bool
+	fields         int // number of lines, with the request line
 	http10         bool
 	ambiguous      bool
 	chunked        bool
@@ -88,6 +91,9 @@
 	return s.state == inHead && (s.head.hasRequestLine || len(s.line) > 0)
 }
 
+// HasTooManyFields reports whether a head or trailer has more than MaxFields lines. The Scanner has then stopped.
+func (s *Scanner) HasTooManyFields() bool { return s.head.fields > MaxFields }
+
 // Feed parses the next bytes of the connection.
 func (s *Scanner) Feed(p []byte) {
 	for len(p) > 0 {
@@ -140,6 +146,10 @@
 
 // endLine parses a complete line.
 func (s *Scanner) endLine() {
+	if (s.state == inHead || s.state == inTrailer) && s.countField() > MaxFields {
+		s.state = stopped
+		return
+	}
 	line := string(bytes.TrimSuffix(s.line, []byte{'\r'}))
 	switch s.state {
 	case inHead:
@@ -157,6 +167,12 @@
 	}
 }
 
+// countField counts a line of a head or trailer, and returns the number of its lines.
+func (s *Scanner) countField() int {
+	s.head.fields++
+	return s.head.fields
+}
+
 // endChunkSize parses the size line of a chunk.
 func (s *Scanner) endChunkSize(line string) {
 	size, _, _ := strings.Cut(line, ";")
@@ -235,5 +251,6 @@
 // endRequest records that the last byte of a request has been fed.
 func (s *Scanner) endRequest() {
 	s.state = inHead
+	s.head = headScan{}
 	s.complete++
 }
--- a/internal/httpframing/framing_test.go
+++ b/internal/httpframing/framing_test.go
@@ -61,6 +61,8 @@
 		line + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n":                                                   ".!",
 		line + "X: " + strings.Repeat("y", 2*maxLineBytes) + "\r\n\r\n":                                            ".",
 		"GET /" + strings.Repeat("y", 2*maxLineBytes) + " HTTP/1.1\r\n\r\n":                                        ".",
+		line + strings.Repeat("X:\r\n", MaxFields-2) + "\r\n":                                                      ".",
+		line + strings.Repeat("X:\r\n", MaxFields) + "\r\n":                                                        "!",
 	} {
 		for _, size := range []int{1, 7, 1 << 20} {
 			if got := verdicts(text, size); got != want {
@@ -88,6 +90,9 @@
 				return
 			}
 			h, ok := s.NextHead()
+			if !ok && s.HasTooManyFields() {
+				return // the request is rejected and its connection closed
+			}
 			if !ok {
 				t.Fatalf("request %d of %q was not recognised, and net/http reads it", n, text)
 			}
--- a/internal/httpserver/body_memory.go
+++ b/internal/httpserver/body_memory.go
@@ -6,8 +6,7 @@
 	"jasperpin/internal/limit"
 )
 
-// bodyMemory is the memory for request bodies beyond the limit.GuaranteedBody bytes that each connection has in
-// any case. All sizes are in bytes.
+// bodyMemory is the memory for request bodies beyond the guaranteed part of each. All sizes are in bytes.
 type bodyMemory struct {
 	mu     sync.Mutex
 	budget *limit.BodyMemory
@@ -20,6 +19,13 @@
 	m.budget.Resize(machine)
 }
 
+// guaranteed returns the part of each body that needs no reservation.
+func (m *bodyMemory) guaranteed() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.budget.Guaranteed()
+}
+
 // reserve reserves n more bytes for a body that has already reserved some. It returns false if the body may not
 // have more; the rest of the body then streams.
 func (m *bodyMemory) reserve(reserved, n int) bool {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -42,6 +42,9 @@
 // pastDeadline ends reads immediately. net/http uses the same value to end its background read.
 var pastDeadline = time.Unix(1, 0)
 
+// errTooManyFields ends the reading of a head with more lines than httpframing.MaxFields, which net/http answers 400.
+var errTooManyFields = errors.New("too many header fields")
+
 // errNoDescriptor reports that a connection has no file descriptor, without which its disconnect cannot be
 // detected.
 var errNoDescriptor = errors.New("connection has no file descriptor")
@@ -129,7 +132,7 @@
 // not read at all.
 func (cc *clientConn) readAndRecord(buf []byte) (n int, err error) {
 	began := time.Now()
-	wasActive := false
+	wasActive, tooManyFields := false, false
 	var readErr error
 	err = cc.raw.Read(func(fd uintptr) bool {
 		cc.mu.Lock()
@@ -141,6 +144,7 @@
 		if n, readErr = readRetryingEINTR(fd, buf); n > 0 {
 			wasActive = cc.state.owesAnswer()
 			cc.recordRead(buf[:n], began)
+			tooManyFields = cc.state.framing.HasTooManyFields()
 		}
 		return readErr != syscall.EAGAIN //nolint:errorlint // a bare errno of a system call
 	})
@@ -148,6 +152,8 @@
 		cc.tracker.update(cc)
 	}
 	switch {
+	case tooManyFields:
+		return 0, errTooManyFields
 	case err != nil: // the deadline has passed or the connection is closed
 		return 0, err
 	case errors.Is(readErr, net.ErrClosed):
@@ -237,7 +243,7 @@
 	if half, ok := cc.Conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
-	_, _ = io.CopyN(io.Discard, cc.Conn, maxHeaderBytes+limit.GuaranteedBody)
+	_, _ = io.CopyN(io.Discard, cc.Conn, maxHeaderBytes+limit.MaxGuaranteedBody)
 }
 
 // Close closes the connection. If the client has an answer to read and has sent bytes that were not read, Close first
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -28,7 +28,7 @@
 	// with the duration of a shutdown.
 	shutdownPollInterval = 20 * time.Millisecond
 	// maxHeaderBytes limits the size of a request's head, so that no client can make the node buffer more.
-	maxHeaderBytes = 32 << 10
+	maxHeaderBytes = 16 << 10
 )
 
 // Server is the HTTP server for clients. Create it with New. Its methods may be called from any goroutine
--- a/internal/httpserver/upload.go
+++ b/internal/httpserver/upload.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -209,22 +210,37 @@
 	return min(length, firstBufferBytes)
 }
 
-// grow returns the body in a larger buffer. It returns false if the rest has to stream, since the body is
-// longer than the maximum for buffering or memory is short.
+// grow returns the body in a larger buffer: twice the size, or streamChunkBytes more if memory is short. It returns
+// false if the rest has to stream, since the body is longer than the maximum for buffering or memory is short.
 func (u *upload) grow(body []byte, length int64) ([]byte, bool) {
 	if length > limit.MaxHeldBody {
 		return nil, false
 	}
-	more := min(max(cap(body), firstBufferBytes), streamChunkBytes)
-	if needed := len(body) + more - limit.GuaranteedBody; needed > u.reserved {
-		if !u.memory.reserve(u.reserved, needed-u.reserved) {
+	more := max(cap(body), firstBufferBytes)
+	if length >= 0 {
+		more = min(more, max(int(length)-len(body), bytes.MinRead)) // with space for the read that returns io.EOF
+	}
+	if !u.reserve(len(body) + more) {
+		if more = min(more, streamChunkBytes); !u.reserve(len(body) + more) {
 			return nil, false
 		}
-		u.reserved = needed
 	}
 	return append(make([]byte, 0, len(body)+more), body...), true
 }
 
+// reserve reserves the memory for a buffer of a size. It returns false if memory is short.
+func (u *upload) reserve(size int) bool {
+	needed := size - u.memory.guaranteed()
+	if needed <= u.reserved {
+		return true
+	}
+	if !u.memory.reserve(u.reserved, needed-u.reserved) {
+		return false
+	}
+	u.reserved = needed
+	return true
+}
+
 // releaseMemory releases the memory that the body has reserved.
 func (u *upload) releaseMemory() {
 	if u.reserved > 0 {
--- a/internal/limit/machine.go
+++ b/internal/limit/machine.go
@@ -39,9 +39,19 @@
 	// heapShare is the part of the memory for the heap, the soft limit near which the garbage collector runs
 	// most often. The rest is for stacks, the runtime and kernel buffers charged to the process.
 	heapShare = 0.7
-	// bodyShare is the part of the memory for bodies: half of the heap. The other half is for everything else
-	// that requests need.
-	bodyShare = 0.35
+	// programBytes is the resident size of the program's own file and of what the runtime does not count as its
+	// memory. minHeapShare is the part of a small memory that the heap has in any case.
+	programBytes = 16 << 20
+	minHeapShare = 0.5
+	// baseHeapBytes is the part of the heap that a node without requests needs.
+	baseHeapBytes = 4 << 20
+	// connectionShare is the largest part of the rest of the heap for connections, and connectionBytes what one of
+	// them needs besides bodies: buffers, the head of a request and a stack.
+	connectionShare = 0.65
+	connectionBytes = 26 << 10
+	// bodyShare is the part of the rest of the heap for bodies. It overlaps with the largest part for connections: few of
+	// them have a body that is longer than their guaranteed part.
+	bodyShare = 0.5
 	// stackShare is the part of the memory for stacks.
 	stackShare = 0.2
 	// stackSize is the size of a goroutine's stack, in bytes, after the goroutine has read a request or an
@@ -86,9 +96,14 @@
 	return m
 }
 
-// ServerConnections returns the limit of connections to servers.
+// ServerConnections returns the limit of connections to servers: as many as there are descriptors and memory for.
 func (m Machine) ServerConnections() int {
-	return max(0, m.sharedServerConnections()-m.Draining.Servers)
+	return max(0, min(m.sharedServerConnections()-m.Draining.Servers, m.connectionsInMemory()/serverDivisor))
+}
+
+// connectionsInMemory returns how many connections there is memory for.
+func (m Machine) connectionsInMemory() int {
+	return int(connectionShare*float64(m.requestBytes())) / connectionBytes
 }
 
 // sharedServerConnections returns the limit of connections to servers of both processes together: 1/serverDivisor
@@ -99,8 +114,15 @@
 	return min(available/serverDivisor, (available-spareDescriptors)/2, available-spareDescriptors-m.Draining.Clients)
 }
 
-// ClientConnections returns the limit of client connections: all descriptors that connections to servers leave.
+// ClientConnections returns the limit of client connections: all descriptors that connections to servers leave, and
+// no more than have room in the memory.
 func (m Machine) ClientConnections() int {
+	inMemory := m.connectionsInMemory()
+	return max(0, min(m.clientDescriptors(), inMemory-inMemory/serverDivisor))
+}
+
+// clientDescriptors returns the number of descriptors that connections to servers leave for clients.
+func (m Machine) clientDescriptors() int {
 	servers := max(m.sharedServerConnections(), m.Draining.Servers)
 	return max(0, m.Descriptors-m.Reserved-spareDescriptors-servers-m.Draining.Clients)
 }
@@ -108,20 +130,33 @@
 // PeerConnections returns the limit of connections of a process that serves no clients.
 func (m Machine) PeerConnections() int { return m.Descriptors - m.Reserved - spareDescriptors }
 
-// HeapLimit returns the soft memory limit for the Go runtime, in bytes.
-func (m Machine) HeapLimit() int64 { return int64(heapShare * float64(m.Memory)) }
+// HeapLimit returns the soft memory limit for the Go runtime, in bytes: heapShare of the memory, less in a small one,
+// of which the program itself needs a large part.
+func (m Machine) HeapLimit() int64 {
+	all := float64(m.Memory)
+	return int64(max(minHeapShare*all, min(heapShare*all, all-programBytes)))
+}
 
 // BodyBytes returns the limit of the bytes of bodies that are in memory at a time.
-func (m Machine) BodyBytes() int { return int(bodyShare * float64(m.Memory)) }
+func (m Machine) BodyBytes() int { return int(bodyShare * float64(m.requestBytes())) }
+
+// requestBytes returns the part of the heap for requests.
+func (m Machine) requestBytes() int64 { return max(0, m.HeapLimit()-baseHeapBytes) }
+
+// GuaranteedBody returns the part of each body, in bytes, that is always stored in memory: MaxGuaranteedBody, or less
+// if bodies of that size on all client connections would use more than half of the memory for bodies.
+func (m Machine) GuaranteedBody() int {
+	return min(MaxGuaranteedBody, m.BodyBytes()/2/max(1, m.ClientConnections()))
+}
 
 // Goroutines returns the limit of goroutines, not counting the one of each client connection: a request has one
 // that watches its client, and one for each attempt.
 func (m Machine) Goroutines() int {
-	return max(0, int(stackShare*float64(m.Memory))/stackSize-m.ClientConnections())
+	return max(0, int(stackShare*float64(m.Memory))/stackSize-m.clientDescriptors())
 }
 
 // MinMemory returns the least memory, in bytes, that suffices for the descriptors: for the stacks of all client
 // connections and of half of the attempts that may be in flight.
 func (m Machine) MinMemory() int64 {
-	return int64(float64((m.ClientConnections()+m.ServerConnections()/2)*stackSize)/stackShare) + 1
+	return int64(float64((m.clientDescriptors()+m.sharedServerConnections()/2)*stackSize)/stackShare) + 1
 }
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -26,6 +26,7 @@
 		"negative length":       head + "Content-Length: -5\r\n\r\n" + hidden,
 		"two lengths":           head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello" + hidden,
 		"huge length":           head + "Content-Length: 99999999999\r\n\r\n" + hidden,
+		"many fields":           strings.TrimSuffix(lookRequest("x"), "\r\n") + strings.Repeat("A:\r\n", 200) + "\r\n" + hidden,
 		"noise":                 "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\r\n\r\n" + hidden,
 	} {
 		got := n.exchange(text)
