--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
+
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -68,6 +70,8 @@
 	list         *list.List    // the tracker's list that contains element
 	lastActivity time.Time     // time of the last read of bytes or of the last complete answer
 
+	readsWithoutWait int // number of reads in a row that found bytes; used by the reading goroutine only
+
 	mu           sync.Mutex // held while the socket is read, so that reads and closes exclude each other
 	state        connState
 	arrival      arrivalTimes
@@ -132,7 +136,7 @@
 // not read at all.
 func (cc *clientConn) readAndRecord(buf []byte) (n int, err error) {
 	began := time.Now()
-	wasActive, tooManyFields := false, false
+	wasActive, tooManyFields, waited := false, false, false
 	var readErr error
 	err = cc.raw.Read(func(fd uintptr) bool {
 		cc.mu.Lock()
@@ -146,11 +150,16 @@
 			cc.recordRead(buf[:n], began)
 			tooManyFields = cc.state.framing.HasTooManyFields()
 		}
-		return readErr != syscall.EAGAIN //nolint:errorlint // a bare errno of a system call
+		if readErr == syscall.EAGAIN { //nolint:errorlint // a bare errno of a system call
+			waited = true
+			return false
+		}
+		return true
 	})
 	if n > 0 && !wasActive {
 		cc.tracker.update(cc)
 	}
+	cc.yieldIfFlooding(waited)
 	switch {
 	case tooManyFields:
 		return 0, errTooManyFields
@@ -169,6 +178,23 @@
 	return n, nil
 }
 
+// maxReadsWithoutWait is the number of reads in a row that may find bytes before the connection yields. The first
+// read of a connection usually does.
+const maxReadsWithoutWait = 2
+
+// yieldIfFlooding lets other goroutines run first if the client sends as fast as it is read. The goroutine of its
+// connection would never wait otherwise, and each step of every other request would wait for a time slice of it.
+// Only the goroutine that reads the connection may call it.
+func (cc *clientConn) yieldIfFlooding(waited bool) {
+	if waited {
+		cc.readsWithoutWait = 0
+		return
+	}
+	if cc.readsWithoutWait++; cc.readsWithoutWait > maxReadsWithoutWait {
+		runtime.Gosched()
+	}
+}
+
 // recordRead records the bytes of a read that began at readBegan. The caller holds mu.
 func (cc *clientConn) recordRead(buf []byte, readBegan time.Time) {
 	now := time.Now()
@@ -315,8 +341,12 @@
 func (cc *clientConn) endAnswer() {
 	cc.mu.Lock()
 	cc.state.endAnswer()
+	pipelined := cc.state.hasCompleteRequest()
 	cc.mu.Unlock()
 	cc.tracker.update(cc)
+	if pipelined {
+		runtime.Gosched() // see yieldIfFlooding
+	}
 }
 
 // nextHead returns the framing information of the head of the request being handled. It must be called exactly
