--- a/internal/httpclient/answer.go
+++ b/internal/httpclient/answer.go
@@ -15,12 +15,15 @@
 const (
 	// maxHeadBytes limits the head of an answer.
 	maxHeadBytes = 32 << 10
-	// maxBufferedBytes limits all bytes that a server may send for an answer that is read completely, including
-	// 1xx answers and chunk framing: a short body, the same amount again, and a head.
-	maxBufferedBytes = 2*core.MaxBufferedAnswer + maxHeadBytes
-	// maxFramingFactor limits the bytes of a longer answer on the wire, as a multiple of its length: chunks of
-	// a few bytes are mostly framing.
+	// maxFramingFactor limits the bytes of an answer on the wire, as a multiple of its length: chunks of one byte
+	// are mostly framing.
 	maxFramingFactor = 8
+	// maxBufferedBytes limits all bytes that a server may send for an answer that is read completely, including
+	// 1xx answers and chunk framing.
+	maxBufferedBytes = maxFramingFactor*core.MaxBufferedAnswer + maxHeadBytes
+	// forwardMargin is how long before the end of an attempt an answer without a length is forwarded as it arrives,
+	// if more of it arrives then: a server that writes slowly pauses for less.
+	forwardMargin = 100 * time.Millisecond
 	// answerStallTimeout is how long a server may pause within a streaming answer. The attempt's own timeout
 	// ends with the first bytes.
 	answerStallTimeout = 10 * time.Second
@@ -35,6 +38,9 @@
 	errNoLength      = fmt.Errorf("%w: length not announced", errBadAnswer)
 )
 
+// errStillArriving ends the buffering of an answer that is forwarded as it arrives from now on.
+var errStillArriving = errors.New("answer is still arriving")
+
 // readHead reads an answer's head, and skips 1xx answers before it. Its error wraps errBadAnswer or the error
 // of the connection.
 func (c *serverConn) readHead(req *http.Request) (*http.Response, error) {
@@ -56,7 +62,7 @@
 // reports that there is more. A body that only the end of the connection would delimit is rejected unless the
 // server announces that it closes: if the body were truncated, or its length header lost on the way, it would
 // seem complete.
-func (c *serverConn) readBody(resp *http.Response, maxBytes int64) (body []byte, more bool, err error) {
+func (c *serverConn) readBody(resp *http.Response, maxBytes int64, forwardFrom time.Time) (body []byte, more bool, err error) {
 	switch {
 	case resp.Request.Method == http.MethodHead:
 		return nil, false, nil
@@ -68,7 +74,7 @@
 		body, err = c.readFirstChunk(resp, maxBytes)
 		return body, err == nil, err
 	}
-	return c.readShortBody(resp, maxBytes)
+	return c.readShortBody(resp, maxBytes, forwardFrom)
 }
 
 // readFirstChunk reads the first bytes of a streaming body.
@@ -83,21 +89,43 @@
 }
 
 // readShortBody reads a body that is announced as short, or whose length is not announced. It reports whether
-// there is more because the body is longer than core.MaxBufferedAnswer.
-func (c *serverConn) readShortBody(resp *http.Response, maxBytes int64) (body []byte, more bool, err error) {
+// there is more, as the body is longer than core.MaxBufferedAnswer, or as it may be and is still arriving after
+// forwardFrom: a long answer that its server writes slowly must not be cut off.
+func (c *serverConn) readShortBody(resp *http.Response, maxBytes int64, forwardFrom time.Time) (body []byte, more bool, err error) {
 	var b bytes.Buffer
 	if resp.ContentLength > 0 { // with space for the read that returns io.EOF
 		b.Grow(int(resp.ContentLength) + bytes.MinRead)
 	}
-	if _, err := b.ReadFrom(io.LimitReader(resp.Body, core.MaxBufferedAnswer+1)); err != nil {
+	source := io.LimitReader(resp.Body, core.MaxBufferedAnswer+1)
+	if resp.ContentLength < 0 {
+		source = &readerUntil{source, forwardFrom, false}
+	}
+	_, err = b.ReadFrom(source)
+	if more = errors.Is(err, errStillArriving); err != nil && !more {
 		return nil, false, fmt.Errorf("reading an answer's body: %w", err)
 	}
-	if more = b.Len() > core.MaxBufferedAnswer; more {
+	if more = more || b.Len() > core.MaxBufferedAnswer; more {
 		c.readLimit = maxFramingFactor * maxBytes
 	}
 	return b.Bytes(), more, nil
 }
 
+// readerUntil returns errStillArriving once a read has returned bytes after the end.
+type readerUntil struct {
+	io.Reader
+	end   time.Time
+	ended bool
+}
+
+func (r *readerUntil) Read(p []byte) (int, error) {
+	if r.ended {
+		return 0, errStillArriving
+	}
+	n, err := r.Reader.Read(p)
+	r.ended = n > 0 && time.Now().After(r.end)
+	return n, err //nolint:wrapcheck // the reader's own error
+}
+
 // announcesClose reports whether the server has announced that it closes the connection after the answer.
 func announcesClose(resp *http.Response) bool {
 	http10 := resp.ProtoMajor == 1 && resp.ProtoMinor == 0
--- a/internal/httpclient/attempt.go
+++ b/internal/httpclient/attempt.go
@@ -61,7 +61,7 @@
 	if resp == nil {
 		return result, nil
 	}
-	return a.receive(resp)
+	return a.receive(resp, deadlines.ClientDeadline.Add(-forwardMargin))
 }
 
 // notSent returns the result of an attempt that was not sent for a reason of this node. It counts against no
@@ -167,15 +167,16 @@
 }
 
 // receive reads the body of an answer and ends the attempt: its connection is closed, made idle, or owned by
-// the rest of a streaming answer.
-func (a *attempt) receive(resp *http.Response) (decide.Result, *core.Answer) {
+// the rest of a streaming answer. An answer without a length that is still arriving after
+// forwardFrom becomes a streaming one.
+func (a *attempt) receive(resp *http.Response, forwardFrom time.Time) (decide.Result, *core.Answer) {
 	upstream := a.conn.server.Upstream
 	result, final := upstream.resultOfHead(resp)
 	stopDrain := func() bool { return true }
 	if final { // the body is read only so that the connection can be reused
 		stopDrain = time.AfterFunc(drainTimeout, a.conn.interrupt).Stop
 	}
-	body, more, err := a.conn.readBody(resp, upstream.MaxBody)
+	body, more, err := a.conn.readBody(resp, upstream.MaxBody, forwardFrom)
 	if err == nil && more && !final {
 		return a.stream(resp, body)
 	}
--- a/internal/httpclient/upstream_test.go
+++ b/internal/httpclient/upstream_test.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	body, _, err := c.readBody(resp, core.DefaultMaxBody)
+	body, _, err := c.readBody(resp, core.DefaultMaxBody, time.Now().Add(time.Minute))
 	if err != nil {
 		t.Fatal(err)
 	}
