--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -121,13 +121,18 @@
 }
 
 // release removes a request that is settled and has no attempt in flight, and frees its id unless its answer is still
-// being streamed. It is called with Pool.mu held.
+// being streamed. The id of a request that may have run, and whose client left without an answer, stays in use for
+// a while: servers would run another request of that id as well. It is called with Pool.mu held.
 func (p *Pool) release(r *OpenRequest) {
 	if !r.settled.Load() || r.outstanding > 0 || p.requests[r.id] != r {
 		return
 	}
 	delete(p.requests, r.id)
-	if !r.answerStreams {
+	switch {
+	case r.answerStreams: // answerEnded frees the id
+	case r.clientDisconnected && r.mayHaveRun():
+		p.shared.holdRequestID(r.ID)
+	default:
 		p.shared.closeRequestID(r.ID)
 	}
 	if p.settings.Placer != nil {
--- a/internal/core/shared.go
+++ b/internal/core/shared.go
@@ -17,6 +17,7 @@
 
 	mu          sync.Mutex // guards the following fields; may be locked with Pool.mu held, and is held for one operation
 	requestIDs  *requestid.Registry
+	heldIDs     int // number of ids that holdRequestID keeps in use
 	maintenance *maintenance.Registry
 	pools       map[*Pool]struct{} // the pools that use the state and are not closed
 }
@@ -44,6 +45,30 @@
 	s.mu.Unlock()
 }
 
+// The ids of requests whose clients have left stay in use for heldIDTime, the longest time for which a client may
+// wait, but at most maxHeldIDs of them.
+const (
+	heldIDTime = MaxClientTimeout
+	maxHeldIDs = 4096
+)
+
+// holdRequestID frees a request id after heldIDTime, or now if too many ids are held.
+func (s *SharedState) holdRequestID(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heldIDs >= maxHeldIDs {
+		s.requestIDs.Close(id)
+		return
+	}
+	s.heldIDs++
+	time.AfterFunc(heldIDTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.heldIDs--
+		s.requestIDs.Close(id)
+	})
+}
+
 // RequestIDs returns an update for another process of the node, with the request ids in use here and in the processes
 // beyond this one: all ids if complete is set or this is the first update, otherwise the changes since the last one.
 func (s *SharedState) RequestIDs(to requestid.Neighbor, complete bool) requestid.Update {
