--- a/internal/core/begin.go
+++ b/internal/core/begin.go
@@ -143,13 +143,44 @@
 	}
 	p.handle(eventWritten, func(now time.Duration) {
 		r := a.request
-		r.deadline = p.capDeadline(now + r.Timeout)
+		r.deadline = p.capDeadline(p.clockTime(r.bodySentAt()) + r.Timeout)
 		if remaining := p.balancer.SetDeadline(now, r.id, r.deadline); remaining > 0 {
 			a.timer.Reset(remaining)
 		}
 	})
 }
 
+// bodySentAt returns the time from which the timeout of a streamed request counts.
+func (r *OpenRequest) bodySentAt() time.Time {
+	if r.BodySentAt == nil {
+		return time.Now()
+	}
+	return r.BodySentAt()
+}
+
+// watchUpload ends a streamed request whose client may no longer wait although its body is not yet written to a server:
+// the server reads it slowly, or the request waits for a connection. It checks again when more of the body has arrived
+// since.
+func (p *Pool) watchUpload(r *OpenRequest) {
+	if r.settled.Load() {
+		return
+	}
+	if remaining := time.Until(r.BodySentAt().Add(r.Timeout)); remaining > 0 {
+		time.AfterFunc(remaining, func() { p.watchUpload(r) })
+		return
+	}
+	p.handle(eventTimer, func(now time.Duration) {
+		if r.settled.Load() {
+			return
+		}
+		r.deadline = min(r.deadline, now)
+		p.balancer.SetDeadline(now, r.id, r.deadline)
+		for _, a := range r.attempts {
+			p.afterUnlock(func() { a.cancel(ErrTimedOut) })
+		}
+	})
+}
+
 // checkInvariants records the invariants that an attempt has violated by the time its last byte is written.
 // serverTimeout is the time that its server was given.
 func (p *Pool) checkInvariants(attempt *attempt, serverTimeout time.Duration) {
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -73,6 +73,10 @@
 	// Presence reports whether the client still waits, by the state of its connection. It is called
 	// before each attempt is written, and must not block. Nil means ClientWaiting.
 	Presence func() ClientPresence
+	// BodySentAt returns the earliest time at which the client may have sent the last byte of a streamed body, by
+	// what is known now: Timeout counts from then, however slowly a server reads the body. It must not block. If it
+	// is nil, Timeout counts from when the last byte is written to a server.
+	BodySentAt func() time.Time
 	// HasWaiters reports whether duplicate requests wait for this request's final answer now. It must
 	// not block. If it is set, attempts that have begun continue after the client disconnected, for
 	// duplicates that may still arrive; an attempt that has not begun continues only if HasWaiters returns
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -50,6 +50,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.StreamedBody != nil && r.BodySentAt != nil {
+		time.AfterFunc(r.Timeout, func() { p.watchUpload(r) })
+	}
 	return r, nil
 }
 
--- a/internal/httpserver/exchange.go
+++ b/internal/httpserver/exchange.go
@@ -94,6 +94,7 @@
 func (x *exchange) newUpload() *upload {
 	return &upload{
 		body: x.httpRequest.Body, controller: x.controller, memory: &x.server.bodies, maxBytes: x.target.MaxBody,
+		length: x.httpRequest.ContentLength, unread: x.conn.unreadBytes, lastWait: time.Now(),
 		grace: max(bodyGrace, requestTimeout-x.conn.sinceRequestStart()),
 	}
 }
@@ -163,7 +164,8 @@
 	request.Presence = x.conn.presence
 	if !x.buffered {
 		request.StreamedBody, request.ContentLength = x.upload, r.ContentLength
-		request.Presence = x.conn.presenceWhileStreaming
+		request.BodySentAt = x.upload.sentAt
+		request.Presence = func() core.ClientPresence { return x.conn.presenceWhileStreaming(x.upload.lastRead()) }
 		// Without full duplex an answer would wait for the rest of the body. The call fails only for HTTP
 		// versions other than 1.x, which this server does not support.
 		_ = x.controller.EnableFullDuplex()
--- a/internal/httpserver/presence.go
+++ b/internal/httpserver/presence.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"jasperpin/internal/core"
+	"jasperpin/internal/invariant"
 )
 
 // maxUnreadBytes is the largest number of unread bytes behind a complete request with which a disconnect can
@@ -78,13 +79,15 @@
 	return client
 }
 
-// presenceWhileStreaming is presence for a request whose body is still arriving: unread bytes belong to that
-// body.
-func (cc *clientConn) presenceWhileStreaming() core.ClientPresence {
-	if client := cc.presence(); client == core.ClientDisconnected {
-		return client
+// presenceWhileStreaming is presence for a request whose body is still arriving, and of which bytes were last read at
+// lastRead. Unread bytes belong to that body. They can hide that the client has left since, which matters once that is
+// longer ago than invariant.DisconnectSlack.
+func (cc *clientConn) presenceWhileStreaming(lastRead time.Time) core.ClientPresence {
+	client := cc.presence()
+	if client == core.ClientPresenceUnknown && time.Since(lastRead) < invariant.DisconnectSlack {
+		return core.ClientWaiting
 	}
-	return core.ClientWaiting
+	return client
 }
 
 // hasUnread reports whether the client is still connected and has sent bytes that have not been read.
@@ -95,6 +98,13 @@
 	return events&unix.POLLIN != 0 && events&disconnectEvents == 0
 }
 
+// unreadBytes returns the number of bytes that have arrived and have not been read.
+func (cc *clientConn) unreadBytes() (n int) {
+	// Control fails only on a closed connection, which has no unread bytes.
+	_ = cc.raw.Control(func(fd uintptr) { n = unreadBytes(fd) })
+	return n
+}
+
 // sinceLastReceived returns the time since the kernel last received bytes on the connection, or 0 if the kernel
 // does not report it.
 func (cc *clientConn) sinceLastReceived() (quiet time.Duration) {
--- a/internal/httpserver/request.go
+++ b/internal/httpserver/request.go
@@ -74,7 +74,7 @@
 		return nil, err
 	}
 	request.Message, request.ReceivedAt = old.Message, old.ReceivedAt
-	request.Presence, request.HasWaiters = old.Presence, old.HasWaiters
+	request.Presence, request.HasWaiters, request.BodySentAt = old.Presence, old.HasWaiters, old.BodySentAt
 	return request, nil
 }
 
--- a/internal/httpserver/upload.go
+++ b/internal/httpserver/upload.go
@@ -36,6 +36,8 @@
 	// of a body grows: large enough for a low cost of system calls, small enough for thousands of buffers at
 	// once.
 	streamChunkBytes = 32 << 10
+	// maxSendBuffer is how much a client's machine buffers of a body that is not read: the usual maximum of Linux.
+	maxSendBuffer = 4 << 20
 	// firstBufferBytes is the initial size of the buffer of a body: most bodies are shorter.
 	firstBufferBytes = 2 << 10
 )
@@ -57,6 +59,8 @@
 	controller *http.ResponseController
 	memory     *bodyMemory
 	maxBytes   int64         // maximum length of the body
+	length     int64         // announced length of the body in bytes; negative if unknown
+	unread     func() int    // returns the number of bytes in the socket
 	grace      time.Duration // time allowed for the first bytes
 	reserved   int           // bytes reserved from memory; used only by the exchange's goroutine
 
@@ -67,9 +71,11 @@
 	received int64         // bytes received
 
 	// stateMu is held only briefly, and acquired after mu.
-	stateMu sync.Mutex
-	closed  bool
-	ended   bool // the last byte has been read
+	stateMu  sync.Mutex
+	closed   bool
+	ended    bool      // the last byte has been read
+	lastByte time.Time // when bytes were last read
+	lastWait time.Time // the last time by which the client cannot have sent the last byte
 }
 
 // readTimeout returns how long the next byte may take. The caller holds mu.
@@ -89,6 +95,7 @@
 	}
 	n, err := u.body.Read(p)
 	u.waited += time.Since(began)
+	u.noteRead(n, time.Since(began))
 	if u.received += int64(n); u.received > u.maxBytes {
 		return 0, errBodyTooLong
 	}
@@ -98,6 +105,36 @@
 	return n, err
 }
 
+// noteRead records that n bytes have been read, which took some time. The client cannot have sent its last byte if the
+// read had to wait, or if more bytes are missing than its machine buffers. The caller holds mu.
+func (u *upload) noteRead(n int, took time.Duration) {
+	if n == 0 {
+		return
+	}
+	missing := u.length - u.received - int64(n) - int64(u.unread())
+	u.stateMu.Lock()
+	defer u.stateMu.Unlock()
+	u.lastByte = time.Now()
+	if took > blockedReadTime || missing > maxSendBuffer {
+		u.lastWait = u.lastByte
+	}
+}
+
+// sentAt returns the earliest time at which the client may have sent the last byte of the body. A client that waits for
+// the node has written at most maxSendBuffer ahead.
+func (u *upload) sentAt() time.Time {
+	u.stateMu.Lock()
+	defer u.stateMu.Unlock()
+	return u.lastWait
+}
+
+// lastRead returns when bytes were last read.
+func (u *upload) lastRead() time.Time {
+	u.stateMu.Lock()
+	defer u.stateMu.Unlock()
+	return u.lastByte
+}
+
 // startRead sets the deadline of a read. It returns false if the body is closed.
 func (u *upload) startRead(deadline time.Time) bool {
 	u.stateMu.Lock()
--- a/internal/node/client_disconnected_test.go
+++ b/internal/node/client_disconnected_test.go
@@ -116,6 +116,9 @@
 		"a late connection, a part of the body sent": func(t *testing.T) waitingRequest {
 			return waitingToConnect(t, postRequest("credit", "gone", "", patternText(3<<20))[:40<<10])
 		},
+		"a late connection, a long body sent": func(t *testing.T) waitingRequest {
+			return waitingToConnect(t, postRequest("credit", "gone", "", patternText(3<<19)))
+		},
 		"a late connection, many pipelined requests": func(t *testing.T) waitingRequest {
 			return waitingToConnect(t, lookRequest("gone")+strings.Repeat(lookRequest("behind"), (400<<10)/len(lookRequest("behind"))))
 		},
