--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -19,6 +19,9 @@
 	Endpoint                // the entry that was last listed
 	startedAt time.Duration // start time on the Balancer's clock; 0 for long ago
 	listed    bool          // false until its first list entry has been applied
+	// replaced means that a process that started later is listed at the address: this one is gone, and attempts
+	// would reach the other. It is set by updateReplaced.
+	replaced bool
 
 	// epoch counts how often earlier choices of this server became invalid: the server started to
 	// drain, restarted, changed its address or was removed. It is written with Pool.mu held, and read
@@ -145,13 +148,67 @@
 func (p *Pool) applyEndpoints(now time.Duration, endpoints []Endpoint) {
 	updates := make([]decide.Server, 0, len(endpoints))
 	for _, e := range endpoints {
-		if update, changed := p.applyEndpoint(now, e); changed {
-			updates = append(updates, update)
+		oldAddr := p.addrOf(e.Name)
+		update, changed := p.applyEndpoint(now, e)
+		if !changed {
+			continue
+		}
+		updates = append(updates, update)
+		updates = append(updates, p.updateReplaced(oldAddr)...)
+		if addr := p.addrOf(e.Name); addr != oldAddr {
+			updates = append(updates, p.updateReplaced(addr)...)
 		}
 	}
 	p.balancer.UpdateServers(now, updates)
 }
 
+// addrOf returns the address of a server, or "" for an unknown one.
+func (p *Pool) addrOf(name string) string {
+	if s := p.servers[name]; s != nil {
+		return s.Addr
+	}
+	return ""
+}
+
+// updateReplaced updates which of the servers listed at an address are replaced, and returns the updates for the
+// Balancer. An address belongs to one process: of several with different start times only the latest is there, and the
+// lists just do not say yet that the others have ended.
+func (p *Pool) updateReplaced(addr string) (updates []decide.Server) {
+	servers := p.serversAt[addr]
+	latest := 0.0
+	for _, s := range servers {
+		latest = max(latest, s.StartedAtMS)
+	}
+	for _, s := range servers {
+		replaced := s.StartedAtMS < latest
+		if s.replaced == replaced {
+			continue
+		}
+		s.replaced = replaced
+		s.invalidateChoices()
+		p.afterUnlock(s.upstream.Invalidate)
+		updates = append(updates, p.balancerServer(s))
+	}
+	return updates
+}
+
+// setAddr records the address at which a server is listed.
+func (p *Pool) setAddr(s *server, addr string) {
+	p.forgetAddr(s)
+	s.Addr = addr
+	p.serversAt[addr] = append(p.serversAt[addr], s)
+}
+
+// forgetAddr removes a server from those listed at its address.
+func (p *Pool) forgetAddr(s *server) {
+	others := slices.DeleteFunc(p.serversAt[s.Addr], func(other *server) bool { return other == s })
+	if len(others) == 0 {
+		delete(p.serversAt, s.Addr)
+		return
+	}
+	p.serversAt[s.Addr] = others
+}
+
 // applyEndpoint applies one list entry, and returns the update for the Balancer if the entry changes the
 // server.
 func (p *Pool) applyEndpoint(now time.Duration, endpoint Endpoint) (update decide.Server, changed bool) {
@@ -178,6 +235,7 @@
 		srv.invalidateChoices()
 		p.afterUnlock(srv.upstream.Invalidate)
 	}
+	p.setAddr(srv, endpoint.Addr)
 	srv.Endpoint, srv.startedAt, srv.listed = endpoint, p.startTimes.StartedAt(now, endpoint.Name, endpoint.StartedAtMS), true
 	return p.balancerServer(srv), true
 }
@@ -187,8 +245,10 @@
 	updates := make([]decide.Server, 0, len(endpoints))
 	for _, e := range endpoints {
 		if s := p.servers[e.Name]; s != nil {
+			addr := s.Addr
 			updates = append(updates, s.goneUpdate())
 			p.removeServer(e.Name, s)
+			updates = append(updates, p.updateReplaced(addr)...)
 		}
 	}
 	p.balancer.UpdateServers(now, updates)
@@ -197,24 +257,26 @@
 func (p *Pool) addServer(e Endpoint) *server {
 	id := HashServerID(e.Name, func(id decide.ServerID) bool { return p.serversByID[id] != nil })
 	s := &server{Endpoint: e, id: id, upstream: p.settings.Upstream.AddServer()}
+	p.setAddr(s, e.Addr)
 	p.servers[e.Name], p.serversByID[s.id] = s, s
 	return s
 }
 
 func (p *Pool) removeServer(name string, s *server) {
 	s.invalidateChoices()
+	p.forgetAddr(s)
 	delete(p.servers, name)
 	delete(p.serversByID, s.id)
 	p.startTimes.Forget(name)
 	p.afterUnlock(s.upstream.Invalidate)
 }
 
-// balancerServer returns the Balancer's view of a server: a server that an operator has excluded is draining,
-// whatever state discovery lists.
+// balancerServer returns the Balancer's view of a server: a server that an operator has excluded, or that another process
+// has replaced at its address, is draining, whatever state discovery lists.
 func (p *Pool) balancerServer(s *server) decide.Server {
 	startedAt, excluded := p.shared.rotation(s.Name, s.startedAt)
 	view := s.BalancerServer(s.id, startedAt)
-	if view.State == decide.Ready && excluded {
+	if view.State == decide.Ready && (excluded || s.replaced) {
 		view.State = decide.Draining
 	}
 	return view
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -41,6 +41,7 @@
 	lastRequestID decide.RequestID
 	servers       map[string]*server // servers by name
 	serversByID   map[decide.ServerID]*server
+	serversAt     map[string][]*server // servers by address; usually one
 	startTimes    starttime.Tracker
 	fleetPosition FleetPosition // the position that was set last; Until is zero once it has passed
 	quotaReleased bool          // another pool or process uses the node's quota
@@ -69,6 +70,7 @@
 		requests:    make(map[decide.RequestID]*OpenRequest),
 		servers:     make(map[string]*server),
 		serversByID: make(map[decide.ServerID]*server),
+		serversAt:   make(map[string][]*server),
 		drained:     make(chan struct{}),
 	}
 	pool.shared.attach(pool)
