--- a/internal/httpserver/conn_tracker.go
+++ b/internal/httpserver/conn_tracker.go
@@ -9,8 +9,8 @@
 	"jasperpin/internal/limit"
 )
 
-// maxEvictionCandidates limits the number of connections that one search for a victim examines: each costs a
-// system call under the lock that every read acquires.
+// maxEvictionCandidates limits the number of connections that a search for a victim examines while it holds the lock
+// that every read acquires: each costs a system call.
 const maxEvictionCandidates = 16
 
 // connTracker limits the number of clients' connections. At the limit a new connection gets the slot of one on which
@@ -25,7 +25,10 @@
 	open     int        // number of open connections
 	// byPhase are the connections on which no answer is owed, by their phase. Each list is ordered by the last
 	// activity, oldest first. Each element is a *clientConn.
-	byPhase  [phaseActive]list.List
+	byPhase [phaseActive]list.List
+	// unread are connections that a search for a victim has met with bytes to read. Their next read lists them by
+	// their phase again, so that no search meets them twice without a read between.
+	unread   list.List
 	waiting  int  // number of new connections that wait for a slot
 	closed   bool // a listener is closed: connections do not wait for slots
 	noLinger bool // connections are closed without waiting until their clients have read
@@ -59,19 +62,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for t.open >= t.limit {
-		if old := t.closeVictim(0); old != nil {
+		old, more := t.closeVictim(0)
+		switch {
+		case old != nil:
 			// Closed here and not in a goroutine: in a burst, connections would be accepted faster than closed,
 			// and each connection uses its descriptor until it is closed.
 			t.closeDescriptor(old)
-			continue
+		case more: // others may have the lock first
+			t.mu.Unlock()
+			t.mu.Lock()
+		case t.closed:
+			t.occupySlot(newConn)
+			return
+		default:
+			t.waiting++
+			t.slotFree.Wait()
+			t.waiting--
 		}
-		if t.closed {
-			break
-		}
-		t.waiting++
-		t.slotFree.Wait()
-		t.waiting--
 	}
+	t.occupySlot(newConn)
+}
+
+// occupySlot adds a new connection. The caller holds mu.
+func (t *connTracker) occupySlot(newConn *clientConn) {
 	t.open++
 	newConn.lastActivity = newConn.startArrivalTimes(time.Now())
 	newConn.addToList(&t.byPhase[phaseSilent])
@@ -79,23 +92,24 @@
 
 // closeVictim closes a connection for reading to make room for a new one, and returns it: its descriptor has to be
 // closed. It returns nil if each connection owes an answer or may have a request to read, or if the next one to close
-// is not idle and has been active within minQuiet. The caller holds mu.
-func (t *connTracker) closeVictim(minQuiet time.Duration) *clientConn {
-	conns := t.listToEvict()
-	if conns == nil {
-		return nil
-	}
-	// Skip connections whose request may have arrived by now: they are about to be read, and then listed elsewhere.
-	for e, n := conns.Front(), 0; e != nil && n < maxEvictionCandidates; e, n = e.Next(), n+1 {
-		cc := e.Value.(*clientConn)
+// is not idle and has been active within minQuiet. If it returns nil and more is set, there are further candidates. The
+// caller holds mu.
+func (t *connTracker) closeVictim(minQuiet time.Duration) (victim *clientConn, more bool) {
+	for range maxEvictionCandidates {
+		conns := t.listToEvict()
+		if conns == nil {
+			return nil, false
+		}
+		cc := conns.Front().Value.(*clientConn)
 		if conns != &t.byPhase[phaseIdle] && time.Since(cc.lastActivity) < minQuiet {
-			return nil
+			return nil, false
 		}
 		if cc.closeIfNothingOwed() {
-			return cc
+			return cc, false
 		}
+		cc.addToList(&t.unread)
 	}
-	return nil
+	return nil, true
 }
 
 // listToEvict returns the list from which a connection is to be evicted, or nil. The caller holds mu.
@@ -130,7 +144,11 @@
 func (t *connTracker) evictForDescriptor() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old := t.closeVictim(limit.SilentGrace)
+	old, more := t.closeVictim(limit.SilentGrace)
+	for ; more; old, more = t.closeVictim(limit.SilentGrace) {
+		t.mu.Unlock() // others may have the lock first
+		t.mu.Lock()
+	}
 	if old == nil {
 		return false
 	}
@@ -179,9 +197,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for phase := range t.byPhase {
-		for e := t.byPhase[phase].Front(); e != nil; e = e.Next() {
-			e.Value.(*clientConn).stopReading()
-		}
+		stopReading(&t.byPhase[phase])
+	}
+	stopReading(&t.unread)
+}
+
+func stopReading(conns *list.List) {
+	for e := conns.Front(); e != nil; e = e.Next() {
+		e.Value.(*clientConn).stopReading()
 	}
 }
 
--- a/internal/httpserver/conn_tracker_test.go
+++ b/internal/httpserver/conn_tracker_test.go
@@ -122,7 +122,7 @@
 	select {
 	case <-idle: // the answer has already been written
 	default:
-		if victim := ln.tracker.closeVictim(0); victim != nil {
+		if victim, _ := ln.tracker.closeVictim(0); victim != nil {
 			t.Error("a connection whose answer is not written was selected for eviction")
 		}
 	}
@@ -134,6 +134,46 @@
 	check.Eventually(t, "the connection is evicted", func() bool {
 		ln.tracker.mu.Lock()
 		defer ln.tracker.mu.Unlock()
-		return ln.tracker.closeVictim(0) == first
+		victim, _ := ln.tracker.closeVictim(0)
+		return victim == first
 	})
 }
+
+// TestIdleConnectionIsFoundBehindManyUnread: at the limit many connections have bytes to read, and one rests, the most
+// recently active one. A new connection gets its slot: a node must not refuse all clients while one can make room.
+func TestIdleConnectionIsFoundBehindManyUnread(t *testing.T) {
+	const unread = 5 * maxEvictionCandidates
+	ln := newTestListener(t, unread+1)
+	var conns []*clientConn
+	for range unread {
+		client, conn := ln.connect()
+		conn.endAnswer()
+		write(t, client, completeRequest)
+		check.Eventually(t, "the request has arrived", conn.hasUnread)
+		conns = append(conns, conn)
+	}
+	_, idle := ln.connect()
+	idle.endAnswer()
+	ln.connect()
+	if isOpen(idle) {
+		t.Error("the idle connection is open, want it closed for the new one")
+	}
+	for i, conn := range conns {
+		if !isOpen(conn) {
+			t.Errorf("connection %d with a request to read was closed", i)
+		}
+	}
+	ln.tracker.mu.Lock()
+	if got := ln.tracker.unread.Len(); got != unread {
+		t.Errorf("%d connections are listed as unread, want %d", got, unread)
+	}
+	ln.tracker.mu.Unlock()
+	for _, conn := range conns {
+		if _, err := conn.Read(make([]byte, 4096)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := ln.tracker.unread.Len(); got != 0 {
+		t.Errorf("%d connections are listed as unread after their reads, want none", got)
+	}
+}
--- a/internal/httpserver/exchange.go
+++ b/internal/httpserver/exchange.go
@@ -36,9 +36,13 @@
 	conn := connFrom(r.Context())
 	head, recognised := conn.nextHead()
 	s.closeWhileDraining(w, conn)
-	if isReadinessProbe(r) {
+	switch {
+	case isReadinessProbe(r):
 		s.answerReadiness(w)
 		return
+	case isServerOptions(r) && recognised && !head.Ambiguous && r.ContentLength == 0:
+		w.Header().Set("Content-Length", "0")
+		return
 	}
 	if !recognised || head.Ambiguous {
 		// net/http reads a request with both framings as a chunked one and removes the length, so that bytes
@@ -70,6 +74,12 @@
 	return r.URL.Path == readinessPath && (r.Method == http.MethodGet || r.Method == http.MethodHead)
 }
 
+// isServerOptions reports whether a request asks for the options of the server as a whole, which every client may use
+// as a probe.
+func isServerOptions(r *http.Request) bool {
+	return r.Method == http.MethodOptions && r.RequestURI == "*"
+}
+
 func (s *Server) answerReadiness(w http.ResponseWriter) {
 	if s.draining.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -65,8 +65,10 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       contextWithConn,
-		ConnState:         onConnState,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		// Every request must pass ServeHTTP, which takes its head from the connection's connState.
+		DisableGeneralOptionsHandler: true,
+		ConnState:                    onConnState,
+		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	return server
 }
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -38,3 +38,20 @@
 		t.Errorf("%d requests reached the server, want none", got)
 	}
 }
+
+// TestOptionsDoesNotHideAmbiguousRequest sends OPTIONS for the whole server, and behind it a request with both framings
+// that may hide another one in its body. The second request must be judged by its own head: it gets a 4xx and a close,
+// and nothing reaches a server.
+func TestOptionsDoesNotHideAmbiguousRequest(t *testing.T) {
+	server := check.ScriptedServer(t, emulator.Echo)
+	n := startNode(t, nil, server.Addr)
+	got := n.exchange("OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n" +
+		"POST /order/k HTTP/1.1\r\nHost: h\r\nReq-Id: x\r\nReq-Deadline-Ms: 20000\r\nIdempotency-Key: k\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+		lookRequest("hidden"))
+	if !strings.HasPrefix(got, "HTTP/1.1 200") || strings.Count(got, "HTTP/1.1 ") != 2 || !strings.Contains(got, "HTTP/1.1 400") {
+		t.Errorf("the answers are %q, want 200 and then 400", got)
+	}
+	if got := server.Received.Load(); got != 0 {
+		t.Errorf("%d requests reached the server, want none", got)
+	}
+}
