Apply the last ending and the first ready servers of a list at once

Cause: a list that replaces all servers was applied in steps, the ending servers first, and the pool's lock is free between the steps: a request in between finds no server and is rejected.

Change: the last step of ending servers and the first of ready ones are one.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -40,7 +40,7 @@
 const endpointBatch = 32
 
 // UpdateEndpoints applies an endpoint list or a watch event. It locks Pool.mu for at most endpointBatch
-// servers at a time, and yields the processor after each batch. It first removes the servers that a complete
+// servers at a time, once for twice as many, and yields the processor after each batch. It first removes the servers that a complete
 // list does not contain, then applies those that are gone or draining, then the rest: an ending server must
 // get no more requests while a long list is applied.
 //
@@ -75,12 +75,13 @@
 		return
 	}
 	update := splitUpdate(endpoints)
+	var ending []endpointStep
 	if kind != decide.UpdateDelta {
-		p.inBatches(update.missing(p.servers), p.removeEndpoints)
+		ending = p.steps(update.missing(p.servers), p.removeEndpoints)
 		slices.SortFunc(update.ready, byName) // all starting nodes draw samples in the same order
 	}
-	p.inBatches(update.ending, p.applyEndpoints)
-	p.inBatches(update.ready, p.applyEndpoints)
+	ending = append(ending, p.steps(update.ending, p.applyEndpoints)...)
+	p.run(ending, p.steps(update.ready, p.applyEndpoints))
 	p.handle(eventEndpoints, func(now time.Duration) {
 		if kind != decide.UpdateCached {
 			p.startTimes.ConfirmList(now)
@@ -133,13 +134,33 @@
 
 func byName(x, y Endpoint) int { return cmp.Compare(x.Name, y.Name) }
 
-// inBatches calls apply for all endpoints, in batches of at most endpointBatch.
-func (p *Pool) inBatches(endpoints []Endpoint, apply func(now time.Duration, batch []Endpoint)) {
+// endpointStep applies one batch of an endpoint list, with Pool.mu held.
+type endpointStep func(now time.Duration)
+
+// steps returns the steps that apply all endpoints, in batches of at most endpointBatch.
+func (p *Pool) steps(endpoints []Endpoint, apply func(now time.Duration, batch []Endpoint)) (steps []endpointStep) {
 	for batch := range slices.Chunk(endpoints, endpointBatch) {
-		p.handle(eventEndpoints, func(now time.Duration) {
+		steps = append(steps, func(now time.Duration) {
 			p.delays.LargestBatch = max(p.delays.LargestBatch, len(batch))
 			apply(now, batch)
 		})
+	}
+	return steps
+}
+
+// run runs the steps of ending servers, then those of ready ones. The last ending and the first ready servers are applied
+// at once: between the two a request could find no server, and would be rejected, if the list replaces all of them.
+func (p *Pool) run(ending, ready []endpointStep) {
+	if len(ending) > 0 && len(ready) > 0 {
+		last, first := ending[len(ending)-1], ready[0]
+		ending[len(ending)-1] = func(now time.Duration) {
+			last(now)
+			first(now)
+		}
+		ready = ready[1:]
+	}
+	for _, step := range append(ending, ready...) {
+		p.handle(eventEndpoints, step)
 		runtime.Gosched() // lets waiting requests run first
 	}
 }
