--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -40,9 +40,9 @@
 const endpointBatch = 32
 
 // UpdateEndpoints applies an endpoint list or a watch event. It locks Pool.mu for at most endpointBatch
-// servers at a time, once for twice as many, and yields the processor after each batch. It first removes the servers that a complete
-// list does not contain, then applies those that are gone or draining, then the rest: an ending server must
-// get no more requests while a long list is applied.
+// servers at a time, once for twice as many, and yields the processor after each batch. It first removes the
+// servers that a complete list does not contain, then applies those that are gone or draining, then the rest: an
+// ending server must get no more requests while a long list is applied.
 //
 // Only updateEndpoints writes the set of servers and their list entries, one list at a time, so that it can
 // read them without Pool.mu.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -256,7 +256,7 @@
 		return
 	}
 	_ = cc.SetDeadline(time.Now().Add(lingerTimeout)) // if setting the deadline fails, the write fails as well
-	if _, err := io.WriteString(cc, incompleteRequestAnswer); err == nil {
+	if _, err := io.WriteString(cc.Conn, incompleteRequestAnswer); err == nil {
 		cc.linger()
 	}
 }
--- a/internal/httpserver/upload.go
+++ b/internal/httpserver/upload.go
@@ -111,11 +111,12 @@
 	if n == 0 {
 		return
 	}
-	missing := u.length - u.received - int64(n) - int64(u.unread())
+	missing := u.length - u.received - int64(n)
+	incomplete := took > blockedReadTime || missing > maxSendBuffer && missing-int64(u.unread()) > maxSendBuffer
 	u.stateMu.Lock()
 	defer u.stateMu.Unlock()
 	u.lastByte = time.Now()
-	if took > blockedReadTime || missing > maxSendBuffer {
+	if incomplete {
 		u.lastWait = u.lastByte
 	}
 }
