--- a/internal/httpserver/idempotency.go
+++ b/internal/httpserver/idempotency.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -101,12 +102,14 @@
 	return key, digest, true
 }
 
-// awaitFirstRequest waits for the first request with the same key, until the client's deadline at the latest.
-// It returns false if the request has been answered.
+// awaitFirstRequest waits for the first request with the same key, until the client's deadline or the end of a drain at
+// the latest. It returns false if the request has been answered.
 func (x *exchange) awaitFirstRequest(claim *store.Claim) (decision store.Decision, ok bool) {
-	decision, err := claim.Wait(x.httpRequest.Context(), x.clientDeadline())
+	ctx, stop := x.server.services.UntilEnd(x.httpRequest.Context())
+	defer stop()
+	decision, err := claim.Wait(ctx, x.clientDeadline())
 	switch {
-	case errors.Is(err, store.ErrWaitTimeout): // the first request may have run
+	case errors.Is(err, store.ErrWaitTimeout), err != nil && errors.Is(context.Cause(ctx), service.ErrEnding): // the first request may have run
 		writeStatus(x.w, http.StatusGatewayTimeout, 0, x.target.Plain)
 		x.counts.Failed.Add(1)
 		return decision, false
--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -65,7 +65,7 @@
 	if s.budgets == nil {
 		return admission, nil
 	}
-	tenant, err := t.Service.queue.enter(ctx, s.clock(), request.Tenant, request.Deadline)
+	tenant, err := t.Service.queue.enter(ctx, s.ending, s.clock(), request.Tenant, request.Deadline)
 	if err != nil {
 		return nil, t.capRetryAfter(err)
 	}
@@ -79,7 +79,7 @@
 		t.Service.queue.leave(tenant)
 		return nil, t.capRetryAfter(&Rejection{Reason: exhausted, RetryAfter: t.runtime.maxRetryAfter})
 	}
-	if _, err := t.Pool.queue.enter(ctx, s.clock(), limit.OtherTenantsKey, request.Deadline); err != nil {
+	if _, err := t.Pool.queue.enter(ctx, s.ending, s.clock(), limit.OtherTenantsKey, request.Deadline); err != nil {
 		s.budgets.release(t.Pool.Name, admission.need)
 		t.Service.queue.leave(tenant)
 		return nil, t.capRetryAfter(err)
--- a/internal/service/drain.go
+++ b/internal/service/drain.go
@@ -1,6 +1,8 @@
 package service
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"jasperpin/internal/core"
@@ -25,12 +27,28 @@
 	}()
 }
 
-// DrainBy limits the deadlines of all requests to t, by which the process ends.
+// ErrEnding is the cause of a context of UntilEnd that is done as the process ends.
+var ErrEnding = errors.New("the node is shutting down")
+
+// DrainBy limits the deadlines of all requests to t, by which the process ends. Requests that wait for admission then
+// are rejected, and the contexts of UntilEnd are done.
 func (s *Set) DrainBy(t time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.drainDeadline = t
 	s.eachPool(func(p *core.Pool) { p.DrainBy(t) })
+	time.AfterFunc(time.Until(t), func() { s.end(ErrEnding) })
+}
+
+// UntilEnd returns a context for a wait of a request that no pool has yet. It is done with ctx, or once the time of a
+// drain is over. The caller must call stop.
+func (s *Set) UntilEnd(ctx context.Context) (until context.Context, stop func()) {
+	until, cancel := context.WithCancelCause(ctx)
+	unregister := context.AfterFunc(s.ending, func() { cancel(ErrEnding) })
+	return until, func() {
+		unregister()
+		cancel(nil)
+	}
 }
 
 // ReleaseQuota ends the use of the node's quota of fleet-wide limits in all pools, as another process takes over.
--- a/internal/service/queue.go
+++ b/internal/service/queue.go
@@ -25,9 +25,9 @@
 }
 
 // enter admits a request and returns the name under which its tenant is counted. A queued request waits until it
-// is admitted, for the gate's QueueWait, for 1/queueTimeDivisor of the remaining time, or until ctx is done,
+// is admitted, for the gate's QueueWait, for 1/queueTimeDivisor of the remaining time, or until ctx or ending is done,
 // whichever is first. The error is a *Rejection or ctx's cause.
-func (q *admissionQueue) enter(ctx context.Context, now time.Duration, tenant string, deadline time.Time) (string, error) {
+func (q *admissionQueue) enter(ctx, ending context.Context, now time.Duration, tenant string, deadline time.Time) (string, error) {
 	q.mu.Lock()
 	tenant = q.gate.TenantKey(tenant)
 	verdict, ticket, retryAfter := q.gate.Arrive(now, tenant)
@@ -47,6 +47,8 @@
 		return tenant, nil
 	case <-timer.C:
 		err = &Rejection{Reason: ReasonQueueTimeout, RetryAfter: maxWait}
+	case <-ending.Done():
+		err = &Rejection{Reason: ReasonShutdown}
 	case <-ctx.Done():
 		err = context.Cause(ctx)
 	}
--- a/internal/service/set.go
+++ b/internal/service/set.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"context"
 	"iter"
 	"log/slog"
 	"sync"
@@ -49,10 +50,12 @@
 	keySettings   config.IdempotencyKeys
 	predecessor   map[string]core.Snapshot // snapshots of the predecessor process's pools, by name; nil once there are pools
 	drainDeadline time.Time                // zero until a drain begins
-	fleetPosition *core.FleetPosition      // nil if the configuration sets the position
-	draining      map[*poolRuntime]bool    // retired pools with open requests
-	poolQueues    removedQueues            // queues of removed pools
-	serviceQueues removedQueues            // queues of removed services
+	ending        context.Context          // done at drainDeadline, with the cause ErrEnding
+	end           context.CancelCauseFunc
+	fleetPosition *core.FleetPosition   // nil if the configuration sets the position
+	draining      map[*poolRuntime]bool // retired pools with open requests
+	poolQueues    removedQueues         // queues of removed pools
+	serviceQueues removedQueues         // queues of removed services
 }
 
 // New returns a set with the services and pools of a configuration. placer may be nil. predecessor contains the
@@ -64,6 +67,7 @@
 		newUpstream: upstream, newPlacer: placer, predecessor: predecessor, draining: make(map[*poolRuntime]bool),
 		poolQueues: make(removedQueues), serviceQueues: make(removedQueues),
 	}
+	s.ending, s.end = context.WithCancelCause(context.Background())
 	s.shared.restore(predecessor)
 	if cfg.PoolsShareLimits {
 		s.budgets = newBudgets()
