Write a target that begins with two slashes as it came, or answer 400

Cause: net/http writes an opaque URL that begins with two slashes as the absolute form.

Change: core.TargetURL gives a URL that is written byte for byte; where there is none, the client gets 400.

--- a/internal/httpclient/request.go
+++ b/internal/httpclient/request.go
@@ -25,8 +25,13 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // otherwise net/http sends its own
 	}
+	target, ok := core.TargetURL(message.Target)
+	if !ok { // the HTTP server has rejected such a target; without a scheme it is written as an invalid one
+		target = &url.URL{Opaque: message.Target}
+	}
+	target.Host = addr
 	req := &http.Request{
-		Method: message.Method, URL: &url.URL{Scheme: "http", Host: addr, Opaque: message.Target}, Host: message.Host,
+		Method: message.Method, URL: target, Host: message.Host,
 		Header: header, Body: http.NoBody, ContentLength: int64(len(message.Body)),
 	}
 	switch {
--- a/internal/httpclient/upstream_test.go
+++ b/internal/httpclient/upstream_test.go
@@ -58,6 +58,27 @@
 	upstream.Close()
 }
 
+// TestTargetReachesServerUnchanged guards against a request that reaches its server as one for another host or path: a
+// target that begins with two slashes.
+func TestTargetReachesServerUnchanged(t *testing.T) {
+	scripted := check.ScriptedServer(t, emulator.Echo)
+	upstream := newTestUpstream(t, 1)
+	defer upstream.Close()
+	c := check.Must[*serverConn](t)(upstream.get(t.Context(), upstream.AddServer().(*server), scripted.Addr))
+	for _, target := range []string{"/look/k?a=%2F", "//acme/7f3a", "//acme/7f%2F3a?x=|", "/a|b"} {
+		m := &core.Message{Method: http.MethodGet, Target: target, Host: "h", Header: map[string][]string{"Req-Id": {"1"}}}
+		sent, err := c.send(m, "h", core.AttemptDeadlines{ClientDeadline: time.Now().Add(time.Minute)}, &fakeGate{allowed: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp := check.Must[*http.Response](t)(c.readHead(sent.request))
+		_, _, _ = c.readBody(resp, core.DefaultMaxBody, time.Now().Add(time.Minute))
+		if got := (<-scripted.Requests).RequestURI; got != target {
+			t.Errorf("target %s reached the server as %s", target, got)
+		}
+	}
+}
+
 // exchange sends a request on a connection and returns the body of its answer.
 func exchange(t *testing.T, c *serverConn, id string) string {
 	t.Helper()
--- a/internal/httpserver/exchange.go
+++ b/internal/httpserver/exchange.go
@@ -91,6 +91,9 @@
 	if x.target, err = x.server.resolve(x.httpRequest); err != nil {
 		return err
 	}
+	if _, ok := core.TargetURL(requestTarget(x.httpRequest)); !ok {
+		return &requestError{http.StatusBadRequest, "the path cannot be forwarded unchanged"}
+	}
 	if x.request, err = x.server.parse(x.httpRequest, x.target); err != nil {
 		return err
 	}
