--- a/internal/core/shared.go
+++ b/internal/core/shared.go
@@ -88,11 +88,23 @@
 	return s.requestIDs.ApplyPeer(from, update)
 }
 
-// ForgetPeerRequestIDs removes the request ids of another process, which has ended.
+// ForgetPeerRequestIDs removes the request ids of another process, which has ended. Ids that it has not ended stay in use
+// for heldIDTime: their requests may have run.
 func (s *SharedState) ForgetPeerRequestIDs(side requestid.Neighbor) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	kept := s.requestIDs.KeepPeer(side, maxHeldIDs-s.heldIDs)
 	s.requestIDs.ForgetPeer(side)
+	if len(kept) == 0 {
+		return
+	}
+	s.heldIDs += len(kept)
+	time.AfterFunc(heldIDTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.heldIDs -= len(kept)
+		s.requestIDs.Release(kept)
+	})
 }
 
 // Empty reports whether the state contains nothing that a later pool of its name would need.
--- a/internal/requestid/registry.go
+++ b/internal/requestid/registry.go
@@ -68,6 +68,7 @@
 	open map[string]struct{}
 	// hashes are the IDs of open; nil while no neighbor is sent updates, so that no id is hashed.
 	hashes    map[ID]struct{}
+	kept      map[ID]struct{} // ids of neighbors that have ended, in use until Release
 	neighbors [neighborCount]neighborState
 }
 
@@ -95,6 +96,11 @@
 			return false
 		}
 	}
+	if len(r.kept) > 0 {
+		if _, ok := r.kept[Hash(name)]; ok {
+			return false
+		}
+	}
 	r.open[name] = struct{}{}
 	if r.hashes != nil {
 		id := Hash(name)
@@ -125,7 +131,7 @@
 			return false
 		}
 	}
-	return len(r.open) == 0
+	return len(r.open) == 0 && len(r.kept) == 0
 }
 
 // noteChange stores a change of an id of this process for the next update to each neighbor.
@@ -157,7 +163,10 @@
 	}
 	r.neighbors[to].tracked, r.neighbors[to].changed = true, make(map[ID]struct{})
 	relayed := r.neighbors[to.other()].open
-	u := Update{Complete: true, Opened: make([]byte, 0, hashSize*(len(r.hashes)+len(relayed)))}
+	u := Update{Complete: true, Opened: make([]byte, 0, hashSize*(len(r.hashes)+len(r.kept)+len(relayed)))}
+	for id := range r.kept {
+		u.Opened = append(u.Opened, id[:]...)
+	}
 	for id := range r.hashes {
 		u.Opened = append(u.Opened, id[:]...)
 	}
@@ -188,8 +197,9 @@
 // openFor reports whether an id is open here or in the other neighbor.
 func (r *Registry) openFor(to Neighbor, id ID) bool {
 	_, own := r.hashes[id]
+	_, kept := r.kept[id]
 	_, relayed := r.neighbors[to.other()].open[id]
-	return own || relayed
+	return own || kept || relayed
 }
 
 // ApplyPeer applies a neighbor's update. A malformed update is an error and changes nothing; ids beyond MaxPeerIDs
@@ -216,6 +226,30 @@
 	return nil
 }
 
+// KeepPeer keeps up to limit of a neighbor's ids in use, and returns them for Release. It is called before ForgetPeer: the
+// requests behind the ids that a process has not ended may have run.
+func (r *Registry) KeepPeer(from Neighbor, limit int) (ids []ID) {
+	for id := range r.neighbors[from].open {
+		if _, kept := r.kept[id]; kept || len(ids) >= limit {
+			continue
+		}
+		if r.kept == nil {
+			r.kept = make(map[ID]struct{})
+		}
+		r.kept[id] = struct{}{}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Release ends the use of ids that KeepPeer has returned.
+func (r *Registry) Release(ids []ID) {
+	for _, id := range ids {
+		delete(r.kept, id)
+		r.noteChange(id)
+	}
+}
+
 // ForgetPeer removes a neighbor's ids, as its process has ended, and stops the tracking of changes for it. Without
 // neighbors, Open and Close have no further cost.
 func (r *Registry) ForgetPeer(from Neighbor) {
--- a/internal/requestid/registry_test.go
+++ b/internal/requestid/registry_test.go
@@ -126,6 +126,34 @@
 	}
 }
 
+// TestIDsOfEndedPeerStayInUse guards against an id that runs twice: a process ends without ending the id of a request that
+// may have run. The id stays in use here, and for the processes beyond, until it is released.
+func TestIDsOfEndedPeerStayInUse(t *testing.T) {
+	r, beyond := New(), New()
+	id, other := Hash("a"), Hash("b")
+	if err := r.ApplyPeer(Predecessor, Update{Opened: append(id[:], other[:]...)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.ApplyPeer(Predecessor, Update{Ended: other[:]}); err != nil {
+		t.Fatal(err)
+	}
+	if ids := r.KeepPeer(Predecessor, 0); len(ids) != 0 {
+		t.Errorf("%d ids are kept, want none beyond the limit", len(ids))
+	}
+	kept := r.KeepPeer(Predecessor, maxChanges)
+	r.ForgetPeer(Predecessor)
+	if r.Open("a") || !r.Open("b") || len(kept) != 1 {
+		t.Errorf("%d ids are kept, or an id in use was opened, want only the one that was not ended", len(kept))
+	}
+	if err := beyond.ApplyPeer(Predecessor, r.Changes(Successor)); err != nil || beyond.Open("a") {
+		t.Errorf("error %v, or a process beyond opens the id", err)
+	}
+	r.Release(kept)
+	if err := beyond.ApplyPeer(Predecessor, r.Changes(Successor)); err != nil || !beyond.Open("a") || !r.Open("a") {
+		t.Errorf("error %v, or the id is in use after its release", err)
+	}
+}
+
 // TestUpdateIsBounded: more ids are opened than maxChanges. The next update is complete.
 func TestUpdateIsBounded(t *testing.T) {
 	a, b := New(), New()
--- a/internal/service/shared_test.go
+++ b/internal/service/shared_test.go
@@ -101,7 +101,8 @@
 }
 
 // TestUnusedStatesAreRemoved: pools are removed, with nothing left, with a server excluded, and with an id that another
-// process has in use. Only what a later pool of the name needs is kept, until it is not needed any more.
+// process has in use and does not end. Only what a later pool of the name needs is kept, until it is not needed any more:
+// the id for as long as a client may wait, as its request may have run.
 func TestUnusedStatesAreRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		none := twoPools()
@@ -122,6 +123,10 @@
 		if a, b, c := set.shared.byName["a"], set.shared.byName["b"], set.shared.byName["c"]; a != nil || b == nil || c == nil {
 			t.Errorf("states are %v, %v, %v, want only those with an exclusion and with an id", a, b, c)
 		}
+		if set.ForgetPeerRequestIDs(requestid.Predecessor); len(set.shared.byName) != 2 {
+			t.Errorf("%d states, want those with an exclusion and with an id that its process has not ended", len(set.shared.byName))
+		}
+		time.Sleep(core.MaxClientTimeout + time.Second)
 		if set.ForgetPeerRequestIDs(requestid.Predecessor); len(set.shared.byName) != 1 {
 			t.Errorf("%d states, want only the one with an exclusion", len(set.shared.byName))
 		}
