Take only one of two servers at an address for replaced, not those behind a proxy

It lists thousands of servers at a few addresses.

Cause: of all servers at an address only the one that started last was used.

Change: only where two are listed is the earlier one replaced. An unchanged entry costs a comparison again, and an address with many servers no more than one.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -134,6 +134,9 @@
 
 func byName(x, y Endpoint) int { return cmp.Compare(x.Name, y.Name) }
 
+// replacedPair is the number of servers at one address of which the earlier one has been replaced.
+const replacedPair = 2
+
 // endpointStep applies one batch of an endpoint list, with Pool.mu held.
 type endpointStep func(now time.Duration)
 
@@ -169,39 +172,25 @@
 func (p *Pool) applyEndpoints(now time.Duration, endpoints []Endpoint) {
 	updates := make([]decide.Server, 0, len(endpoints))
 	for _, e := range endpoints {
-		oldAddr := p.addrOf(e.Name)
-		update, changed := p.applyEndpoint(now, e)
-		if !changed {
-			continue
-		}
-		updates = append(updates, update)
-		updates = append(updates, p.updateReplaced(oldAddr)...)
-		if addr := p.addrOf(e.Name); addr != oldAddr {
-			updates = append(updates, p.updateReplaced(addr)...)
-		}
+		updates = append(updates, p.applyEndpoint(now, e)...)
 	}
 	p.balancer.UpdateServers(now, updates)
 }
 
-// addrOf returns the address of a server, or "" for an unknown one.
-func (p *Pool) addrOf(name string) string {
-	if s := p.servers[name]; s != nil {
-		return s.Addr
-	}
-	return ""
-}
-
 // updateReplaced updates which of the servers listed at an address are replaced, and returns the updates for the
-// Balancer. An address belongs to one process: of several with different start times only the latest is there, and the
-// lists just do not say yet that the others have ended.
+// Balancer. Of two servers with different start times only the later one is there, and the lists just do not say yet
+// that the other one has ended. An address with more servers belongs to a proxy in front of them.
 func (p *Pool) updateReplaced(addr string) (updates []decide.Server) {
 	servers := p.serversAt[addr]
+	if len(servers) > replacedPair+1 {
+		return nil // none of them was replaced when there was one server less
+	}
 	latest := 0.0
 	for _, s := range servers {
 		latest = max(latest, s.StartedAtMS)
 	}
 	for _, s := range servers {
-		replaced := s.StartedAtMS < latest
+		replaced := len(servers) == replacedPair && s.StartedAtMS < latest
 		if s.replaced == replaced {
 			continue
 		}
@@ -230,17 +219,16 @@
 	p.serversAt[s.Addr] = others
 }
 
-// applyEndpoint applies one list entry, and returns the update for the Balancer if the entry changes the
-// server.
-func (p *Pool) applyEndpoint(now time.Duration, endpoint Endpoint) (update decide.Server, changed bool) {
+// applyEndpoint applies one list entry, and returns the updates for the Balancer if the entry changes the server.
+func (p *Pool) applyEndpoint(now time.Duration, endpoint Endpoint) (updates []decide.Server) {
 	srv := p.servers[endpoint.Name]
 	if endpoint.State == decide.Gone {
 		if srv == nil {
-			return decide.Server{}, false
+			return nil
 		}
-		update = srv.goneUpdate()
+		update := srv.goneUpdate()
 		p.removeServer(endpoint.Name, srv)
-		return update, true
+		return append(p.updateReplaced(srv.Addr), update)
 	}
 	if srv == nil {
 		srv = p.addServer(endpoint)
@@ -248,7 +236,7 @@
 		endpoint.Addr = srv.Addr
 	}
 	if srv.listed && srv.Endpoint == endpoint {
-		return decide.Server{}, false
+		return nil
 	}
 	if endpoint.State != decide.Ready || endpoint.StartedAtMS != srv.StartedAtMS || endpoint.Addr != srv.Addr {
 		// The next attempt on an idle connection to a process that is gone, draining or has moved to
@@ -256,9 +244,16 @@
 		srv.invalidateChoices()
 		p.afterUnlock(srv.upstream.Invalidate)
 	}
-	p.setAddr(srv, endpoint.Addr)
+	oldAddr := srv.Addr
+	if endpoint.Addr != oldAddr {
+		p.setAddr(srv, endpoint.Addr)
+	}
 	srv.Endpoint, srv.startedAt, srv.listed = endpoint, p.startTimes.StartedAt(now, endpoint.Name, endpoint.StartedAtMS), true
-	return p.balancerServer(srv), true
+	updates = p.updateReplaced(srv.Addr)
+	if endpoint.Addr != oldAddr {
+		updates = append(updates, p.updateReplaced(oldAddr)...)
+	}
+	return append(updates, p.balancerServer(srv))
 }
 
 // removeEndpoints removes a batch of servers.
--- a/internal/core/replaced_server_test.go
+++ b/internal/core/replaced_server_test.go
@@ -48,3 +48,21 @@
 		})
 	}
 }
+
+// TestServersBehindOneProxyAreAllUsed: more than two servers are listed at one address, as behind a proxy. None of them
+// counts as replaced.
+func TestServersBehindOneProxyAreAllUsed(t *testing.T) {
+	pool := NewPool(Settings{Upstream: &recordingUpstream{}, Balancer: decide.Settings{NodeCount: 1, MaxAttempts: 1, Classes: []decide.Class{{PriorityWeight: 1}}}})
+	defer pool.Close()
+	now := float64(time.Now().UnixMilli())
+	pool.UpdateEndpoints(decide.UpdateFull, []Endpoint{
+		{Name: "a", Addr: "p:1", State: decide.Ready, Capacity: 1},
+		{Name: "b", Addr: "p:1", State: decide.Ready, Capacity: 1, StartedAtMS: now - 1000},
+		{Name: "c", Addr: "p:1", State: decide.Ready, Capacity: 1, StartedAtMS: now},
+	})
+	for name, server := range pool.servers {
+		if state := pool.balancerServer(server).State; state != decide.Ready {
+			t.Errorf("server %s is %v, want it ready", name, state)
+		}
+	}
+}
